--- /dev/null
+++ b/berylpost/bench/fleet.py
@@ -0,0 +1,381 @@
+"""Daemons as processes on loopback, with a world of stand-ins for them.
+
+Every process started here is ended here, by its id.
+"""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+import urllib3
+import yaml
+
+from ..client import Client, Problem
+from ..configuration import hash_token
+from ..configurations import create_configuration
+from ..fakes.cloud import Vm
+from ..fakes.engine import EngineShape
+from ..fakes.world import BackendSpec, WorldSpec, WorldThread
+from ..platform.objects import HttpObjects
+from ..writer import ConditionalWriter
+
+START_TIMEOUT_S: Final = 20.0
+OPERATOR_TOKEN: Final = "operator-token"
+POLL_S: Final = 0.05
+HOST: Final = "127.0.0.1"
+
+
+def find_ports(n_ports: int) -> list[int]:
+    """Finds free loopback ports; all are open at once, so that none repeats."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(n_ports):
+            sock = stack.enter_context(socket.socket())
+            sock.bind((HOST, 0))
+            ports.append(int(sock.getsockname()[1]))
+        return ports
+
+
+def wait_until(holds: Callable[[], bool], *, timeout_s: float, what: str) -> float:
+    """Waits for a condition.
+
+    Returns:
+        Seconds waited.
+
+    Raises:
+        TimeoutError: it did not come to hold; names `what`.
+    """
+    started_at = time.monotonic()
+    while not holds():
+        if time.monotonic() - started_at > timeout_s:
+            raise TimeoutError(f"after {timeout_s} s not so: {what}")
+        time.sleep(POLL_S)
+    return time.monotonic() - started_at
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSpec:
+    """What to start.
+
+    Attributes:
+        zones: daemons and backend servers go round them.
+        customers: names; the token of each is `NAME-token`.
+        overrides: settings merged over the defaults of each daemon, by section.
+    """
+
+    deployment: str = "darling-downs"
+    region: str = "qld-south"
+    zones: tuple[str, ...] = ("toowoomba", "dalby", "gatton", "warwick")
+    n_daemons: int = 3
+    n_engines: int = 2
+    n_services: int = 2
+    model: str = "summary-7b"
+    service: str = "intake"
+    customers: tuple[Mapping[str, Any], ...] = (
+        {"name": "weighbridge"},
+        {"name": "licence-desk"},
+    )
+    shape: EngineShape = field(default_factory=EngineShape)
+    overrides: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
+
+
+def make_document(spec: FleetSpec) -> dict[str, Any]:
+    """Makes the deployment's first configuration."""
+    return {
+        "models": [{"name": spec.model, "version": "1", "replicas": spec.n_engines}],
+        "services": [
+            {
+                "name": spec.service,
+                "calls": [{"method": "POST", "path": "/bookings", "idempotent": False}],
+            }
+        ],
+        "zones": list(spec.zones),
+        "vm_classes": [{"name": "small", "reclaimable": True}],
+        "customers": [
+            {"tokens": [hash_token(f"{c['name']}-token")], **c} for c in spec.customers
+        ],
+        "operators": [{"name": "shift", "tokens": [hash_token(OPERATOR_TOKEN)]}],
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class Daemon:
+    """One daemon process."""
+
+    id: str
+    vm: str
+    zone: str
+    http: str
+    peers: str
+    settings_path: Path
+    log_path: Path
+    process: "subprocess.Popen[bytes] | None" = None
+
+    def is_running(self) -> bool:
+        """Tells whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+    def read_resident_bytes(self) -> int:
+        """Reads the resident memory of the process."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+        return int(line.split()[1]) * 1024
+
+    def read_cpu_s(self) -> float:
+        """Reads the processor time the process has used, in seconds."""
+        assert self.process is not None
+        text = Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Fleet:
+    """Stand-ins in this process and daemons in processes of their own.
+
+    Args:
+        spec: what to start.
+    """
+
+    def __init__(self, *, spec: FleetSpec) -> None:
+        self.spec = spec
+        self._directory = tempfile.TemporaryDirectory(prefix="berylpost-")
+        n_backends = spec.n_engines + spec.n_services
+        ports = iter(find_ports(3 + n_backends + 2 * spec.n_daemons))
+
+        def next_address() -> str:
+            return f"{HOST}:{next(ports)}"
+
+        zones = spec.zones
+        backends = [
+            BackendSpec(
+                vm=f"vm-engine-{i + 1}",
+                zone=zones[i % len(zones)],
+                role="engine",
+                name=spec.model,
+                address=next_address(),
+            )
+            for i in range(spec.n_engines)
+        ]
+        backends += [
+            BackendSpec(
+                vm=f"vm-service-{i + 1}",
+                zone=zones[i % len(zones)],
+                role="service",
+                name=spec.service,
+                address=next_address(),
+            )
+            for i in range(spec.n_services)
+        ]
+        self.world_spec = WorldSpec(
+            objects=next_address(),
+            cloud=next_address(),
+            weights=next_address(),
+            deployment=spec.deployment,
+            backends=tuple(backends),
+            shape=spec.shape,
+        )
+        self.daemons = [
+            Daemon(
+                id=f"dd-{i + 1}",
+                vm=f"vm-daemon-{i + 1}",
+                zone=zones[i % len(zones)],
+                http=next_address(),
+                peers=next_address(),
+                settings_path=Path(self._directory.name) / f"dd-{i + 1}.yaml",
+                log_path=Path(self._directory.name) / f"dd-{i + 1}.log",
+            )
+            for i in range(spec.n_daemons)
+        ]
+        self.world: WorldThread
+        self.objects = HttpObjects(
+            url=f"http://{self.world_spec.objects}", timeout_s=2.0
+        )
+        self._http = urllib3.PoolManager(retries=False, timeout=2.0)
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Starts the world, writes the first configuration, starts the daemons."""
+        self.world = WorldThread(spec=self.world_spec)
+        writer = ConditionalWriter(objects=self.objects, writer="fleet")
+        document = make_document(self.spec)
+        create_configuration(self.objects, writer, self.spec.deployment, document)
+        for daemon in self.daemons:
+            self.start_daemon(daemon, wait=False)
+        for daemon in self.daemons:
+            self.wait_ready(daemon)
+        self.wait_settled()
+
+    def start_daemon(self, daemon: Daemon, *, wait: bool = True) -> None:
+        """Starts one daemon's process and lists its VM."""
+        daemon.settings_path.write_text(yaml.safe_dump(self._make_settings(daemon)))
+        vm = Vm(
+            id=daemon.vm,
+            zone=daemon.zone,
+            role="daemon",
+            name="berylpost",
+            deployment=self.spec.deployment,
+            address=daemon.http,
+        )
+        self.world.world.cloud.add(vm)
+        with daemon.log_path.open("ab") as log:
+            daemon.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "berylpost",
+                    "serve",
+                    "-c",
+                    daemon.settings_path,
+                ],
+                stderr=log,
+                stdout=log,
+            )
+        if wait:
+            self.wait_ready(daemon)
+
+    def _make_settings(self, daemon: Daemon) -> dict[str, Any]:
+        world = self.world_spec
+        document: dict[str, Any] = {
+            "daemon": {
+                "id": daemon.id,
+                "region": self.spec.region,
+                "zone": daemon.zone,
+                "vm": daemon.vm,
+                "deployments": [self.spec.deployment],
+            },
+            "listen": {"http": daemon.http, "peers": daemon.peers},
+            "platform": {
+                "objects": f"http://{world.objects}",
+                "cloud": f"http://{world.cloud}",
+                "weights": f"http://{world.weights}",
+            },
+            "peers": {"seeds": [d.peers for d in self.daemons[:3]]},
+            "fatal_invariants": True,
+        }
+        for section, values in self.spec.overrides.items():
+            document[section] = {**document.get(section, {}), **values}
+        return document
+
+    def wait_ready(self, daemon: Daemon) -> None:
+        """Waits until a daemon is ready.
+
+        Raises:
+            TimeoutError: with the end of its log.
+        """
+
+        def is_ready() -> bool:
+            if not daemon.is_running():
+                raise TimeoutError(f"{daemon.id} ended:\n{self.read_log(daemon)}")
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                url = f"http://{daemon.http}/readyz"
+                return self._http.request("GET", url).status == 200
+            return False
+
+        wait_until(is_ready, timeout_s=START_TIMEOUT_S, what=f"{daemon.id} ready")
+
+    def wait_settled(self) -> None:
+        """Waits until every running daemon knows every other and all backends."""
+        running = [d for d in self.daemons if d.is_running()]
+        n_backends = len(self.world_spec.backends)
+
+        def is_settled() -> bool:
+            for daemon in running:
+                status = self.read_status(daemon)
+                alive = [m for m in status["members"] if m["state"] == "alive"]
+                found = [b for b in status["backends"] if b["role"] != "daemon"]
+                if len(alive) < len(running) or len(found) < n_backends:
+                    return False
+            return True
+
+        wait_until(is_settled, timeout_s=START_TIMEOUT_S, what="all daemons settled")
+
+    def read_status(self, daemon: Daemon) -> dict[str, Any]:
+        """Reads a daemon's status; empty when it does not answer."""
+        try:
+            status = self.operator(daemon).call(
+                "GET", "/v1/status", address=daemon.http
+            )
+        except Problem:
+            return {"members": [], "backends": [], "configurations": {}}
+        return dict(status)
+
+    def read_metric(self, daemon: Daemon, name: str) -> float:
+        """Sums a metric over its labels."""
+        text = self._http.request("GET", f"http://{daemon.http}/metrics").data.decode()
+        return sum(
+            float(line.rpartition(" ")[2])
+            for line in text.splitlines()
+            if line.startswith((name + " ", name + "{"))
+        )
+
+    def read_log(self, daemon: Daemon, n_lines: int = 40) -> str:
+        """Reads the end of a daemon's log."""
+        if not daemon.log_path.exists():
+            return ""
+        return "\n".join(daemon.log_path.read_text().splitlines()[-n_lines:])
+
+    def client(self, customer: str = "weighbridge") -> Client:
+        """Makes a caller's client."""
+        addresses = [d.http for d in self.daemons]
+        return Client(addresses=addresses, token=f"{customer}-token")
+
+    def operator(self, daemon: Daemon | None = None) -> Client:
+        """Makes an operator's client."""
+        daemons = [daemon] if daemon else self.daemons
+        return Client(addresses=[d.http for d in daemons], token=OPERATOR_TOKEN)
+
+    def kill(self, daemon: Daemon) -> None:
+        """Kills a daemon at once."""
+        assert daemon.process is not None
+        daemon.process.kill()
+        daemon.process.wait()
+
+    def pause(self, daemon: Daemon) -> None:
+        """Freezes a daemon."""
+        assert daemon.process is not None
+        os.kill(daemon.process.pid, signal.SIGSTOP)
+
+    def wake(self, daemon: Daemon) -> None:
+        """Lets a frozen daemon go on."""
+        assert daemon.process is not None
+        os.kill(daemon.process.pid, signal.SIGCONT)
+
+    def set_fault(self, address: str, **fault: Any) -> None:
+        """Sets the faults of a stand-in; without any, ends them."""
+        body = msgspec.json.encode(fault)
+        self._http.request("POST", f"http://{address}/fault", body=body)
+
+    def reclaim(self, vm: str, seconds: float) -> None:
+        """Gives notice to a VM; a daemon's process is killed when it is over."""
+        self.world.call(self.world.world.reclaim(vm, seconds))
+
+    def stop(self) -> None:
+        """Ends every process and stand-in started here."""
+        for daemon in self.daemons:
+            if daemon.is_running():
+                self.wake(daemon)
+                self.kill(daemon)
+        if hasattr(self, "world"):
+            self.world.stop()
+        self._directory.cleanup()
--- /dev/null
+++ b/berylpost/callers.py
@@ -0,0 +1,121 @@
+"""A caller's connection after CherryPy has handed its socket to the relay.
+
+The connection holds a place in the stream's events and a bounded buffer; a caller
+that reads slowly gets events later and holds up neither its engine nor others.
+"""
+
+import socket
+import ssl
+from dataclasses import dataclass, field
+from typing import Final
+
+from .streams import (
+    DONE_EVENT,
+    LAST_CHUNK,
+    Stream,
+    StreamState,
+    render_error,
+    render_error_event,
+    render_event,
+    render_moved,
+    render_moved_whole,
+    render_stream_head,
+    render_whole,
+)
+
+MAX_EVENTS_PER_FILL: Final = 256
+
+
+@dataclass(slots=True, kw_only=True)
+class Caller:
+    """One connection.
+
+    Attributes:
+        next_event: the event it gets next, counted from 1.
+        whole: it waits for the whole answer instead of a stream.
+        closing: everything is in the buffer; close once it is sent.
+    """
+
+    socket: socket.socket
+    stream_id: str
+    next_event: int = 1
+    whole: bool = False
+    head_sent: bool = False
+    closing: bool = False
+    buffer: bytearray = field(default_factory=bytearray)
+
+    def fill(self, stream: Stream, bound: int, moved_address: str) -> None:
+        """Renders what the caller may have next, up to `bound` bytes."""
+        if self.closing:
+            return
+        if self.whole:
+            self._fill_whole(stream, moved_address)
+            return
+        n_events = len(stream.ends)
+        if not self.head_sent and self.next_event <= n_events:
+            self.buffer += render_stream_head(stream)
+            self.head_sent = True
+        for _ in range(MAX_EVENTS_PER_FILL):
+            if self.next_event > n_events or len(self.buffer) >= bound:
+                break
+            self.buffer += render_event(stream, self.next_event)
+            self.next_event += 1
+        if stream.is_final() and self.next_event > n_events:
+            self._end(stream, moved_address)
+
+    def _end(self, stream: Stream, moved_address: str) -> None:
+        self.closing = True
+        if stream.state is StreamState.DONE:
+            if not self.head_sent:
+                self.buffer += render_stream_head(stream)
+            self.buffer += DONE_EVENT + LAST_CHUNK
+            return
+        if stream.state is StreamState.MOVED:
+            if not self.head_sent:
+                self.buffer += render_stream_head(stream)
+            # Ended by HTTP's framing too: the caller goes on elsewhere.
+            self.buffer += render_moved(stream, moved_address) + LAST_CHUNK
+            return
+        assert stream.error is not None
+        if self.head_sent:
+            # No last chunk: a cut answer must not look like a finished one.
+            self.buffer += render_error_event(stream.error)
+        else:
+            self.buffer += render_error(stream.error)
+
+    def _fill_whole(self, stream: Stream, moved_address: str) -> None:
+        if not stream.is_final():
+            return
+        self.closing = True
+        if stream.state is StreamState.DONE:
+            self.buffer += render_whole(stream)
+        elif stream.state is StreamState.MOVED:
+            self.buffer += render_moved_whole(stream, moved_address)
+        else:
+            assert stream.error is not None
+            self.buffer += render_error(stream.error)
+
+    def flush(self) -> bool:
+        """Sends what the socket takes.
+
+        Returns:
+            False when the connection is broken.
+        """
+        while self.buffer:
+            try:
+                n_sent = self.socket.send(self.buffer)
+            except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+                return True
+            except OSError:
+                return False
+            del self.buffer[:n_sent]
+        return True
+
+    def is_gone(self) -> bool:
+        """Reads what a caller should not send; end of file means it left."""
+        try:
+            return not self.socket.recv(4_096)
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
+            return False
+        except OSError:
+            return True
--- /dev/null
+++ b/berylpost/client.py
@@ -0,0 +1,328 @@
+"""A caller's side in Python: asks for addresses, keeps them, goes on elsewhere.
+
+Used by the command line, the demonstration and the tests; others may embed it. It
+holds what docs/api.md asks of callers: a moved or cut stream is resumed by
+Last-Event-ID, and only what certainly did not run is sent again on its own.
+"""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+import urllib3
+
+from .errors import ErrorKind, Ran
+
+CONNECT_TIMEOUT_S: Final = 1.0
+RESUME_PAUSE_S: Final = 0.1
+MAX_RESUMES: Final = 60
+AGAIN_KINDS: Final = frozenset(
+    {ErrorKind.LEAVING, ErrorKind.NO_BACKEND, ErrorKind.STORE_UNAVAILABLE}
+)
+
+
+class Problem(Exception):
+    """A problem answer, or no answer at all.
+
+    Attributes:
+        status: HTTP status, 0 without an answer.
+        kind: of the closed list, or `no_answer`, `cut`, `unexpected`.
+        ran: `not_run`, `unknown` or `ran`.
+    """
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        kind: str,
+        ran: str,
+        detail: str = "",
+        document: dict[str, Any] | None = None,
+    ) -> None:
+        super().__init__(f"{status} {kind} (ran: {ran}): {detail}")
+        self.status = status
+        self.kind = kind
+        self.ran = ran
+        self.detail = detail
+        self.document = document or {}
+
+
+@dataclass(slots=True, kw_only=True)
+class StreamedAnswer:
+    """What came of a streamed request."""
+
+    request: str = ""
+    text: str = ""
+    n_events: int = 0
+    n_resumes: int = 0
+    finished: bool = False
+    first_token_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """One server-sent event."""
+
+    id: str
+    name: str
+    data: bytes
+
+
+def parse_events(chunks: Iterator[bytes]) -> Iterator[Event]:
+    """Parses server-sent events."""
+    buffer = b""
+    for chunk in chunks:
+        buffer += chunk
+        *blocks, buffer = buffer.split(b"\n\n")
+        for block in blocks:
+            fields = {"id": b"", "event": b"", "data": b""}
+            for line in block.split(b"\n"):
+                name, _, value = line.partition(b":")
+                fields[name.decode()] = value.removeprefix(b" ")
+            yield Event(
+                id=fields["id"].decode(),
+                name=fields["event"].decode(),
+                data=fields["data"],
+            )
+
+
+class Client:
+    """Talks to a deployment as one customer or operator.
+
+    Args:
+        addresses: IP-NUMBER:PORT of daemons to ask first.
+        token: bearer token.
+        timeout_s: longest silence of a server.
+    """
+
+    def __init__(
+        self, *, addresses: list[str], token: str, timeout_s: float = 30.0
+    ) -> None:
+        self._seeds = list(addresses)
+        self._kept: list[str] = []
+        self._kept_until = 0.0
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._pool = urllib3.PoolManager(
+            maxsize=8,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+        )
+
+    def list_addresses(self) -> list[str]:
+        """Returns addresses to use, fresh or kept.
+
+        Raises:
+            Problem: nobody answers.
+        """
+        if time.monotonic() < self._kept_until and self._kept:
+            return self._kept
+        for address in dict.fromkeys([*self._kept, *self._seeds]):
+            try:
+                found = self.call("GET", "/v1/addresses", address=address)
+            except Problem:
+                continue
+            self._kept = [a["address"] for a in found["addresses"]]
+            self._kept_until = time.monotonic() + found["ttl_s"]
+            if self._kept:
+                return self._kept
+        raise Problem(status=0, kind="no_answer", ran=Ran.NOT_RUN, detail="no daemon")
+
+    def forget(self, address: str) -> None:
+        """Drops an address that did not answer until the next refresh."""
+        self._kept = [kept for kept in self._kept if kept != address]
+        if not self._kept:
+            self._kept_until = 0.0
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        address: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        stream: bool = False,
+    ) -> urllib3.BaseHTTPResponse:
+        """Sends one request to one daemon.
+
+        Raises:
+            Problem: a problem answer, or none; `ran` tells what is known.
+        """
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers={**self._headers, **(headers or {})},
+                preload_content=not stream,
+                redirect=True,
+                retries=urllib3.Retry(total=False, redirect=5, raise_on_redirect=True),
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise Problem(
+                status=0, kind="no_answer", ran=Ran.NOT_RUN, detail=str(error)
+            ) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise Problem(
+                status=0, kind="no_answer", ran=Ran.UNKNOWN, detail=str(error)
+            ) from error
+        if response.status >= 400:
+            raise _make_problem(response)
+        return response
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        address: str | None = None,
+        document: object = None,
+        headers: dict[str, str] | None = None,
+    ) -> Any:
+        """Sends a JSON request and returns the decoded answer.
+
+        Without an address it goes to the kept ones in turn, and on to the next
+        only while the request certainly did not run.
+
+        Raises:
+            Problem: as `request`.
+        """
+        body = None if document is None else msgspec.json.encode(document)
+        headers = {"Content-Type": "application/json", **(headers or {})}
+        if address is not None:
+            response = self.request(
+                method, path, address=address, body=body, headers=headers
+            )
+            return msgspec.json.decode(response.data)
+        problem: Problem | None = None
+        for candidate in list(self.list_addresses()):
+            try:
+                return self.call(
+                    method, path, address=candidate, document=document, headers=headers
+                )
+            except Problem as error:
+                problem = error
+                if error.ran != Ran.NOT_RUN or not _is_worth_asking_elsewhere(error):
+                    raise
+                self.forget(candidate)
+        assert problem is not None
+        raise problem
+
+    def stream(
+        self, path: str, document: dict[str, Any], headers: dict[str, str] | None = None
+    ) -> Iterator[StreamedAnswer]:
+        """Streams a completion to its end, over moves, cuts and lost daemons.
+
+        Yields:
+            The same growing answer after each event.
+
+        Raises:
+            Problem: refused, failed, or not resumed within the bound.
+        """
+        answer = StreamedAnswer()
+        body = msgspec.json.encode({**document, "stream": True})
+        started_at = time.monotonic()
+        moved_to = ""
+        last = Problem(status=0, kind="no_answer", ran=Ran.UNKNOWN, detail="cut")
+        for _ in range(MAX_RESUMES):
+            address = moved_to or self.list_addresses()[0]
+            try:
+                response = self._open_stream(path, address, body, headers, answer)
+                for event in parse_events(response.stream(4_096)):
+                    if event.name == "moved":
+                        moved_to = msgspec.json.decode(event.data)["address"]
+                        break
+                    _take_event(answer, event, started_at)
+                    yield answer
+                if answer.finished:
+                    return
+            except Problem as error:
+                last = error
+                moved_to = ""
+                self.forget(address)
+                if not _is_worth_asking_elsewhere(error):
+                    raise
+            except (urllib3.exceptions.HTTPError, OSError) as error:
+                last = Problem(status=0, kind="cut", ran=Ran.UNKNOWN, detail=str(error))
+                moved_to = ""
+                self.forget(address)
+            answer.n_resumes += 1
+            time.sleep(RESUME_PAUSE_S)
+        raise last
+
+    def _open_stream(
+        self,
+        path: str,
+        address: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+        answer: StreamedAnswer,
+    ) -> urllib3.BaseHTTPResponse:
+        if not answer.request:
+            sent = {"Content-Type": "application/json", **(headers or {})}
+            response = self.request(
+                "POST", path, address=address, body=body, headers=sent, stream=True
+            )
+            answer.request = response.headers.get("X-Request-Id", "")
+            return response
+        resumed = {"Last-Event-ID": f"{answer.request}.{answer.n_events}"}
+        return self.request(
+            "GET",
+            f"/v1/requests/{answer.request}/events",
+            address=address,
+            headers=resumed,
+            stream=True,
+        )
+
+
+def _is_worth_asking_elsewhere(problem: Problem) -> bool:
+    return problem.kind in AGAIN_KINDS or problem.kind in ("no_answer", "not_found")
+
+
+def _make_problem(response: urllib3.BaseHTTPResponse) -> Problem:
+    try:
+        document = msgspec.json.decode(response.data)
+    except (msgspec.MsgspecError, urllib3.exceptions.HTTPError):
+        document = {}
+    if not isinstance(document, dict):
+        document = {}
+    return Problem(
+        status=response.status,
+        kind=str(document.get("kind", "unexpected")),
+        ran=str(document.get("ran", Ran.UNKNOWN)),
+        detail=str(document.get("detail", "")),
+        document=document,
+    )
+
+
+def _take_event(answer: StreamedAnswer, event: Event, started_at: float) -> None:
+    if event.name == "error":
+        document = msgspec.json.decode(event.data)
+        raise Problem(
+            status=document["status"],
+            kind=document["kind"],
+            ran=document["ran"],
+            detail=document["detail"],
+            document=document,
+        )
+    if event.data == b"[DONE]":
+        answer.finished = True
+        return
+    choice = msgspec.json.decode(event.data)["choices"][0]
+    n = int(event.id.rpartition(".")[2])
+    if n != answer.n_events + 1:
+        raise Problem(
+            status=0,
+            kind="out_of_order",
+            ran=Ran.UNKNOWN,
+            detail=f"event {n} after {answer.n_events}",
+        )
+    if not answer.n_events:
+        answer.first_token_s = time.monotonic() - started_at
+    answer.n_events = n
+    answer.text += choice.get("text") or choice.get("delta", {}).get("content", "")
--- /dev/null
+++ b/berylpost/daemon.py
@@ -0,0 +1,84 @@
+"""The daemon: settings in, kernel up, wait, kernel down.
+
+Imported by `berylpost serve` alone and without the command line, since its memory
+is counted on every VM.
+"""
+
+import argparse
+import logging
+import signal
+import sys
+import threading
+from pathlib import Path
+from typing import Final
+
+from . import (  # noqa: F401  importing registers the plug-ins
+    backends,
+    configurations,
+    drain,
+    ledger,
+    peers,
+    relay,
+    services,
+    web,
+)
+from .drain import DrainState, PlannedStop
+from .errors import SettingsError
+from .invariants import set_fatal
+from .kernel import Kernel
+from .logs import configure_logs, log_event
+from .settings import Settings, load_settings
+
+LOGGER: Final = logging.getLogger(__name__)
+POLL_S: Final = 0.2
+LINGER_S: Final = 0.5  # lets the last news go out before the sockets close
+
+
+def run_daemon(settings: Settings, stopped: threading.Event) -> None:
+    """Runs a daemon until it has left or `stopped` is set."""
+    set_fatal(fatal=settings.fatal_invariants)
+    kernel = Kernel(settings=settings)
+    kernel.start()
+    log_event(
+        LOGGER,
+        "daemon_started",
+        daemon=settings.daemon.id,
+        zone=settings.daemon.zone,
+        http=settings.listen.http,
+    )
+
+    def leave(_signal: int, _frame: object) -> None:
+        # A second signal ends at once; a first one is a planned stop.
+        if kernel.context.slots["drain"].read() is DrainState.SERVING:
+            kernel.context.post("drain", PlannedStop())
+        else:
+            stopped.set()
+
+    if threading.current_thread() is threading.main_thread():
+        signal.signal(signal.SIGTERM, leave)
+        signal.signal(signal.SIGINT, leave)
+    while not stopped.wait(POLL_S):
+        if kernel.context.slots["drain"].read() is DrainState.LEFT:
+            stopped.wait(LINGER_S)
+            break
+    kernel.stop()
+    log_event(LOGGER, "daemon_stopped", daemon=settings.daemon.id)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs `berylpost serve`.
+
+    Returns:
+        0 after a planned stop, 2 for bad settings.
+    """
+    parser = argparse.ArgumentParser(prog="berylpost serve")
+    parser.add_argument("-c", "--config", required=True, type=Path)
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.config)
+        configure_logs(level=settings.log_level)
+        run_daemon(settings, threading.Event())
+    except SettingsError as error:
+        print(f"berylpost serve: {error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/berylpost/errors.py
@@ -0,0 +1,191 @@
+"""The closed registry of error kinds and the answer each one gets.
+
+Every refusal or failure that leaves the program is an `ErrorKind`; `ANSWERS` maps
+it to an HTTP status and to whether the request ran. Nothing else decides a status
+code. docs/errors.md lists the kinds; a test holds the page against this table.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final, TypeAlias
+
+import msgspec
+
+PROBLEM_TYPE: Final = "application/problem+json"
+
+
+class Ran(StrEnum):
+    """Whether the refused or failed request took effect."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class ErrorKind(StrEnum):
+    """Closed list of error kinds, each with a row in `ANSWERS`."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    STALE_NUMBER = "stale_number"
+    NUMBER_REQUIRED = "number_required"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    IN_PROGRESS = "in_progress"
+    LEAVING = "leaving"
+    OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate_limited"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NO_BACKEND = "no_backend"
+    STORE_UNAVAILABLE = "store_unavailable"
+    BACKEND_FAILED = "backend_failed"
+    ANSWER_CUT = "answer_cut"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    EXPIRED = "expired"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """How an error kind is told to a caller.
+
+    Attributes:
+        status: HTTP status code.
+        ran: whether the request may have taken effect.
+        title: one sentence for people.
+    """
+
+    status: int
+    ran: Ran
+    title: str
+
+
+def _answer(status: int, ran: Ran, title: str) -> Answer:
+    return Answer(status=status, ran=ran, title=title)
+
+
+_NOT: Final = Ran.NOT_RUN
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.BAD_REQUEST: _answer(400, _NOT, "The request is malformed."),
+    ErrorKind.BODY_TOO_LARGE: _answer(413, _NOT, "The request body is too large."),
+    ErrorKind.UNAUTHENTICATED: _answer(401, _NOT, "No known bearer token was sent."),
+    ErrorKind.FORBIDDEN: _answer(403, _NOT, "This token may not do this."),
+    ErrorKind.NOT_FOUND: _answer(404, _NOT, "There is no such resource."),
+    ErrorKind.METHOD_NOT_ALLOWED: _answer(405, _NOT, "Method not allowed here."),
+    ErrorKind.STALE_NUMBER: _answer(
+        412, _NOT, "The patch was made against a stale configuration number."
+    ),
+    ErrorKind.NUMBER_REQUIRED: _answer(
+        428, _NOT, "A patch names the number it was made against in If-Match."
+    ),
+    ErrorKind.INVALID_CONFIGURATION: _answer(
+        422, _NOT, "The patched configuration would not be valid."
+    ),
+    ErrorKind.KEY_REUSED: _answer(
+        422, _NOT, "This Idempotency-Key was used for a different request."
+    ),
+    ErrorKind.KEY_EXPIRED: _answer(
+        409, Ran.UNKNOWN, "This Idempotency-Key is older than the ledger's retention."
+    ),
+    ErrorKind.IN_PROGRESS: _answer(
+        409, Ran.UNKNOWN, "A request with this key is still in progress."
+    ),
+    ErrorKind.LEAVING: _answer(503, _NOT, "This daemon is leaving; use another one."),
+    ErrorKind.OVERLOADED: _answer(503, _NOT, "No capacity within the queue's bounds."),
+    ErrorKind.RATE_LIMITED: _answer(429, _NOT, "The customer's limit is reached."),
+    ErrorKind.DEADLINE_UNREACHABLE: _answer(
+        503, _NOT, "The request cannot start before its deadline."
+    ),
+    ErrorKind.NO_BACKEND: _answer(503, _NOT, "No backend server can take this."),
+    ErrorKind.STORE_UNAVAILABLE: _answer(
+        503, _NOT, "The platform's object API is not available."
+    ),
+    ErrorKind.BACKEND_FAILED: _answer(
+        502, Ran.UNKNOWN, "The backend server failed after the request was sent."
+    ),
+    ErrorKind.ANSWER_CUT: _answer(
+        502, Ran.UNKNOWN, "The answer was cut and could not be completed elsewhere."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: _answer(
+        504, Ran.UNKNOWN, "It is not known whether the request ran; not sent again."
+    ),
+    ErrorKind.EXPIRED: _answer(410, Ran.RAN, "The answer is no longer kept."),
+    ErrorKind.INTERNAL: _answer(500, Ran.UNKNOWN, "An error in this program."),
+}
+
+
+class BerylpostError(Exception):
+    """An error of a listed kind.
+
+    Attributes:
+        kind: the row of `ANSWERS` that answers it.
+        detail: what went wrong in this case, for people.
+        retry_after_s: when it makes sense to ask again, in seconds.
+        ran: overrides the table's value where more is known in this case.
+        fields: further members of the problem document.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        ran: Ran | None = None,
+        fields: dict[str, object] | None = None,
+    ) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+        self.ran = ran if ran is not None else ANSWERS[kind].ran
+        self.fields = fields or {}
+
+
+class SettingsError(Exception):
+    """Settings that cannot be used; the message names file, path and accepted form."""
+
+
+class PlatformError(Exception):
+    """The platform did not answer, or answered with a failure."""
+
+
+class LostAnswerError(PlatformError):
+    """The platform's answer was lost after the request may have taken effect."""
+
+
+Headers: TypeAlias = list[tuple[str, str]]
+
+
+def render_problem(error: BerylpostError) -> tuple[int, Headers, bytes]:
+    """Renders an error as an RFC 9457 problem document.
+
+    Args:
+        error: the error to tell.
+
+    Returns:
+        Status code, header fields and body.
+    """
+    answer = ANSWERS[error.kind]
+    document = {
+        "type": f"about:blank#{error.kind}",
+        "title": answer.title,
+        "status": answer.status,
+        "detail": error.detail,
+        "kind": error.kind,
+        "ran": error.ran,
+        **error.fields,
+    }
+    headers = [("Content-Type", PROBLEM_TYPE)]
+    if error.retry_after_s is not None:
+        # Whole seconds by RFC 9110; rounding up keeps callers from coming too soon.
+        headers.append(("Retry-After", str(max(1, -int(-error.retry_after_s // 1)))))
+    if answer.status == 401:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return answer.status, headers, msgspec.json.encode(document)
--- /dev/null
+++ b/berylpost/fakes/server.py
@@ -0,0 +1,202 @@
+"""The HTTP server that all stand-ins share: asyncio streams and httptools.
+
+A stand-in is a function from request to reply. Faults are injected here, in one
+place, so that every stand-in has the same ones.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import httptools
+import msgspec
+
+from ..settings import split_endpoint
+
+READ_BYTES: Final = 65_536
+REASONS: Final = {200: "OK", 201: "Created", 404: "Not Found", 503: "Unavailable"}
+
+
+@dataclass(slots=True, kw_only=True)
+class Request:
+    """One parsed request."""
+
+    method: str = ""
+    path: str = ""
+    query: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def decode(self) -> Any:
+        """Decodes the body as JSON; an empty body is None."""
+        return msgspec.json.decode(self.body) if self.body else None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """One answer; with `stream` set the body is sent in chunks as it comes."""
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    stream: AsyncIterator[bytes] | None = None
+
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+def reply_json(value: object, status: int = 200, *headers: tuple[str, str]) -> Reply:
+    """Makes a JSON answer."""
+    return Reply(
+        status=status,
+        headers=(("Content-Type", "application/json"), *headers),
+        body=msgspec.json.encode(value),
+    )
+
+
+class FaultPlan(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults in force; counts go down by one each time.
+
+    Attributes:
+        delay_s: wait before handling.
+        down: refuse everything with 503, without effect.
+        lose_answers: how many answers to drop after the effect.
+        refuse: how many requests to refuse with 503, without effect.
+        match: only requests whose path contains this.
+        methods: only these methods; empty means all.
+    """
+
+    delay_s: float = 0.0
+    down: bool = False
+    lose_answers: int = 0
+    refuse: int = 0
+    match: str = ""
+    methods: tuple[str, ...] = ()
+
+
+class _Parser:
+    """Collects one request from httptools' callbacks."""
+
+    def __init__(self) -> None:
+        self.request = Request()
+        self.complete = False
+        self._url = b""
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.request.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.request.body += body
+
+    def on_message_complete(self) -> None:
+        parts = urlsplit(self._url.decode("latin-1"))
+        self.request.path = unquote(parts.path)
+        self.request.query = dict(parse_qsl(parts.query))
+        self.complete = True
+
+
+class StandIn:
+    """A running stand-in.
+
+    Args:
+        endpoint: IP-NUMBER:PORT to listen on.
+        handle: answers requests.
+    """
+
+    def __init__(self, *, endpoint: str, handle: Handler) -> None:
+        self.endpoint = endpoint
+        self.faults = FaultPlan()
+        self.n_calls = 0
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        host, port = split_endpoint(self.endpoint)
+        self._server = await asyncio.start_server(
+            self._serve, host, port, backlog=1_024
+        )
+
+    async def stop(self) -> None:
+        """Stops at once and cuts every open connection, as a dying VM does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connections.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, httptools.HttpParserError, asyncio.CancelledError):
+            pass
+        finally:
+            self._connections.discard(writer)
+            writer.transport.abort() if writer.is_closing() else writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        parsed = _Parser()
+        parser = httptools.HttpRequestParser(parsed)
+        while not parsed.complete:
+            data = await reader.read(READ_BYTES)
+            if not data:
+                return False
+            parser.feed_data(data)
+        request = parsed.request
+        request.method = parser.get_method().decode()
+        if request.path == "/fault":
+            self.faults = msgspec.json.decode(request.body, type=FaultPlan)
+            await self._send(writer, reply_json({}))
+            return True
+        self.n_calls += 1
+        reply = await self._answer(request)
+        if reply is None:
+            # The effect stands; the asker never learns of it.
+            writer.transport.abort()
+            return False
+        await self._send(writer, reply)
+        return bool(parser.should_keep_alive())
+
+    async def _answer(self, request: Request) -> Reply | None:
+        faults = self.faults
+        applies = faults.match in request.path and (
+            not faults.methods or request.method in faults.methods
+        )
+        if applies and faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if applies and (faults.down or faults.refuse > 0):
+            faults.refuse -= 1
+            return reply_json({"error": "unavailable"}, 503)
+        reply = await self._handle(request)
+        if applies and faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return None
+        return reply
+
+    async def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> None:
+        head = f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Other')}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
+        if reply.stream is None:
+            head += f"Content-Length: {len(reply.body)}\r\n\r\n"
+            writer.write(head.encode("latin-1") + reply.body)
+            await writer.drain()
+            return
+        writer.write(head.encode("latin-1") + b"Transfer-Encoding: chunked\r\n\r\n")
+        async with contextlib.aclosing(reply.stream) as stream:  # type: ignore[type-var]
+            async for chunk in stream:
+                writer.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+                await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
--- /dev/null
+++ b/berylpost/fakes/world.py
@@ -0,0 +1,150 @@
+"""All stand-ins of one deployment in one process and event loop.
+
+`World` is the levers a test or the demo pulls; `run_world` serves it from a
+thread or, by `berylpost fakes`, a process of its own. It runs nothing of ours.
+"""
+
+import asyncio
+import threading
+from collections import Counter
+from collections.abc import Coroutine
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import msgspec
+
+from .cloud import Cloud, Vm
+from .engine import Engine, EngineShape
+from .objects import ObjectStore
+from .service import BookingService
+from .weights import WeightStore
+
+T = TypeVar("T")
+
+
+class BackendSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One backend server to stand in for."""
+
+    vm: str
+    zone: str
+    role: str
+    name: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorldSpec:
+    """Addresses and shape of a world."""
+
+    objects: str
+    cloud: str
+    weights: str
+    deployment: str
+    backends: tuple[BackendSpec, ...]
+    shape: EngineShape = field(default_factory=EngineShape)
+
+
+class World:
+    """The running stand-ins; its coroutines run in its own loop."""
+
+    def __init__(self, *, spec: WorldSpec) -> None:
+        self.spec = spec
+        self.executed: Counter[str] = Counter()
+        self.engines: dict[str, Engine] = {}
+        self.services: dict[str, BookingService] = {}
+        self.objects = ObjectStore(endpoint=spec.objects)
+        self.cloud = Cloud(
+            endpoint=spec.cloud, boot=self._boot, shut=self._shut, warn=self._warn
+        )
+        self.weights = WeightStore(endpoint=spec.weights)
+
+    async def start(self) -> None:
+        """Starts every stand-in."""
+        for server in (self.objects.server, self.cloud.server, self.weights.server):
+            await server.start()
+        for backend in self.spec.backends:
+            vm = Vm(
+                id=backend.vm,
+                zone=backend.zone,
+                role=backend.role,
+                name=backend.name,
+                deployment=self.spec.deployment,
+                address=backend.address,
+            )
+            self.cloud.add(vm)
+            await self._boot(vm)
+
+    async def _boot(self, vm: Vm) -> None:
+        if vm.role == "engine":
+            engine = Engine(endpoint=vm.address, model=vm.name, shape=self.spec.shape)
+            self.engines[vm.id] = engine
+            await engine.server.start()
+        elif vm.role == "service":
+            service = BookingService(endpoint=vm.address, executed=self.executed)
+            self.services[vm.id] = service
+            await service.server.start()
+
+    async def _shut(self, vm: Vm) -> None:
+        if vm.id in self.engines:
+            await self.engines[vm.id].server.stop()
+        elif vm.id in self.services:
+            await self.services[vm.id].server.stop()
+
+    def _warn(self, vm: Vm) -> None:
+        if vm.id in self.engines:
+            self.engines[vm.id].give_notice()
+
+    async def reclaim(self, vm_id: str, seconds: float) -> None:
+        """Gives notice to a VM; it is taken when the time is over."""
+        self.cloud.give_notice(self.cloud.vms[vm_id], seconds)
+
+    async def stop(self) -> None:
+        """Stops every stand-in."""
+        servers = [engine.server for engine in self.engines.values()]
+        servers += [service.server for service in self.services.values()]
+        servers += [self.objects.server, self.cloud.server, self.weights.server]
+        for server in servers:
+            await server.stop()
+
+
+class WorldThread:
+    """A world in a thread of this process."""
+
+    def __init__(self, *, spec: WorldSpec) -> None:
+        self.world: World
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name="world", daemon=True
+        )
+        self._thread.start()
+
+        async def make() -> World:
+            return World(spec=spec)
+
+        self.world = self.call(make())
+        self.call(self.world.start())
+
+    def submit(self, coroutine: Coroutine[Any, Any, T]) -> Future[T]:
+        """Runs a coroutine in the world's loop without waiting for it."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    def call(self, coroutine: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine in the world's loop and waits for its result."""
+        return self.submit(coroutine).result(timeout=30)
+
+    def stop(self) -> None:
+        """Stops the world and its loop."""
+        self.call(self.world.stop())
+        self.call(_cancel_tasks())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+
+async def _cancel_tasks() -> None:
+    """Ends watches and generators that still wait."""
+    current = asyncio.current_task()
+    others = [task for task in asyncio.all_tasks() if task is not current]
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
--- /dev/null
+++ b/berylpost/journal.py
@@ -0,0 +1,167 @@
+"""An append-only journal as a chain of bounded segment objects.
+
+One writer at a time, fenced by epoch: opening writes the new epoch into the last
+open segment, which makes every later append of the previous writer fail. Appends
+rewrite only the open segment; a full one is sealed in the same write that fills
+it, and only then is the next one created.
+
+Example:
+    >>> journal = Journal(objects=objects, prefix="ledger/r/0003", writer="dd-1.8f")
+    >>> entries = journal.open(epoch=7)
+    >>> journal.append([b"..."])
+"""
+
+from typing import Final
+
+import msgspec
+
+from .errors import BerylpostError, ErrorKind
+from .invariants import check_invariant
+from .platform.objects import Objects
+from .writer import ABSENT, ConditionalWriter, Seen, Verdict, read_object
+
+DEFAULT_SEGMENT_BYTES: Final = 65_536
+
+
+class Segment(msgspec.Struct, frozen=True, kw_only=True):
+    """One stored segment."""
+
+    epoch: int
+    sealed: bool
+    entries: tuple[bytes, ...]
+
+
+class FencedError(BerylpostError):
+    """Another writer with a higher epoch has this journal now."""
+
+    def __init__(self, prefix: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, f"{prefix}: writer was fenced")
+
+
+class DoubtError(BerylpostError):
+    """It is not known whether an append took effect; the journal must be reopened."""
+
+    def __init__(self, prefix: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, f"{prefix}: append in doubt")
+
+
+class Journal:
+    """One writer's view of one journal; used by one thread at a time.
+
+    Args:
+        objects: the object API.
+        prefix: of the segment keys, without a trailing slash.
+        writer: unique over all processes and restarts.
+        segment_bytes: size at which a segment is sealed.
+    """
+
+    def __init__(
+        self,
+        *,
+        objects: Objects,
+        prefix: str,
+        writer: str,
+        segment_bytes: int = DEFAULT_SEGMENT_BYTES,
+        patience_s: float = 2.0,
+    ) -> None:
+        self._objects = objects
+        self._prefix = prefix
+        self._segment_bytes = segment_bytes
+        self._writer = ConditionalWriter(
+            objects=objects, writer=writer, patience_s=patience_s
+        )
+        self._epoch = 0
+        self._index = 0
+        self._seen: Seen = ABSENT
+        self._entries: list[bytes] = []
+        self._closed = True
+
+    def open(self, *, epoch: int) -> list[bytes]:
+        """Takes the journal over and returns all entries, oldest first.
+
+        Raises:
+            FencedError: a higher epoch has it.
+            DoubtError: the takeover was not answered; open again.
+            PlatformError: the object API does not answer.
+        """
+        self._closed = True
+        entries: list[bytes] = []
+        last = Segment(epoch=0, sealed=True, entries=())
+        self._index, self._seen = 0, ABSENT
+        keys = self._objects.list_keys(self._prefix + "/")
+        for key in keys:
+            seen = read_object(self._objects, key)
+            value = seen.open()
+            if value is None:
+                continue
+            last = msgspec.json.decode(value, type=Segment)
+            entries += last.entries
+            self._index, self._seen = int(key.rpartition("/")[2]), seen
+        if last.epoch > epoch:
+            raise FencedError(self._prefix)
+        self._epoch = epoch
+        if last.sealed:
+            self._start_segment()
+        else:
+            self._entries = list(last.entries)
+        # Written even without entries: from here on the old writer's fail.
+        self._store(sealed=False)
+        self._closed = False
+        return entries
+
+    def append(self, entries: list[bytes]) -> None:
+        """Appends entries durably, all or none.
+
+        Raises:
+            FencedError: another writer took over; nothing was appended.
+            DoubtError: not known; the journal is closed until `open`.
+        """
+        check_invariant("journal_open", not self._closed, prefix=self._prefix)
+        size = sum(map(len, self._entries)) + sum(map(len, entries))
+        self._entries += entries
+        sealed = size >= self._segment_bytes
+        self._store(sealed=sealed)
+        if sealed:
+            self._start_segment()
+
+    def drop_segments(self, *, keep_from: float) -> int:
+        """Deletes sealed segments whose entries are all older than a time.
+
+        The time of an entry is its second element, as `policy.ledger` writes it.
+
+        Returns:
+            How many were deleted.
+        """
+        n_dropped = 0
+        for key in self._objects.list_keys(self._prefix + "/")[:-1]:
+            seen = read_object(self._objects, key)
+            value = seen.open()
+            if value is None:
+                continue
+            segment = msgspec.json.decode(value, type=Segment)
+            times = [msgspec.msgpack.decode(e)[1] for e in segment.entries]
+            if not segment.sealed or (times and max(times) >= keep_from):
+                break
+            self._objects.delete(key, version=seen.version)
+            n_dropped += 1
+        return n_dropped
+
+    def _start_segment(self) -> None:
+        self._index += 1
+        self._seen = ABSENT
+        self._entries = []
+
+    def _store(self, *, sealed: bool) -> None:
+        segment = Segment(
+            epoch=self._epoch, sealed=sealed, entries=tuple(self._entries)
+        )
+        key = f"{self._prefix}/{self._index:08d}"
+        outcome = self._writer.write(key, msgspec.json.encode(segment), over=self._seen)
+        if outcome.verdict is Verdict.WRITTEN and outcome.seen is not None:
+            self._seen = outcome.seen
+            return
+        self._closed = True
+        if outcome.verdict is Verdict.NOT_WRITTEN and outcome.seen is not None:
+            raise FencedError(self._prefix)
+        # A refusal without effect is certain, but what is in memory is not stored.
+        raise DoubtError(self._prefix)
--- /dev/null
+++ b/berylpost/logs.py
@@ -0,0 +1,45 @@
+"""One key=value line for each event, through the standard `logging`.
+
+Modules call `log_event` and never format lines themselves.
+"""
+
+import logging
+import sys
+from typing import Any, Final
+
+LOG_FORMAT: Final = "time=%(asctime)s level=%(levelname)s part=%(name)s %(message)s"
+
+
+def format_pairs(pairs: dict[str, Any]) -> str:
+    """Formats pairs as key=value, quoting values that contain blanks or quotes."""
+    return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
+
+
+def _format_value(value: Any) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if text and not any(c.isspace() or c in '"=' for c in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{escaped}"'
+
+
+def log_event(
+    logger: logging.Logger, event: str, level: int = logging.INFO, **pairs: Any
+) -> None:
+    """Writes one event as one line.
+
+    Args:
+        logger: the logger of the calling module.
+        event: what happened, in snake case.
+        level: a level of `logging`.
+        **pairs: further keys and values.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, "%s", format_pairs({"event": event, **pairs}))
+
+
+def configure_logs(*, level: str) -> None:
+    """Sends all log lines to standard error at the given level."""
+    logging.basicConfig(
+        stream=sys.stderr, level=level.upper(), format=LOG_FORMAT, force=True
+    )
--- /dev/null
+++ b/berylpost/movers.py
@@ -0,0 +1,45 @@
+"""Moves KV cache between engines, off the relay's thread.
+
+A move that fails costs recomputed tokens and nothing else, so errors end here.
+"""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+import urllib3
+
+from .logs import log_event
+from .upstream import call_json
+
+LOGGER: Final = logging.getLogger(__name__)
+N_THREADS: Final = 4
+TIMEOUT_S: Final = 1.0
+
+Mover = Callable[[str, str, str, Callable[[bool], None]], None]
+
+
+def make_mover() -> Mover:
+    """Makes a function that moves the cache of a text and calls back."""
+    pool = urllib3.PoolManager(
+        maxsize=N_THREADS, retries=False, timeout=urllib3.Timeout(TIMEOUT_S)
+    )
+    executor = ThreadPoolExecutor(N_THREADS, thread_name_prefix="mover")
+
+    def move(text: str, source: str, target: str, done: Callable[[bool], None]) -> None:
+        try:
+            exported = call_json(pool, source, "/kv/export", {"text": text})
+            call_json(pool, target, "/kv/import", exported)
+        except OSError as error:
+            log_event(LOGGER, "move_failed", logging.WARNING, error=error)
+            done(False)
+            return
+        done(True)
+
+    def submit(
+        text: str, source: str, target: str, done: Callable[[bool], None]
+    ) -> None:
+        executor.submit(move, text, source, target, done)
+
+    return submit
--- /dev/null
+++ b/berylpost/peers.py
@@ -0,0 +1,591 @@
+"""The task that talks to the other daemons: membership and news.
+
+Owns one ROUTER socket that others connect to and one DEALER per member it talks
+to. Membership is decided in `policy.membership`; this module carries it out and
+passes every other message on to the task that `RECIPIENTS` names.
+"""
+
+import logging
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+import zmq
+from zmq.auth.thread import ThreadAuthenticator
+
+from .errors import SettingsError
+from .hashing import hash_bytes
+from .kernel import Context, Plugin, Slot, register_plugin
+from .logs import log_event
+from .messages import (
+    Backend,
+    ConfigurationPull,
+    ConfigurationPush,
+    Handover,
+    HandoverAnswer,
+    IntentAnswer,
+    IntentRequest,
+    Join,
+    Member,
+    Message,
+    News,
+    Notice,
+    OutcomeAnswer,
+    OutcomeReport,
+    Probe,
+    ProbeAnswer,
+    SyncDigest,
+    SyncTable,
+    decode,
+    encode,
+)
+from .metrics import MEMBERS, PEER_BYTES, PEER_REFUSED
+from .policy.membership import (
+    GONE,
+    Action,
+    Changed,
+    Duplicate,
+    Rules,
+    SendProbe,
+    Table,
+    advance,
+    change_self,
+    digest_table,
+    make_table,
+    merge_members,
+    take_answer,
+    take_rumours,
+)
+from .settings import PeerSettings
+
+LOGGER: Final = logging.getLogger(__name__)
+TICK_MS: Final = 50
+JOIN_RETRY_S: Final = 0.5
+SEND_QUEUE: Final = 1_000
+BACKEND_RUMOURS: Final = 6  # how often a backend server's news rides on probes
+MAX_BACKENDS_PER_MESSAGE: Final = 10
+ZAP_DOMAIN: Final = b"peers"
+
+RECIPIENTS: Final[Mapping[type, str]] = {
+    ConfigurationPull: "configurations",
+    ConfigurationPush: "configurations",
+    IntentRequest: "ledger",
+    OutcomeReport: "ledger",
+    IntentAnswer: "services",
+    OutcomeAnswer: "services",
+    Handover: "drain",
+    HandoverAnswer: "drain",
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Send:
+    """Sends a message to a member, or to this daemon's own task at once."""
+
+    to: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeSelf:
+    """Changes this daemon's own record."""
+
+    state: str
+    successor: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnnounceNumbers:
+    """The configuration numbers in force here."""
+
+    numbers: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnnounceBackends:
+    """News of backend servers that others must hear at once."""
+
+    backends: tuple[Backend, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NumbersHeard:
+    """To `configurations`: what a member has in force."""
+
+    sender: str
+    numbers: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BackendsHeard:
+    """To `backends`: what a member knows of backend servers."""
+
+    backends: tuple[Backend, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberChanged:
+    """To whoever asked for it: a member's state changed."""
+
+    member: Member
+    before: str
+
+
+def make_rules(settings: PeerSettings) -> Rules:
+    """Takes the membership rules from the settings."""
+    return Rules(
+        probe_interval_s=settings.probe_interval_s,
+        probe_timeout_s=settings.probe_timeout_s,
+        suspicion_s=settings.suspicion_s,
+        tombstone_s=settings.tombstone_s,
+        degree=settings.degree,
+    )
+
+
+class PeersTask:
+    """The peers task of one daemon.
+
+    Args:
+        context: settings, board and the other tasks.
+        random_state: for the choice of whom to sync with.
+        drops: tells whether to lose an outgoing message to an address; for tests.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        random_state: random.Random,
+        drops: Callable[[str], bool] = lambda _address: False,
+    ) -> None:
+        self._context = context
+        self._random = random_state
+        self._drops = drops
+        self._settings = context.settings.peers
+        self._rules = make_rules(self._settings)
+        self._table = make_table(self._make_member(), time.monotonic())
+        self.members: Slot[Table] = context.open_slot("members", self._table)
+        self._backends: Slot[Mapping[str, Backend]] = context.open_slot("backends", {})
+        self._backend_rumours: dict[str, int] = {}
+        self._numbers: tuple[tuple[str, int], ...] = ()
+        self._next_sync_at = 0.0
+        self._next_join_at = 0.0
+        self._join_turn = 0
+        self._watchers: list[str] = []
+        self._zmq = zmq.Context()
+        self._dealers: dict[tuple[str, str], zmq.Socket[bytes]] = {}
+        self._inbox: list[Any] = []
+        self._wake_read, self._wake_write = socket.socketpair()
+        self._wake_read.setblocking(False)
+        self._wake_write.setblocking(False)
+        self._authenticator: ThreadAuthenticator | None = None
+        self._stopping = False
+        self._thread: threading.Thread | None = None
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            Send: self._handle_send,
+            ChangeSelf: self._handle_change_self,
+            AnnounceNumbers: self._handle_numbers,
+            AnnounceBackends: self._handle_backends,
+            Probe: self._receive_probe,
+            ProbeAnswer: self._receive_answer,
+            Join: self._receive_join,
+            SyncDigest: self._receive_digest,
+            SyncTable: self._receive_table,
+            Notice: lambda message: self._take_news(message.sender, message.news),
+        }
+
+    def _make_member(self) -> Member:
+        settings = self._context.settings
+        return Member(
+            id=settings.daemon.id,
+            zone=settings.daemon.zone,
+            http=settings.listen.http,
+            peers=settings.listen.peers,
+            # A restarted daemon must outrank what is remembered of its last life.
+            incarnation=int(time.time() * 1_000),
+            key=settings.peers.public_key or "",
+        )
+
+    # The task's life.
+
+    def watch_members(self, task: str) -> None:
+        """Sends `MemberChanged` to a task from now on; call before `start`."""
+        self._watchers.append(task)
+
+    def start(self) -> None:
+        """Binds the socket and starts the thread.
+
+        Raises:
+            SettingsError: the address cannot be bound.
+        """
+        self._router = self._zmq.socket(zmq.ROUTER)
+        self._router.linger = 0
+        self._router.rcvhwm = SEND_QUEUE * 10
+        if self._settings.public_key and self._settings.secret_key:
+            self._start_curve()
+        try:
+            self._router.bind(f"tcp://{self._context.settings.listen.peers}")
+        except zmq.ZMQError as error:
+            address = self._context.settings.listen.peers
+            raise SettingsError(f"$.listen.peers: {address}: {error}") from error
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+        self._thread.start()
+
+    def _start_curve(self) -> None:
+        """Accepts only daemons whose public key the settings list."""
+        accepted = {k.encode() for k in self._settings.accepted_keys}
+        accepted.add((self._settings.public_key or "").encode())
+
+        class _Keys:
+            def callback(self, domain: str, key: bytes) -> bool:
+                if key in accepted:
+                    return True
+                PEER_REFUSED.labels("key").inc()
+                return False
+
+        self._authenticator = ThreadAuthenticator(self._zmq)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            domain=ZAP_DOMAIN.decode(), credentials_provider=_Keys()
+        )
+        self._router.zap_domain = ZAP_DOMAIN
+        self._router.curve_server = True
+        self._router.curve_secretkey = (self._settings.secret_key or "").encode()
+        self._router.curve_publickey = (self._settings.public_key or "").encode()
+
+    def stop(self) -> None:
+        """Stops the thread and closes all sockets."""
+        self._stopping = True
+        self._wake()
+        if self._thread is not None:
+            self._thread.join(5)
+            for dealer in self._dealers.values():
+                dealer.close(linger=200)
+            self._router.close()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._zmq.destroy(linger=200)
+        self._wake_read.close()
+        self._wake_write.close()
+
+    def post(self, message: Any) -> None:
+        """Puts a message into the mailbox."""
+        self._inbox.append(message)
+        self._wake()
+
+    def send(self, to: str, message: Message) -> None:
+        """Sends to a member; shorthand for posting `Send`."""
+        self.post(Send(to=to, message=message))
+
+    def _wake(self) -> None:
+        try:
+            self._wake_write.send(b"x")
+        except BlockingIOError:
+            pass  # already awake
+        except OSError:
+            pass  # stopped; nothing left to wake
+
+    def _run(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._router, zmq.POLLIN)
+        poller.register(self._wake_read.fileno(), zmq.POLLIN)
+        while not self._stopping:
+            events = dict(poller.poll(TICK_MS))
+            if self._wake_read.fileno() in events:
+                self._wake_read.recv(4_096)
+            inbox, self._inbox = self._inbox, []
+            for message in inbox:
+                self._guard(self._dispatch, message)
+            if self._router in events:
+                self._receive()
+            self._guard(self._tick)
+
+    def _guard(self, step: Callable[..., None], *arguments: Any) -> None:
+        try:
+            step(*arguments)
+        except Exception:
+            # One bad message must not end membership for the whole daemon.
+            LOGGER.exception("event=task_error task=peers")
+
+    def _receive(self) -> None:
+        for _ in range(SEND_QUEUE):
+            try:
+                frames = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            PEER_BYTES.labels("in").inc(sum(map(len, frames)))
+            try:
+                message = decode(frames[-1])
+            except msgspec.MsgspecError:
+                PEER_REFUSED.labels("malformed").inc()
+                continue
+            self._guard(self._dispatch, message)
+
+    def _dispatch(self, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+            return
+        recipient = RECIPIENTS[type(message)]
+        if recipient in self._context.tasks:
+            self._context.post(recipient, message)
+
+    # Sending.
+
+    def _handle_send(self, request: Send) -> None:
+        if request.to == self._table.self_id:
+            self._dispatch(request.message)
+            return
+        entry = self._table.entries.get(request.to)
+        if entry is not None:
+            self._send_to(entry.member.peers, entry.member.key, request.message)
+
+    def _send_to(self, address: str, key: str, message: Message) -> None:
+        if self._drops(address):
+            return
+        dealer = self._dealers.get((address, key)) or self._connect(address, key)
+        data = encode(message)
+        try:
+            dealer.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            PEER_REFUSED.labels("queue_full").inc()
+            return
+        PEER_BYTES.labels("out").inc(len(data))
+
+    def _connect(self, address: str, key: str) -> "zmq.Socket[bytes]":
+        dealer = self._zmq.socket(zmq.DEALER)
+        dealer.linger = 0
+        dealer.sndhwm = SEND_QUEUE
+        dealer.reconnect_ivl = 100
+        dealer.reconnect_ivl_max = 2_000
+        if self._settings.public_key and self._settings.secret_key:
+            dealer.curve_serverkey = (key or self._settings.public_key).encode()
+            dealer.curve_publickey = self._settings.public_key.encode()
+            dealer.curve_secretkey = self._settings.secret_key.encode()
+        dealer.connect(f"tcp://{address}")
+        self._dealers[address, key] = dealer
+        return dealer
+
+    def _close_dealers(self) -> None:
+        """Closes sockets to addresses that no present member has."""
+        wanted = {
+            (e.member.peers, e.member.key)
+            for e in self._table.entries.values()
+            if e.member.state not in GONE
+        }
+        for where in set(self._dealers) - wanted:
+            self._dealers.pop(where).close(linger=0)
+
+    # Time.
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        self._apply(*advance(self._table, now, self._rules))
+        alone = len(self._table.entries) == 1
+        if now >= self._next_join_at and (alone or self._random.random() < 0.05):
+            self._next_join_at = now + JOIN_RETRY_S
+            self._join()
+        if now >= self._next_sync_at:
+            self._next_sync_at = now + self._settings.sync_interval_s
+            if self._table.neighbours:
+                peer = self._random.choice(self._table.neighbours)
+                digest = SyncDigest(sender=self._table.self_id, digest=self._digest())
+                self._handle_send(Send(to=peer, message=digest))
+            self._close_dealers()
+
+    def _join(self) -> None:
+        """Asks one seed; in a rotation of keys it may listen with any of ours."""
+        seeds = [s for s in self._settings.seeds if s != self._settings_address()]
+        if not seeds:
+            return
+        own_key = self._settings.public_key or ""
+        keys = list(dict.fromkeys([own_key, *self._settings.accepted_keys]))
+        turn = self._join_turn
+        self._join_turn += 1
+        seed = seeds[turn % len(seeds)]
+        key = keys[turn // len(seeds) % len(keys)]
+        join = Join(sender=self._table.self_id, member=self._self_member())
+        self._send_to(seed, key, join)
+
+    def _settings_address(self) -> str:
+        return self._context.settings.listen.peers
+
+    def _self_member(self) -> Member:
+        return self._table.entries[self._table.self_id].member
+
+    def _digest(self) -> int:
+        news = (digest_table(self._table), self._numbers, self._list_backend_states())
+        return hash_bytes(msgspec.msgpack.encode(news))
+
+    def _list_backend_states(self) -> list[tuple[str, str]]:
+        found = self._backends.read().values()
+        return sorted((b.id, b.state) for b in found if b.state != "gone")
+
+    # Membership.
+
+    def _apply(self, table: Table, actions: list[Action]) -> None:
+        changed = table is not self._table
+        self._table = table
+        if changed:
+            self.members.publish(table)
+        for action in actions:
+            match action:
+                case SendProbe():
+                    self._send_probe(action)
+                case Changed():
+                    self._tell_change(action)
+                case Duplicate():
+                    # The newer process goes on; this one stops taking work.
+                    log_event(
+                        LOGGER, "duplicate_id", logging.ERROR, other=action.other.peers
+                    )
+                    self._context.readiness["unique_id"] = lambda: False
+
+    def _tell_change(self, action: Changed) -> None:
+        member = action.member
+        log_event(
+            LOGGER,
+            "member_changed",
+            member=member.id,
+            before=action.before,
+            state=member.state,
+            incarnation=member.incarnation,
+        )
+        states = [e.member.state for e in self._table.entries.values()]
+        for state in {action.before, member.state} - {""}:
+            MEMBERS.labels(state).set(states.count(state))
+        for task in self._watchers:
+            message = MemberChanged(member=member, before=action.before)
+            self._context.post(task, message)
+
+    def _send_probe(self, action: SendProbe) -> None:
+        to = action.helper or action.target
+        probe = Probe(
+            sender=self._table.self_id,
+            sequence=action.sequence,
+            news=self._take_news_to_send(),
+            target=action.target if action.helper else "",
+        )
+        self._handle_send(Send(to=to, message=probe))
+
+    def _take_news_to_send(self) -> News:
+        self._table, members = take_rumours(self._table)
+        known = self._backends.read()
+        names = list(self._backend_rumours)[:MAX_BACKENDS_PER_MESSAGE]
+        for name in names:
+            self._backend_rumours[name] -= 1
+            if self._backend_rumours[name] <= 0:
+                del self._backend_rumours[name]
+        backends = tuple(known[name] for name in names if name in known)
+        return News(members=members, numbers=self._numbers, backends=backends)
+
+    def _take_news(self, sender: str, news: News) -> None:
+        now = time.monotonic()
+        self._apply(*merge_members(self._table, news.members, now, self._rules))
+        mine = dict(self._numbers)
+        if any(mine.get(name, 0) < number for name, number in news.numbers):
+            heard = NumbersHeard(sender=sender, numbers=news.numbers)
+            self._post_if_there("configurations", heard)
+        if news.backends:
+            heard_backends = BackendsHeard(backends=news.backends)
+            self._post_if_there("backends", heard_backends)
+
+    def _post_if_there(self, task: str, message: Any) -> None:
+        if task in self._context.tasks:
+            self._context.post(task, message)
+
+    def _receive_probe(self, probe: Probe) -> None:
+        self._take_news(probe.sender, probe.news)
+        if probe.target and probe.target != self._table.self_id:
+            # Passed on with the asker as sender, so that the answer goes to it.
+            passed = msgspec.structs.replace(probe, target="", news=News())
+            self._handle_send(Send(to=probe.target, message=passed))
+            return
+        answer = ProbeAnswer(
+            sender=self._table.self_id,
+            sequence=probe.sequence,
+            news=self._take_news_to_send(),
+        )
+        self._handle_send(Send(to=probe.sender, message=answer))
+
+    def _receive_answer(self, answer: ProbeAnswer) -> None:
+        pending = self._table.pending.get(answer.sequence)
+        if pending is not None and pending.target == answer.sender:
+            self._table = take_answer(self._table, answer.sequence)
+        self._take_news(answer.sender, answer.news)
+
+    def _receive_join(self, join: Join) -> None:
+        now = time.monotonic()
+        self._apply(*merge_members(self._table, [join.member], now, self._rules))
+        table = SyncTable(
+            sender=self._table.self_id, news=self._list_all_news(), reply=True
+        )
+        self._send_to(join.member.peers, join.member.key, table)
+
+    def _list_all_news(self) -> News:
+        members = tuple(
+            e.member for e in self._table.entries.values() if e.member.state != "dead"
+        )
+        backends = tuple(self._backends.read().values())
+        return News(members=members, numbers=self._numbers, backends=backends)
+
+    def _receive_digest(self, digest: SyncDigest) -> None:
+        if digest.digest == self._digest():
+            return
+        table = SyncTable(
+            sender=self._table.self_id, news=self._list_all_news(), reply=True
+        )
+        self._handle_send(Send(to=digest.sender, message=table))
+
+    def _receive_table(self, table: SyncTable) -> None:
+        self._take_news(table.sender, table.news)
+        if table.reply:
+            answer = SyncTable(sender=self._table.self_id, news=self._list_all_news())
+            self._handle_send(Send(to=table.sender, message=answer))
+
+    # From this daemon's other tasks.
+
+    def _handle_change_self(self, change: ChangeSelf) -> None:
+        now = time.monotonic()
+        self._apply(
+            *change_self(
+                self._table,
+                now,
+                self._rules,
+                state=change.state,
+                successor=change.successor,
+            )
+        )
+        self._notify(News(members=(self._self_member(),)))
+
+    def _handle_numbers(self, announce: AnnounceNumbers) -> None:
+        if announce.numbers == self._numbers:
+            return
+        self._numbers = announce.numbers
+        self._notify(News(numbers=announce.numbers))
+
+    def _handle_backends(self, announce: AnnounceBackends) -> None:
+        for backend in announce.backends:
+            self._backend_rumours[backend.id] = BACKEND_RUMOURS
+        for start in range(0, len(announce.backends), MAX_BACKENDS_PER_MESSAGE):
+            part = announce.backends[start : start + MAX_BACKENDS_PER_MESSAGE]
+            self._notify(News(backends=part))
+
+    def _notify(self, news: News) -> None:
+        """Tells all neighbours at once; each passes on what is new to it."""
+        notice = Notice(sender=self._table.self_id, news=news)
+        for neighbour in self._table.neighbours:
+            self._handle_send(Send(to=neighbour, message=notice))
+
+
+def _build(context: Context) -> PeersTask:
+    seed = f"{context.settings.daemon.id}/{time.time_ns()}"
+    return PeersTask(context=context, random_state=random.Random(seed))
+
+
+register_plugin(Plugin(name="peers", requires=(), build=_build))
--- /dev/null
+++ b/berylpost/pools.py
@@ -0,0 +1,177 @@
+"""The replicas of one model as one daemon uses them; owned by the relay.
+
+Keeps what the policies need between decisions: loads, own work, limits, which
+replica likely holds which prefix. The decisions themselves are in `policy`.
+"""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from .messages import Backend
+from .policy.admission import Load
+from .policy.concurrency import Limit, start_limit, take_sample
+from .policy.routing import (
+    Choice,
+    Replica,
+    Ring,
+    build_ring,
+    choose_replica,
+    hash_prefix,
+)
+from .streams import Stream
+from .upstream import LoadReport
+
+MAX_PREFIXES: Final = 2_000
+MAX_HOLDERS: Final = 4  # replicas remembered for one prefix
+SERVICE_S: Final = 2.0  # until a first answer has been seen
+EWMA_SHARE: Final = 0.05
+DEFAULT_SLOTS: Final = 16
+
+
+class Pool:
+    """The replicas of one model of one deployment.
+
+    Args:
+        deployment: its name.
+        model: its name.
+    """
+
+    def __init__(self, *, deployment: str, model: str) -> None:
+        self.deployment = deployment
+        self.model = model
+        self.replicas: dict[str, Replica] = {}
+        self.own: dict[str, int] = {}
+        self.limits: dict[str, Limit] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.service_s = SERVICE_S
+        self.n_queued = 0
+        self._ring: Ring = build_ring(())
+        self._prefixes: OrderedDict[int, dict[str, int]] = OrderedDict()
+
+    def set_backends(self, backends: Iterable[Backend], n_daemons: int) -> None:
+        """Takes the present table of backend servers of this model."""
+        present = {b.id: b for b in backends if b.state != "gone"}
+        running = sorted(i for i, b in present.items() if b.state == "running")
+        for backend_id, backend in present.items():
+            if backend_id not in self.replicas:
+                self.replicas[backend_id] = Replica(
+                    id=backend_id,
+                    address=backend.address,
+                    name=backend.name,
+                    zone=backend.zone,
+                    slots=DEFAULT_SLOTS,
+                )
+                self.limits[backend_id] = start_limit(DEFAULT_SLOTS, n_daemons)
+        self.leaving = frozenset(present) - frozenset(running)
+        for gone in set(self.replicas) - set(present):
+            del self.replicas[gone], self.limits[gone]
+            self.own.pop(gone, None)
+        if running != list(self._ring.ids):
+            self._ring = build_ring(running)
+
+    def count_running(self) -> int:
+        """Counts this daemon's requests in progress on all replicas."""
+        return sum(self.own.values())
+
+    def capacity(self) -> float:
+        """Sums the limits of the replicas that take new work."""
+        return sum(self.limits[i].value for i in self._ring.ids)
+
+    def describe_load(self, max_streams: int, max_queue: int) -> Load:
+        """Describes the pool for an admission decision."""
+        return Load(
+            running=self.count_running(),
+            queued=self.n_queued,
+            capacity=self.capacity(),
+            service_s=self.service_s,
+            max_streams=max_streams,
+            max_queue=max_queue,
+        )
+
+    def has_room(self) -> bool:
+        """Tells whether any replica is below its limit; cheap, before choosing."""
+        return any(self.own.get(i, 0) < self.limits[i].value for i in self._ring.ids)
+
+    def choose(self, stream: Stream, now: float) -> Choice | None:
+        """Chooses a replica for the next attempt of a stream."""
+        excluded = frozenset(stream.avoid) | self.leaving
+        if excluded.issuperset(self._ring.ids):
+            # Those that failed once are better than nothing; leaving ones are not.
+            excluded = self.leaving
+        prompt = stream.request.prompt
+        key = hash_prefix(prompt)
+        cached = dict(self._prefixes.get(key, {}))
+        if stream.prefer in self.replicas and stream.prefer not in excluded:
+            cached[stream.prefer] = len(prompt) + len(stream.text)
+        return choose_replica(
+            self._ring,
+            self.replicas,
+            prefix_key=key,
+            prompt_chars=len(prompt) + len(stream.text),
+            own=self.own,
+            limits={i: limit.value for i, limit in self.limits.items()},
+            cached_chars=cached,
+            excluded=excluded,
+            now=now,
+        )
+
+    def start(self, stream: Stream, replica_id: str) -> None:
+        """Notes that an attempt was sent."""
+        self.own[replica_id] = self.own.get(replica_id, 0) + 1
+        key = hash_prefix(stream.request.prompt)
+        holders = self._prefixes.setdefault(key, {})
+        # Only the shared prefix is sure to be of use to the next request.
+        holders[replica_id] = min(len(stream.request.prompt), 512)
+        while len(holders) > MAX_HOLDERS:
+            del holders[next(iter(holders))]
+        self._prefixes.move_to_end(key)
+        while len(self._prefixes) > MAX_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def end(self, replica_id: str, service_s: float | None) -> None:
+        """Notes that an attempt is over, with its duration if it was whole."""
+        if self.own.get(replica_id, 0) <= 1:
+            self.own.pop(replica_id, None)
+        else:
+            self.own[replica_id] -= 1
+        if service_s is not None:
+            self.service_s += EWMA_SHARE * (service_s - self.service_s)
+
+    def observe(
+        self, replica_id: str, first_token_s: float | None, target_s: float, now: float
+    ) -> None:
+        """Takes a time to first token, or a refusal, into the replica's limit."""
+        limit = self.limits.get(replica_id)
+        if limit is not None:
+            self.limits[replica_id] = take_sample(
+                limit,
+                first_token_s=first_token_s,
+                target_s=target_s,
+                own=self.own.get(replica_id, 0),
+                now=now,
+            )
+
+    def report(self, replica_id: str, report: LoadReport, now: float) -> None:
+        """Takes a load report in."""
+        replica = self.replicas.get(replica_id)
+        if replica is not None:
+            self.replicas[replica_id] = dataclasses.replace(
+                replica,
+                reported=report.running + report.waiting,
+                reported_at=now,
+                reported_own=self.own.get(replica_id, 0),
+                service_s=self.service_s,
+            )
+
+
+def group_backends(
+    backends: Collection[Backend], role: str
+) -> dict[tuple[str, str], list[Backend]]:
+    """Groups backend servers of a role by deployment and name."""
+    groups: dict[tuple[str, str], list[Backend]] = {}
+    for backend in backends:
+        if backend.role == role:
+            groups.setdefault((backend.deployment, backend.name), []).append(backend)
+    return groups
--- /dev/null
+++ b/berylpost/recording.py
@@ -0,0 +1,91 @@
+"""Records decisions, inputs and outcome, as JSON Lines; off unless a path is set.
+
+No payloads: prompts and answers never enter a record, only lengths and keys. The
+file is bounded; once full, recording stops and says so.
+"""
+
+import logging
+from dataclasses import fields, is_dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from .logs import log_event
+from .policy.routing import Choice
+from .settings import RecordingSettings
+from .streams import StreamRequest
+
+LOGGER: Final = logging.getLogger(__name__)
+
+
+def describe(value: Any) -> Any:
+    """Turns frozen state into plain JSON values with the type's name."""
+    if is_dataclass(value) and not isinstance(value, type):
+        names = [f.name for f in fields(value)]
+        return {
+            "type": type(value).__name__,
+            **{name: describe(getattr(value, name)) for name in names},
+        }
+    if isinstance(value, msgspec.Struct):
+        return msgspec.to_builtins(value)
+    if isinstance(value, dict):
+        return {str(k): describe(v) for k, v in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [describe(v) for v in value]
+    if isinstance(value, (set, frozenset)):
+        return sorted(describe(v) for v in value)
+    return value
+
+
+class Recorder:
+    """Writes decision records until the file is full."""
+
+    def __init__(self, *, settings: RecordingSettings) -> None:
+        self._left = settings.max_bytes if settings.path else 0
+        self._file = Path(settings.path).open("ab") if settings.path else None
+
+    def record(
+        self, decision: str, *, now: float, inputs: dict[str, Any], outcome: Any
+    ) -> None:
+        """Writes one decision.
+
+        Args:
+            decision: name of the policy, as `replay` knows it.
+            now: monotonic seconds it was made at.
+            inputs: keyword arguments of the policy.
+            outcome: what it returned.
+        """
+        if self._file is None:
+            return
+        line = msgspec.json.encode(
+            {
+                "decision": decision,
+                "now": now,
+                "inputs": describe(inputs),
+                "outcome": describe(outcome),
+            }
+        )
+        self._left -= len(line) + 1
+        if self._left < 0:
+            log_event(LOGGER, "recording_full", logging.WARNING)
+            self._file.close()
+            self._file = None
+            return
+        self._file.write(line + b"\n")
+        self._file.flush()
+
+    def record_choice(self, request: StreamRequest, choice: Choice, now: float) -> None:
+        """Writes a routing decision; without its inputs, which are the whole pool."""
+        if self._file is None:
+            return
+        self.record(
+            "routing",
+            now=now,
+            inputs={"request": request.id, "prompt_chars": len(request.prompt)},
+            outcome={
+                "replica": choice.replica.id,
+                "predicted_s": choice.predicted_s,
+                "reason": choice.reason,
+            },
+        )
--- /dev/null
+++ b/berylpost/upstream.py
@@ -0,0 +1,254 @@
+"""One attempt at a model engine: a non-blocking connection and its parsed events.
+
+Speaks HTTP/1.1 with server-sent events as the usual engines do; httptools parses.
+The relay owns the selector; this module owns the socket and tells in typed events
+what arrived.
+"""
+
+import socket
+from dataclasses import dataclass
+from typing import Any, Final
+
+import httptools
+import msgspec
+
+from .settings import split_endpoint
+
+READ_BYTES: Final = 65_536
+MAX_LINE_BYTES: Final = 1 << 20
+LOAD_HEADER: Final = b"endpoint-load-metrics"  # ORCA, as the usual engines send it
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: int = 0
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    text: str | None = None
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct, frozen=True):
+    choices: tuple[_Choice, ...] = ()
+    usage: _Usage | None = None
+
+
+class _NamedMetrics(msgspec.Struct, frozen=True):
+    num_requests_running: float = 0
+    num_requests_waiting: float = 0
+    leaving: float = 0
+
+
+class _Orca(msgspec.Struct, frozen=True):
+    named_metrics: _NamedMetrics = _NamedMetrics()
+
+
+_CHUNKS: Final = msgspec.json.Decoder(_Chunk)
+_LOADS: Final = msgspec.json.Decoder(_Orca)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Token:
+    """Text arrived; `n_tokens` counts this attempt's tokens so far."""
+
+    text: str
+    n_tokens: int
+    finish_reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """The engine answered with an error status, before any token."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Load that came with the answer's head."""
+
+    running: int
+    waiting: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ended:
+    """The attempt is over: whole, cut, or never sent."""
+
+    whole: bool
+    sent: bool
+
+
+UpstreamEvent = Token | Refusal | LoadReport | Ended
+
+
+class Upstream:
+    """One connection to an engine.
+
+    Args:
+        address: IP-NUMBER:PORT.
+        path: of the request.
+        body: JSON.
+        request_id: sent along for the engine's log.
+        now: monotonic seconds.
+    """
+
+    def __init__(
+        self, *, address: str, path: str, body: bytes, request_id: str, now: float
+    ) -> None:
+        host, port = split_endpoint(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_STREAM)
+        self.socket.setblocking(False)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.connect_ex((host, port))
+        self.connected = False
+        self.last_data_at = now
+        self._out = (
+            f"POST {path} HTTP/1.1\r\nHost: {address}\r\n"
+            f"Content-Type: application/json\r\nX-Request-Id: {request_id}\r\n"
+            f"Accept: text/event-stream\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+        self._n_sent = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._events: list[UpstreamEvent] = []
+        self._line = b""
+        self._n_tokens = 0
+        self._done = False
+        self._refused = False
+
+    # Callbacks of httptools.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a load report from the head."""
+        if name.lower() != LOAD_HEADER:
+            return
+        try:
+            metrics = _LOADS.decode(value.partition(b" ")[2]).named_metrics
+        except msgspec.MsgspecError:
+            return  # a hint; without it predictions are only older
+        report = LoadReport(
+            running=int(metrics.num_requests_running),
+            waiting=int(metrics.num_requests_waiting),
+            leaving=bool(metrics.leaving),
+        )
+        self._events.append(report)
+
+    def on_headers_complete(self) -> None:
+        """Notes a refusal."""
+        status = self._parser.get_status_code()
+        if status != 200:
+            self._refused = True
+            self._events.append(Refusal(status=status))
+
+    def on_body(self, data: bytes) -> None:
+        """Splits the body into lines."""
+        if self._refused:
+            return
+        *lines, self._line = (self._line + data).split(b"\n")
+        if len(self._line) > MAX_LINE_BYTES:
+            raise httptools.HttpParserError("line over the bound")
+        for line in lines:
+            if line.startswith(b"data:"):
+                self._take_data(line[5:].strip())
+
+    def on_message_complete(self) -> None:
+        """Notes that the body was whole by HTTP's own framing."""
+        if self._done:
+            self._events.append(Ended(whole=True, sent=True))
+        elif not self._refused:
+            # Framing ended without [DONE]: the engine gave up in between.
+            self._events.append(Ended(whole=False, sent=True))
+
+    def _take_data(self, data: bytes) -> None:
+        if data == b"[DONE]":
+            self._done = True
+            return
+        chunk = _CHUNKS.decode(data)
+        if chunk.usage is not None and chunk.usage.completion_tokens:
+            self._n_tokens = chunk.usage.completion_tokens
+        elif chunk.choices:
+            self._n_tokens += 1
+        for choice in chunk.choices:
+            text = choice.delta.content if choice.delta else choice.text
+            token = Token(
+                text=text or "",
+                n_tokens=self._n_tokens,
+                finish_reason=choice.finish_reason or "",
+            )
+            self._events.append(token)
+
+    # Readiness.
+
+    def wants_write(self) -> bool:
+        """Tells whether there is something to send or a connect to await."""
+        return self._n_sent < len(self._out)
+
+    def write_ready(self) -> list[UpstreamEvent]:
+        """Sends what the socket takes."""
+        if not self.connected:
+            error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                return [Ended(whole=False, sent=False)]
+            self.connected = True
+        try:
+            self._n_sent += self.socket.send(self._out[self._n_sent :])
+        except BlockingIOError:
+            return []
+        except OSError:
+            return [Ended(whole=False, sent=self._n_sent > 0)]
+        return []
+
+    def read_ready(self, now: float) -> list[UpstreamEvent]:
+        """Reads what is there and returns what it means."""
+        try:
+            data = self.socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return []
+        except OSError:
+            return [Ended(whole=False, sent=self._n_sent > 0)]
+        if not data:
+            return [Ended(whole=False, sent=self._n_sent > 0)]
+        self.last_data_at = now
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, msgspec.MsgspecError, UnicodeDecodeError):
+            self._events.append(Ended(whole=False, sent=True))
+        events: list[UpstreamEvent] = self._events
+        self._events = []
+        return events
+
+    def close(self) -> None:
+        """Closes the socket; an engine stops generating when it sees that."""
+        self.socket.close()
+
+
+def call_json(pool: Any, address: str, path: str, document: object) -> Any:
+    """Posts a JSON document to a backend server and returns the decoded answer.
+
+    Args:
+        pool: a `urllib3.PoolManager`.
+        address: IP-NUMBER:PORT.
+        path: of the request.
+        document: to encode.
+
+    Raises:
+        OSError: any failure; the caller goes on without.
+    """
+    import urllib3
+
+    try:
+        response = pool.request(
+            "POST", f"http://{address}{path}", body=msgspec.json.encode(document)
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise OSError(f"{address}{path}: {error}") from error
+    if response.status != 200:
+        raise OSError(f"{address}{path}: status {response.status}")
+    return msgspec.json.decode(response.data)
--- /dev/null
+++ b/berylpost/web.py
@@ -0,0 +1,390 @@
+"""The HTTP surface: CherryPy on its own cheroot server, one route table.
+
+Parses, authenticates and dispatches; the handlers are in `caller_api` and
+`operator_api`, which register their routes. An answer that streams leaves the HTTP
+server before its first byte: the gateway passes the socket on to the relay, which
+is its only owner from then on.
+"""
+
+import logging
+import random
+import socket
+import ssl
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+import cherrypy
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+from cheroot.wsgi import Gateway_10, Server
+
+from .configuration import Identity, hash_token
+from .configurations import InForce
+from .errors import BerylpostError, ErrorKind, SettingsError, render_problem
+from .kernel import Context, Plugin, Slot, register_plugin
+from .logs import log_event
+from .metrics import REFUSALS
+from .services import Caller as ServiceCaller
+from .settings import split_endpoint
+
+LOGGER: Final = logging.getLogger(__name__)
+HANDOVER_KEY: Final = "berylpost.handover"
+N_QUEUED_CONNECTIONS: Final = 512
+
+_STATUS_KINDS: Final = {
+    400: ErrorKind.BAD_REQUEST,
+    404: ErrorKind.NOT_FOUND,
+    405: ErrorKind.METHOD_NOT_ALLOWED,
+    408: ErrorKind.BAD_REQUEST,
+    411: ErrorKind.BAD_REQUEST,
+    413: ErrorKind.BODY_TOO_LARGE,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """One parsed request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    params: Mapping[str, str]
+    arguments: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    identity: Identity | None
+
+    def require_identity(self) -> Identity:
+        """Returns who asks; routes with a role always have one."""
+        assert self.identity is not None
+        return self.identity
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpResponse:
+    """A whole answer."""
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TakeSocket:
+    """The answer will be written by `owner`, who gets the caller's socket."""
+
+    owner: Callable[[socket.socket], None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """What handlers use; made once for each daemon."""
+
+    context: Context
+    service_caller: ServiceCaller
+    random_state: random.Random
+
+    def slot(self, name: str) -> Any:
+        """Reads a slot of the board."""
+        return self.context.slots[name].read()
+
+
+Handler = Callable[[Site, HttpRequest], HttpResponse | TakeSocket]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """One row of the route table.
+
+    Attributes:
+        method: HTTP method, or `*` for any.
+        pattern: path segments; `{name}` takes one, a last `{name*}` the rest.
+        role: `open`, `customer`, `operator` or `any` for either.
+    """
+
+    method: str
+    pattern: tuple[str, ...]
+    role: str
+    handle: Handler
+
+
+_ROUTES: list[Route] = []
+
+
+def register_route(method: str, path: str, role: str, handle: Handler) -> None:
+    """Adds a row to the route table."""
+    pattern = tuple(path.strip("/").split("/"))
+    _ROUTES.append(Route(method=method, pattern=pattern, role=role, handle=handle))
+
+
+def match_route(method: str, path: str) -> tuple[Route, dict[str, str]]:
+    """Finds the route of a request.
+
+    Raises:
+        BerylpostError: `NOT_FOUND`, or `METHOD_NOT_ALLOWED` with those that are.
+    """
+    segments = path.strip("/").split("/")
+    allowed: list[str] = []
+    for route in _ROUTES:
+        params = _match_pattern(route.pattern, segments)
+        if params is None:
+            continue
+        if route.method in ("*", method):
+            return route, params
+        allowed.append(route.method)
+    if allowed:
+        raise BerylpostError(
+            ErrorKind.METHOD_NOT_ALLOWED, f"allowed: {', '.join(allowed)}"
+        )
+    raise BerylpostError(ErrorKind.NOT_FOUND, f"no resource at {path!r}")
+
+
+def _match_pattern(
+    pattern: tuple[str, ...], segments: list[str]
+) -> dict[str, str] | None:
+    params: dict[str, str] = {}
+    for place, part in enumerate(pattern):
+        if part.endswith("*}"):
+            params[part[1:-2]] = "/".join(segments[place:])
+            return params
+        if place >= len(segments):
+            return None
+        if part.startswith("{"):
+            params[part[1:-1]] = segments[place]
+        elif part != segments[place]:
+            return None
+    return params if len(pattern) == len(segments) else None
+
+
+def authenticate(
+    headers: Mapping[str, str], in_force: Mapping[str, InForce], role: str
+) -> Identity | None:
+    """Finds who a bearer token belongs to and whether the role fits.
+
+    Raises:
+        BerylpostError: `UNAUTHENTICATED` or `FORBIDDEN`.
+    """
+    if role == "open":
+        return None
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    digest = hash_token(token.strip()) if scheme.lower() == "bearer" else ""
+    for held in in_force.values():
+        identity = held.tokens.get(digest)
+        if identity is None:
+            continue
+        has_role = {"customer": identity.customer, "operator": identity.operator}
+        if role == "any" or has_role[role] is not None:
+            return identity
+        raise BerylpostError(ErrorKind.FORBIDDEN, f"needs the role {role}")
+    if not in_force:
+        raise BerylpostError(
+            ErrorKind.STORE_UNAVAILABLE, "no configuration yet", retry_after_s=1
+        )
+    raise BerylpostError(ErrorKind.UNAUTHENTICATED, "unknown bearer token")
+
+
+class _HandoverGateway(Gateway_10):
+    """Passes the socket on when a handler asked for it."""
+
+    def respond(self) -> None:
+        """Answers, or hands the connection over before the first byte."""
+        # A list, since CherryPy passes a copy of the environment on.
+        owners: list[Callable[[socket.socket], None]] = []
+        self.env[HANDOVER_KEY] = owners
+        response = self.req.server.wsgi_app(self.env, self.start_response)
+        if not owners:
+            try:
+                for chunk in filter(None, response):
+                    self.write(chunk)
+            finally:
+                self.req.ensure_headers_sent()
+                if hasattr(response, "close"):
+                    response.close()
+            return
+        if hasattr(response, "close"):
+            response.close()
+        connection = self.req.conn
+        # From here on cheroot must neither write nor close.
+        self.req.sent_headers = True
+        self.req.chunked_write = False
+        self.req.close_connection = True
+        connection.linger = True
+        owners[0](_take_socket(connection))
+
+
+def _take_socket(connection: Any) -> socket.socket:
+    sock = connection.socket
+    if isinstance(sock, ssl.SSLSocket):
+        return sock  # cannot be detached without losing its session
+    return socket.socket(fileno=sock.detach())
+
+
+class _Root:
+    """The single CherryPy resource; dispatch is by the route table."""
+
+    exposed = True
+
+    def __init__(self, *, site: Site) -> None:
+        self._site = site
+
+    def default(self, *_segments: str, **arguments: str) -> bytes:
+        """Answers any request."""
+        try:
+            result = self._dispatch(arguments)
+        except BerylpostError as error:
+            return _write_problem(error)
+        except Exception:
+            LOGGER.exception("event=request_error path=%s", cherrypy.request.path_info)
+            return _write_problem(BerylpostError(ErrorKind.INTERNAL, "see the log"))
+        if isinstance(result, TakeSocket):
+            owners = cherrypy.serving.request.wsgi_environ[HANDOVER_KEY]
+            owners.append(result.owner)
+            return b""
+        return _write_response(result)
+
+    default.exposed = True  # type: ignore[attr-defined]
+
+    def _dispatch(self, arguments: Mapping[str, str]) -> HttpResponse | TakeSocket:
+        request = cherrypy.serving.request
+        path = request.path_info
+        route, params = match_route(request.method, path)
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        in_force: Slot[Mapping[str, InForce]] = self._site.context.slots[
+            "configurations"
+        ]
+        identity = authenticate(headers, in_force.read(), route.role)
+        body = request.body.fp.read() if request.method in _WITH_BODY else b""
+        parsed = HttpRequest(
+            method=request.method,
+            path=path,
+            query=request.query_string,
+            params=params,
+            arguments={k: v for k, v in arguments.items() if isinstance(v, str)},
+            headers=headers,
+            body=body,
+            identity=identity,
+        )
+        return route.handle(self._site, parsed)
+
+
+_WITH_BODY: Final = frozenset({"POST", "PUT", "PATCH", "DELETE"})
+
+
+def _write_problem(error: BerylpostError) -> bytes:
+    REFUSALS.labels(error.kind).inc()
+    status, headers, body = render_problem(error)
+    return _write_response(
+        HttpResponse(status=status, headers=tuple(headers), body=body)
+    )
+
+
+def _write_response(response: HttpResponse) -> bytes:
+    cherrypy.response.status = response.status
+    cherrypy.response.headers.pop("Content-Type", None)
+    for name, value in response.headers:
+        cherrypy.response.headers[name] = value
+    return response.body
+
+
+def _render_cherrypy_error(
+    status: str, message: str, traceback: str, version: str
+) -> bytes:
+    """Turns CherryPy's own errors into problem documents."""
+    kind = _STATUS_KINDS.get(int(status[:3]), ErrorKind.INTERNAL)
+    _, headers, body = render_problem(BerylpostError(kind, message))
+    for name, value in headers:
+        cherrypy.response.headers[name] = value
+    return body
+
+
+class WebTask:
+    """The HTTP server of one daemon; its threads belong to cheroot."""
+
+    def __init__(self, *, context: Context) -> None:
+        listen = context.settings.listen
+        random_state = random.Random(f"{context.process_id}/{time.time_ns()}")
+        site = Site(
+            context=context,
+            service_caller=ServiceCaller(context=context, random_state=random_state),
+            random_state=random_state,
+        )
+        application = cherrypy.Application(
+            _Root(site=site),
+            "",
+            {
+                "/": {
+                    "error_page.default": _render_cherrypy_error,
+                    "request.show_tracebacks": False,
+                    # Bodies are read by the handlers, never parsed as forms.
+                    "request.process_request_body": False,
+                    "tools.trailing_slash.on": False,
+                    "tools.encode.on": False,
+                }
+            },
+        )
+        application.log.screen = False
+        application.log.access_log.propagate = False
+        application.log.error_log.propagate = False
+        self._server = Server(
+            split_endpoint(listen.http),
+            application,
+            numthreads=listen.threads,
+            request_queue_size=N_QUEUED_CONNECTIONS,
+            timeout=int(max(1, listen.read_timeout_s)),
+            server_name="berylpost",
+        )
+        self._server.gateway = _HandoverGateway
+        self._server.max_request_body_size = listen.max_body_bytes
+        setattr(self._server, "error_log", _log_server_error)  # noqa: B010
+        if listen.tls_certificate:
+            adapter = BuiltinSSLAdapter(listen.tls_certificate, listen.tls_key)
+            self._server.ssl_adapter = adapter
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Binds and starts to serve.
+
+        Raises:
+            SettingsError: the address cannot be bound.
+        """
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise SettingsError(f"$.listen.http: {error}") from error
+        self._thread = threading.Thread(
+            target=self._server.serve, name="web", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops to listen and ends the threads."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(5)
+
+    def post(self, message: Any) -> None:
+        """Takes no messages."""
+
+
+def _log_server_error(
+    message: str = "", level: int = logging.INFO, traceback: bool = False
+) -> None:
+    log_event(LOGGER, "http_server", level, message=message, traceback=traceback)
+
+
+def _build(context: Context) -> WebTask:
+    # The handlers register their routes when they are imported.
+    from . import caller_api, operator_api  # noqa: F401
+
+    return WebTask(context=context)
+
+
+register_plugin(
+    Plugin(
+        name="web",
+        requires=("configurations", "backends", "relay", "services", "ledger", "drain"),
+        build=_build,
+    )
+)
