--- a/berylpost/client.py
+++ b/berylpost/client.py
@@ -255,6 +255,15 @@
             time.sleep(RESUME_PAUSE_S)
         raise last
 
+    def complete(
+        self, path: str, document: dict[str, Any], headers: dict[str, str] | None = None
+    ) -> StreamedAnswer:
+        """Streams a completion to its end and returns the whole; see `stream`."""
+        answer = StreamedAnswer()
+        for grown in self.stream(path, document, headers):
+            answer = grown
+        return answer
+
     def _open_stream(
         self,
         path: str,
--- /dev/null
+++ b/berylpost/commands.py
@@ -0,0 +1,574 @@
+"""The command line (cleo): parses, asks through `client`, reports.
+
+Every bad input ends with one message and status 1; usage errors are cleo's own.
+Decisions and wire formats live elsewhere; nothing here is imported by the daemon.
+"""
+
+import json
+import sys
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+import yaml
+import zmq
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from . import VERSION
+from .client import Client, Problem
+from .configuration import JSON_PATCH, MERGE_PATCH, hash_token
+from .configurations import create_configuration
+from .errors import BerylpostError, PlatformError, SettingsError
+from .platform.objects import HttpObjects
+from .settings import load_settings
+from .writer import ConditionalWriter
+
+DEFAULT_ADDRESS: Final = "127.0.0.1:7001"
+WAIT_POLL_S: Final = 0.5
+N_PARALLEL: Final = 16
+
+Action = Callable[["_Command"], int]
+
+
+class InputError(Exception):
+    """Input that cannot be used; the message says what is accepted."""
+
+
+class _Command(Command):
+    """A command whose behaviour is the function `action`."""
+
+    action: Action
+
+    def handle(self) -> int:
+        """Runs the action and turns known failures into one message."""
+        try:
+            return type(self).action(self)
+        except Problem as problem:
+            self.line_error(f"<error>{problem}</error>")
+            for key in ("number", "faults", "addresses"):
+                if key in problem.document:
+                    self.line_error(f"{key}: {problem.document[key]}")
+        except (BerylpostError, PlatformError, SettingsError, InputError) as error:
+            self.line_error(f"<error>{error}</error>")
+        return 1
+
+
+_ADDRESS: Final = option(
+    "address", "a", "Daemon to ask, IP-NUMBER:PORT", flag=False, default=DEFAULT_ADDRESS
+)
+_TOKEN: Final = option(
+    "token", "t", "Bearer token, or @FILE to read it from", flag=False, default=""
+)
+_JSON: Final = option("json", None, "Print JSON")
+_CONNECTION: Final = [_ADDRESS, _TOKEN, _JSON]
+
+
+def make_command(
+    name: str,
+    description: str,
+    action: Action,
+    arguments: list[Argument] | None = None,
+    options: list[Option] | None = None,
+) -> Command:
+    """Makes a cleo command of a function."""
+    members = {
+        "name": name,
+        "description": description,
+        "arguments": arguments or [],
+        "options": options or [],
+        "action": staticmethod(action),
+    }
+    made: Command = type(
+        f"{name.title().replace(' ', '')}Command", (_Command,), members
+    )()
+    return made
+
+
+def _make_client(command: _Command) -> Client:
+    token = str(command.option("token"))
+    if token.startswith("@"):
+        token = _read_file(token[1:]).strip()
+    address = str(command.option("address"))
+    if ":" not in address:
+        raise InputError(f"--address {address!r}; accepted: IP-NUMBER:PORT")
+    return Client(addresses=[address], token=token)
+
+
+def _read_file(path: str) -> str:
+    try:
+        return sys.stdin.read() if path == "-" else Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError(f"{path}: {error}") from error
+
+
+def _read_document(path: str) -> Any:
+    try:
+        return yaml.safe_load(_read_file(path))
+    except yaml.YAMLError as error:
+        raise InputError(f"{path}: neither YAML nor JSON: {error}") from error
+
+
+def _print_json(command: _Command, value: object) -> None:
+    command.line(json.dumps(value, indent=2, default=str))
+
+
+def _print_rows(
+    command: _Command, headers: list[str], rows: list[list[object]]
+) -> None:
+    table = command.table()
+    table.set_headers(list(headers))
+    table.set_rows([[str(cell) for cell in row] for row in rows])
+    table.render()
+
+
+def _address(command: _Command) -> str:
+    return str(command.option("address"))
+
+
+# Settings and keys.
+
+
+def check_settings(command: _Command) -> int:
+    """Checks a settings file."""
+    settings = load_settings(Path(str(command.argument("file"))))
+    if command.option("json"):
+        _print_json(command, msgspec.to_builtins(settings))
+    else:
+        command.line(f"{command.argument('file')}: valid, daemon {settings.daemon.id}")
+    return 0
+
+
+def make_keys(command: _Command) -> int:
+    """Prints a new CURVE key pair for the `peers` section."""
+    public, secret = zmq.curve_keypair()
+    keys = {"public_key": public.decode(), "secret_key": secret.decode()}
+    if command.option("json"):
+        _print_json(command, keys)
+    else:
+        command.line(yaml.safe_dump({"peers": keys}).rstrip())
+    return 0
+
+
+def make_token_hash(command: _Command) -> int:
+    """Prints the hash of a token as the configuration keeps it."""
+    command.line(hash_token(str(command.argument("token"))))
+    return 0
+
+
+# Configuration.
+
+
+def _path(command: _Command) -> str:
+    return f"/v1/deployments/{command.argument('deployment')}/configuration"
+
+
+def init_configuration(command: _Command) -> int:
+    """Writes number 1 of a deployment straight to the object API."""
+    objects = HttpObjects(url=str(command.option("objects")), timeout_s=5.0)
+    writer = ConditionalWriter(objects=objects, writer=f"init.{uuid.uuid4().hex}")
+    document = _read_document(str(command.argument("file")))
+    name = str(command.argument("deployment"))
+    versioned = create_configuration(objects, writer, name, document)
+    command.line(f"{name}: number {versioned.number}")
+    return 0
+
+
+def get_configuration(command: _Command) -> int:
+    """Prints the configuration in force at a daemon."""
+    client = _make_client(command)
+    found = client.call("GET", _path(command), address=_address(command))
+    if command.option("json"):
+        _print_json(command, found)
+    else:
+        command.line(f"# number {found['number']}")
+        command.line(yaml.safe_dump(found["configuration"], sort_keys=False).rstrip())
+    return 0
+
+
+def patch_configuration(command: _Command) -> int:
+    """Submits a patch against a number."""
+    patch = _read_document(str(command.argument("file")))
+    number = str(command.option("number"))
+    if not number.isdecimal():
+        raise InputError(f"--number {number!r}; the number the patch was made against")
+    kind = JSON_PATCH if isinstance(patch, list) else MERGE_PATCH
+    client = _make_client(command)
+    patch_id = str(command.option("id") or uuid.uuid4().hex)
+    headers = {
+        "If-Match": f'"{number}"',
+        "Content-Type": kind,
+        "Idempotency-Key": patch_id,
+    }
+    found = client.call(
+        "PATCH",
+        _path(command),
+        address=_address(command),
+        document=patch,
+        headers=headers,
+    )
+    if command.option("json"):
+        _print_json(command, {**found, "patch_id": patch_id})
+    else:
+        command.line(f"accepted as number {found['number']} (patch {patch_id})")
+    return 0
+
+
+def wait_configuration(command: _Command) -> int:
+    """Waits until every live daemon has a number in force; names those behind."""
+    wanted = int(str(command.argument("number")))
+    name = str(command.argument("deployment"))
+    client = _make_client(command)
+    until = time.monotonic() + float(str(command.option("timeout")))
+    while True:
+        status = client.call("GET", "/v1/status", address=_address(command))
+        live = [m for m in status["members"] if m["state"] in ("alive", "suspect")]
+
+        def read_number(member: dict[str, Any]) -> tuple[str, int]:
+            try:
+                found = client.call("GET", "/v1/status", address=member["http"])
+            except Problem:
+                return member["id"], -1
+            return member["id"], int(found["configurations"].get(name, 0))
+
+        with ThreadPoolExecutor(N_PARALLEL) as executor:
+            numbers = dict(executor.map(read_number, live))
+        behind = {i: n for i, n in sorted(numbers.items()) if n < wanted}
+        if not behind:
+            command.line(
+                f"number {wanted} or higher is in force on {len(live)} daemons"
+            )
+            return 0
+        if time.monotonic() >= until:
+            for member, number in behind.items():
+                has = f"has {number}" if number >= 0 else "does not answer"
+                command.line_error(f"<error>{member} {has}</error>")
+            return 1
+        command.line_error(f"waiting for {len(behind)} of {len(live)} daemons")
+        time.sleep(WAIT_POLL_S)
+
+
+def print_audit(command: _Command) -> int:
+    """Prints accepted patches, newest first."""
+    client = _make_client(command)
+    limit = command.option("limit")
+    path = f"/v1/deployments/{command.argument('deployment')}/audit?limit={limit}"
+    entries = client.call("GET", path, address=_address(command))["entries"]
+    if command.option("json"):
+        _print_json(command, entries)
+        return 0
+    rows = [
+        [
+            e["number"],
+            time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(e["time"])),
+            e["author"],
+            e["patch_id"],
+            json.dumps(e["patch"]),
+        ]
+        for e in entries
+    ]
+    _print_rows(command, ["Number", "UTC", "Operator", "Patch id", "Patch"], rows)
+    return 0
+
+
+# Callers.
+
+
+def ask_model(command: _Command) -> int:
+    """Streams a completion to standard output."""
+    client = _make_client(command)
+    document = {
+        "model": str(command.option("model")),
+        "prompt": " ".join(command.argument("prompt")),
+        "max_tokens": int(str(command.option("max-tokens"))),
+    }
+    shown = 0
+    answer = None
+    for answer in client.stream("/v1/completions", document):
+        if not command.option("json"):
+            command.write(answer.text[shown:])
+            shown = len(answer.text)
+    assert answer is not None
+    if command.option("json"):
+        _print_json(command, msgspec.to_builtins(answer))
+    else:
+        command.line("")
+        command.line_error(
+            f"request {answer.request}, resumed {answer.n_resumes} times"
+        )
+    return 0
+
+
+def book(command: _Command) -> int:
+    """Calls a service's path once under a key."""
+    client = _make_client(command)
+    key = str(command.option("key") or uuid.uuid4().hex)
+    path = f"/v1/services/{command.argument('service')}{command.option('path')}"
+    document = _read_document(str(command.argument("file")))
+    command.line_error(f"key {key}: repeating with it never books twice")
+    found = client.call(
+        "POST", path, document=document, headers={"Idempotency-Key": key}
+    )
+    _print_json(command, found)
+    return 0
+
+
+def print_addresses(command: _Command) -> int:
+    """Prints the addresses a caller would use."""
+    found = _make_client(command).call(
+        "GET", "/v1/addresses", address=_address(command)
+    )
+    if command.option("json"):
+        _print_json(command, found)
+        return 0
+    rows = [[a["address"], a["zone"], a["id"]] for a in found["addresses"]]
+    _print_rows(command, ["Address", "Zone", "Daemon"], rows)
+    return 0
+
+
+def show_request(command: _Command) -> int:
+    """Prints where a request stands."""
+    path = f"/v1/requests/{command.argument('id')}"
+    found = _make_client(command).call("GET", path, address=_address(command))
+    _print_json(command, found)
+    return 0
+
+
+# Operation.
+
+
+def print_status(command: _Command) -> int:
+    """Prints a daemon's view: declared, running, and what differs."""
+    found = _make_client(command).call("GET", "/v1/status", address=_address(command))
+    if command.option("json"):
+        _print_json(command, found)
+        return 0
+    command.line(
+        f"{found['daemon']} in {found['zone']}: {found['drain']}, "
+        f"ready {found['ready']}, numbers {found['configurations']}"
+    )
+    rows = [[m["id"], m["zone"], m["state"], m["http"]] for m in found["members"]]
+    _print_rows(command, ["Daemon", "Zone", "State", "Address"], rows)
+    _print_backends(command, found["backends"])
+    return 0
+
+
+def print_vms(command: _Command) -> int:
+    """Prints the backend servers' VMs."""
+    found = _make_client(command).call("GET", "/v1/status", address=_address(command))
+    if command.option("json"):
+        _print_json(command, found["backends"])
+    else:
+        _print_backends(command, found["backends"])
+    return 0
+
+
+def _print_backends(command: _Command, backends: list[dict[str, Any]]) -> None:
+    rows = [
+        [b["id"], b["role"], b["name"], b["zone"], b["state"], b["address"]]
+        for b in backends
+    ]
+    _print_rows(command, ["VM", "Role", "Runs", "Zone", "State", "Address"], rows)
+
+
+def drain_daemon(command: _Command) -> int:
+    """Starts the planned stop of one daemon."""
+    _make_client(command).call("POST", "/v1/drain", address=_address(command))
+    command.line(f"{_address(command)} leaves; its callers are told where to go")
+    return 0
+
+
+def run_fakes(command: _Command) -> int:
+    """Runs the stand-ins until interrupted."""
+    from .fakes.world import load_world_spec, serve_world
+
+    spec = load_world_spec(_read_document(str(command.argument("file"))))
+    command.line(f"object API on {spec.objects}, cloud API on {spec.cloud}")
+    serve_world(spec)
+    return 0
+
+
+def replay_trace(command: _Command) -> int:
+    """Runs a recorded trace through today's decisions."""
+    from .replay import replay_file
+
+    differences = replay_file(Path(str(command.argument("trace"))))
+    for difference in differences[: int(str(command.option("limit")))]:
+        command.line_error(difference)
+    command.line(f"{len(differences)} differences")
+    return 1 if differences else 0
+
+
+def run_bench(command: _Command) -> int:
+    """Runs one experiment by name."""
+    from .bench.catalogue import EXPERIMENTS
+
+    name = str(command.argument("experiment"))
+    if name not in EXPERIMENTS:
+        raise InputError(f"no experiment {name!r}; accepted: {', '.join(EXPERIMENTS)}")
+    seed, minutes = str(command.option("seed")), str(command.option("minutes"))
+    result = EXPERIMENTS[name](int(seed), float(minutes))
+    _print_json(command, result.figures)
+    return 0 if result.passed else 1
+
+
+def serve_help(command: _Command) -> int:
+    """Unreached in practice: `serve` is taken before the command line loads."""
+    command.line_error("use: berylpost serve -c FILE.yaml")
+    return 1
+
+
+def make_application() -> Application:
+    """Makes the command line with all its commands."""
+    deployment = argument("deployment", "Name of the deployment")
+    commands = [
+        make_command("serve", "Run a daemon: serve -c FILE.yaml", serve_help),
+        make_command(
+            "check",
+            "Check a settings file",
+            check_settings,
+            [argument("file", "Settings, YAML")],
+            [_JSON],
+        ),
+        make_command("keys new", "Make a CURVE key pair", make_keys, [], [_JSON]),
+        make_command(
+            "keys hash",
+            "Hash a bearer token for the configuration",
+            make_token_hash,
+            [argument("token", "The token")],
+        ),
+        make_command(
+            "config init",
+            "Write a deployment's first configuration",
+            init_configuration,
+            [deployment, argument("file", "Configuration, YAML or JSON")],
+            [option("objects", "o", "Object API, http://IP-NUMBER:PORT", flag=False)],
+        ),
+        make_command(
+            "config get",
+            "Print the configuration in force",
+            get_configuration,
+            [deployment],
+            _CONNECTION,
+        ),
+        make_command(
+            "config patch",
+            "Submit a merge patch (object) or JSON patch (list)",
+            patch_configuration,
+            [deployment, argument("file", "Patch, YAML or JSON, - for standard input")],
+            [
+                *_CONNECTION,
+                option("number", "N", "Number it was made against", flag=False),
+                option("id", None, "Patch id, to repeat it safely", flag=False),
+            ],
+        ),
+        make_command(
+            "config wait",
+            "Wait until a number is in force everywhere",
+            wait_configuration,
+            [deployment, argument("number", "The number")],
+            [
+                *_CONNECTION,
+                option("timeout", None, "Seconds", flag=False, default="15"),
+            ],
+        ),
+        make_command(
+            "config history",
+            "Print accepted patches",
+            print_audit,
+            [deployment],
+            [*_CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
+        ),
+        make_command(
+            "audit",
+            "Print accepted patches",
+            print_audit,
+            [deployment],
+            [*_CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
+        ),
+        make_command(
+            "ask",
+            "Stream a completion",
+            ask_model,
+            [argument("prompt", "The prompt", multiple=True)],
+            [
+                *_CONNECTION,
+                option("model", "m", "Model", flag=False, default="summary-7b"),
+                option("max-tokens", None, "Tokens", flag=False, default="64"),
+            ],
+        ),
+        make_command(
+            "book",
+            "Call a service once under a key",
+            book,
+            [
+                argument("service", "Name of the service"),
+                argument("file", "Body, YAML or JSON, - for standard input"),
+            ],
+            [
+                *_CONNECTION,
+                option("key", "k", "Idempotency key", flag=False),
+                option("path", "p", "Path", flag=False, default="/bookings"),
+            ],
+        ),
+        make_command(
+            "addresses", "Print addresses to use", print_addresses, [], _CONNECTION
+        ),
+        make_command("status", "Print a daemon's view", print_status, [], _CONNECTION),
+        make_command("vms", "Print the VMs", print_vms, [], _CONNECTION),
+        make_command("drain", "Stop a daemon gently", drain_daemon, [], _CONNECTION),
+        make_command(
+            "requests show",
+            "Print where a request stands",
+            show_request,
+            [argument("id", "Id of the request")],
+            _CONNECTION,
+        ),
+        make_command(
+            "fakes", "Run the stand-ins", run_fakes, [argument("file", "World, YAML")]
+        ),
+        make_command(
+            "replay",
+            "Replay recorded decisions",
+            replay_trace,
+            [argument("trace", "Trace, JSON Lines")],
+            [option("limit", "l", "Differences to print", flag=False, default="10")],
+        ),
+        make_command(
+            "bench",
+            "Run an experiment",
+            run_bench,
+            [argument("experiment", "Its name")],
+            [
+                option("seed", "s", "Seed", flag=False, default="1"),
+                option("minutes", None, "How long", flag=False, default="1"),
+            ],
+        ),
+    ]
+    application = Application("berylpost", VERSION)
+    for command in commands:
+        application.add(command)
+    return application
+
+
+def run_commands(arguments: list[str]) -> int:
+    """Runs the command line.
+
+    Args:
+        arguments: without the program's name.
+
+    Returns:
+        The exit status.
+    """
+    from cleo.io.inputs.argv_input import ArgvInput
+
+    application = make_application()
+    application.auto_exits(False)
+    return int(application.run(ArgvInput(["berylpost", *arguments])))
--- a/berylpost/fakes/world.py
+++ b/berylpost/fakes/world.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ..errors import SettingsError
 from .cloud import Cloud, Vm
 from .engine import Engine, EngineShape
 from .objects import ObjectStore
@@ -148,3 +149,26 @@
     for task in others:
         task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
+
+
+def load_world_spec(document: object) -> WorldSpec:
+    """Checks the description of a world, as `berylpost fakes` reads it.
+
+    Raises:
+        SettingsError: not valid; names the path.
+    """
+    try:
+        return msgspec.convert(document, WorldSpec)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"world: {error}") from error
+
+
+def serve_world(spec: WorldSpec) -> None:
+    """Serves a world until interrupted."""
+    thread = WorldThread(spec=spec)
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        pass
+    finally:
+        thread.stop()
