Answer with problem documents wherever HTTP goes wrong

Cause: 250 generated raw requests showed cheroot failing on an indented first header (UnboundLocalError, answered 500), CherryPy answering its HTML page with a traceback before the application's settings apply, and the client's redirects being off, so that a caller sent to another daemon got an empty answer. Change: the request and connection classes of the server answer problems; redirects are followed by hand, with the token.

--- a/berylpost/client.py
+++ b/berylpost/client.py
@@ -18,6 +18,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 RESUME_PAUSE_S: Final = 0.1
 MAX_RESUMES: Final = 60
+MAX_REDIRECTS: Final = 6
 AGAIN_KINDS: Final = frozenset(
     {ErrorKind.LEAVING, ErrorKind.NO_BACKEND, ErrorKind.STORE_UNAVAILABLE}
 )
@@ -150,15 +151,37 @@
         Raises:
             Problem: a problem answer, or none; `ran` tells what is known.
         """
+        url = f"http://{address}{path}"
+        sent = {**self._headers, **(headers or {})}
+        for _ in range(MAX_REDIRECTS):
+            response = self._send(method, url, body, sent, stream)
+            if response.status not in (303, 307):
+                break
+            # By hand, since the token must go along to the other daemon.
+            response.drain_conn()
+            url = response.headers["Location"]
+            if response.status == 303:
+                method, body = "GET", None
+        if response.status >= 400:
+            raise _make_problem(response)
+        return response
+
+    def _send(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        stream: bool,
+    ) -> urllib3.BaseHTTPResponse:
         try:
-            response = self._pool.request(
+            return self._pool.request(
                 method,
-                f"http://{address}{path}",
+                url,
                 body=body,
-                headers={**self._headers, **(headers or {})},
+                headers=headers,
                 preload_content=not stream,
-                redirect=True,
-                retries=urllib3.Retry(total=False, redirect=5, raise_on_redirect=True),
+                redirect=False,
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -171,9 +194,6 @@
             raise Problem(
                 status=0, kind="no_answer", ran=Ran.UNKNOWN, detail=str(error)
             ) from error
-        if response.status >= 400:
-            raise _make_problem(response)
-        return response
 
     def call(
         self,
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -65,6 +65,8 @@
         down: refuse everything with 503, without effect.
         lose_answers: how many answers to drop after the effect.
         refuse: how many requests to refuse with 503, without effect.
+        cut_after: cut streamed answers after so many chunks; 0 never.
+        cuts: how many answers to cut.
         match: only requests whose path contains this.
         methods: only these methods; empty means all.
     """
@@ -73,6 +75,8 @@
     down: bool = False
     lose_answers: int = 0
     refuse: int = 0
+    cut_after: int = 0
+    cuts: int = 0
     match: str = ""
     methods: tuple[str, ...] = ()
 
@@ -185,6 +189,12 @@
             return None
         return reply
 
+    def _take_cut(self) -> int:
+        if not self.faults.cut_after or self.faults.cuts <= 0:
+            return 0
+        self.faults.cuts -= 1
+        return self.faults.cut_after
+
     async def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> None:
         head = f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Other')}\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
@@ -194,8 +204,14 @@
             await writer.drain()
             return
         writer.write(head.encode("latin-1") + b"Transfer-Encoding: chunked\r\n\r\n")
+        cut_after = self._take_cut()
         async with contextlib.aclosing(reply.stream) as stream:  # type: ignore[type-var]
+            n_chunks = 0
             async for chunk in stream:
+                n_chunks += 1
+                if cut_after and n_chunks > cut_after:
+                    writer.transport.abort()
+                    raise ConnectionResetError("cut by a fault")
                 writer.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
                 await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -6,6 +6,7 @@
 is its only owner from then on.
 """
 
+import contextlib
 import logging
 import random
 import socket
@@ -14,9 +15,10 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 
 import cherrypy
+from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 from cheroot.wsgi import Gateway_10, Server
 
@@ -28,6 +30,7 @@
 from .metrics import REFUSALS
 from .services import Caller as ServiceCaller
 from .settings import split_endpoint
+from .streams import render_response
 
 LOGGER: Final = logging.getLogger(__name__)
 HANDOVER_KEY: Final = "berylpost.handover"
@@ -40,6 +43,9 @@
     408: ErrorKind.BAD_REQUEST,
     411: ErrorKind.BAD_REQUEST,
     413: ErrorKind.BODY_TOO_LARGE,
+    414: ErrorKind.BAD_REQUEST,
+    501: ErrorKind.BAD_REQUEST,
+    505: ErrorKind.BAD_REQUEST,
 }
 
 
@@ -185,6 +191,32 @@
     raise BerylpostError(ErrorKind.UNAUTHENTICATED, "unknown bearer token")
 
 
+class _ProblemRequest(HTTPRequest):
+    """Answers what cheroot refuses by itself with problem documents too."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Writes a problem and ends the connection."""
+        kind = _STATUS_KINDS.get(int(str(status)[:3]), ErrorKind.INTERNAL)
+        problem = render_problem(BerylpostError(kind, msg or str(status)))
+        REFUSALS.labels(kind).inc()
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(render_response(*problem))
+
+    def read_request_headers(self) -> bool:
+        """Reads the headers; refuses one that continues a line before the first."""
+        try:
+            return bool(super().read_request_headers())  # type: ignore[no-untyped-call]
+        except UnboundLocalError:
+            # cheroot takes the first header for a continuation when it is indented.
+            self.simple_response("400 Bad Request", "malformed header")
+            return False
+
+
+class _ProblemConnection(HTTPConnection):
+    RequestHandlerClass = _ProblemRequest
+
+
 class _HandoverGateway(Gateway_10):
     """Passes the socket on when a handler asked for it."""
 
@@ -299,6 +331,13 @@
     return body
 
 
+class _Request(cherrypy.Application.request_class):  # type: ignore[misc]
+    """Answers with problems also where CherryPy refuses before it has a config."""
+
+    error_page: ClassVar[dict[str, Any]] = {"default": _render_cherrypy_error}
+    show_tracebacks = False
+
+
 class WebTask:
     """The HTTP server of one daemon; its threads belong to cheroot."""
 
@@ -315,8 +354,6 @@
             "",
             {
                 "/": {
-                    "error_page.default": _render_cherrypy_error,
-                    "request.show_tracebacks": False,
                     # Bodies are read by the handlers, never parsed as forms.
                     "request.process_request_body": False,
                     "tools.trailing_slash.on": False,
@@ -324,6 +361,7 @@
                 }
             },
         )
+        application.request_class = _Request
         application.log.screen = False
         application.log.access_log.propagate = False
         application.log.error_log.propagate = False
@@ -336,6 +374,7 @@
             server_name="berylpost",
         )
         self._server.gateway = _HandoverGateway
+        self._server.ConnectionClass = _ProblemConnection
         self._server.max_request_body_size = listen.max_body_bytes
         setattr(self._server, "error_log", _log_server_error)  # noqa: B010
         if listen.tls_certificate:
--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,386 @@
+"""Steps of requests.feature."""
+
+import http.client
+import json
+import socket
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as generate
+from hypothesis import settings
+from hypothesis import strategies as st
+from steps.shared import FIXED, MODEL, is_whole, run_all
+
+from berylpost.bench.fleet import wait_until
+from berylpost.client import Client, Problem, parse_events
+from berylpost.demo import expect_text
+from berylpost.errors import ErrorKind
+from berylpost.fakes.engine import generate_words, render_prompt
+
+
+def make_document(prompt: str, n_tokens: int, **more: object) -> dict[str, object]:
+    return {"model": MODEL, "prompt": prompt, "max_tokens": n_tokens, **more}
+
+
+def ask(client: Client, prompt: str, n_tokens: int) -> object:
+    return client.complete("/v1/completions", make_document(prompt, n_tokens))
+
+
+@when("{n:d} summaries of {n_tokens:d} tokens are asked for at once over all daemons")
+def ask_many(context: Context, n: int, n_tokens: int) -> None:
+    prompts = [f"log {i} of the day, gate {i % 3}" for i in range(n)]
+    context.n_tokens = n_tokens
+    clients = [
+        Client(addresses=[context.fleet.daemons[i % 3].http], token="weighbridge-token")
+        for i in range(n)
+    ]
+    answers = run_all(
+        [
+            lambda c=c, p=p: ask(c, p, n_tokens)
+            for c, p in zip(clients, prompts, strict=True)
+        ]
+    )
+    context.answers = list(zip(prompts, answers, strict=True))
+
+
+@then("each caller has the whole answer to its own prompt")
+def check_answers(context: Context) -> None:
+    bad = [
+        (prompt, answer)
+        for prompt, answer in context.answers
+        if not is_whole(answer, prompt, context.n_tokens)
+    ]
+    assert not bad, bad
+
+
+@when("a chat of {n:d} tokens is asked for without streaming")
+def ask_chat(context: Context, n: int) -> None:
+    context.document = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": "a calm evening"}],
+        "max_tokens": n,
+    }
+    context.answer = context.fleet.client().call(
+        "POST", "/v1/chat/completions", document=context.document
+    )
+
+
+@then("the answer has {n:d} tokens and says that it ended by length")
+def check_chat(context: Context, n: int) -> None:
+    words = generate_words(render_prompt(context.document))
+    choice = context.answer["choices"][0]
+    assert choice["message"]["content"] == "".join(next(words) for _ in range(n))
+    assert choice["finish_reason"] == "length"
+    assert context.answer["usage"]["completion_tokens"] == n
+
+
+def set_engine_faults(context: Context, **fault: object) -> None:
+    for engine in context.fleet.world.world.engines.values():
+        context.fleet.set_fault(engine.server.endpoint, match="/v1/", **fault)
+
+    def end_faults() -> None:
+        for engine in context.fleet.world.world.engines.values():
+            context.fleet.set_fault(engine.server.endpoint)
+
+    context.add_cleanup(end_faults)
+
+
+@given("both engines cut the next {n:d} answers after {n_tokens:d} tokens")
+def cut_answers(context: Context, n: int, n_tokens: int) -> None:
+    set_engine_faults(context, cuts=n, cut_after=n_tokens)
+
+
+@given("both engines refuse the next {n:d} requests")
+def refuse_requests(context: Context, n: int) -> None:
+    set_engine_faults(context, refuse=n)
+
+
+@when("one summary of {n:d} tokens is asked for")
+def ask_one(context: Context, n: int) -> None:
+    context.problem = None
+    try:
+        context.answer = ask(context.fleet.client(), "one", n)
+    except Problem as problem:
+        context.problem = problem
+
+
+@then("the caller is told {kind} and never sees the answer end well")
+def check_cut(context: Context, kind: str) -> None:
+    assert context.problem is not None, context.answer
+    assert context.problem.kind == kind, context.problem
+    assert context.problem.ran == "unknown"
+
+
+@when("one summary of {n:d} tokens is asked for with {wait:d} s to wait")
+def ask_with_wait(context: Context, n: int, wait: int) -> None:
+    started_at = time.monotonic()
+    daemon = context.fleet.daemons[0]
+    context.problem = None
+    try:
+        context.fleet.client().call(
+            "POST",
+            "/v1/completions",
+            address=daemon.http,
+            document=make_document("one", n),
+            headers={"Prefer": f"wait={wait}"},
+        )
+    except Problem as problem:
+        context.problem = problem
+    context.took_s = time.monotonic() - started_at
+
+
+@then("the caller is refused as not run with {kind}")
+def check_refused(context: Context, kind: str) -> None:
+    assert context.problem is not None
+    assert (context.problem.kind, context.problem.ran) == (kind, "not_run")
+
+
+def read_raw(address: str, path: str, headers: dict[str, str], body: bytes | None):
+    """Opens a streamed answer and returns the connection and response."""
+    connection = http.client.HTTPConnection(address, timeout=10)
+    method = "GET" if body is None else "POST"
+    connection.request(method, path, body=body, headers=headers)
+    return connection, connection.getresponse()
+
+
+AUTHORIZATION = {"Authorization": "Bearer weighbridge-token"}
+
+
+@when("a summary of {n:d} tokens is broken off by its caller after event {event:d}")
+def break_off(context: Context, n: int, event: int) -> None:
+    context.prompt, context.n_tokens, context.after = "break off", n, event
+    body = json.dumps(make_document(context.prompt, n, stream=True)).encode()
+    address = context.fleet.daemons[0].http
+    connection, response = read_raw(address, "/v1/completions", AUTHORIZATION, body)
+    context.request = response.getheader("X-Request-Id")
+    first = b""
+    while first.count(b"\n\n") < event:
+        first += response.read1(4_096)
+    connection.close()
+    parts = [part + b"\n\n" for part in first.split(b"\n\n")]
+    context.first = b"".join(parts[:event])
+
+
+@when("it is resumed with Last-Event-ID at {place} daemon")
+def resume(context: Context, place: str) -> None:
+    daemon = context.fleet.daemons[0 if place == "the same" else 1]
+    headers = {**AUTHORIZATION, "Last-Event-ID": f"{context.request}.{context.after}"}
+    path = f"/v1/requests/{context.request}/events"
+    connection, response = read_raw(daemon.http, path, headers, None)
+    if response.status == 307:
+        address = response.getheader("Location").split("/")[2]
+        connection, response = read_raw(address, path, headers, None)
+    context.rest = response.read()
+    connection.close()
+    headers["Last-Event-ID"] = f"{context.request}.0"
+    connection, response = read_raw(context.fleet.daemons[0].http, path, headers, None)
+    context.all = response.read()
+    connection.close()
+
+
+@then("the resumed bytes are those after event {event:d}, to the last")
+def check_resumed(context: Context, event: int) -> None:
+    assert context.first + context.rest == context.all
+    events = list(parse_events(iter([context.all])))
+    texts = [
+        json.loads(e.data)["choices"][0]["text"] for e in events if e.data != b"[DONE]"
+    ]
+    assert "".join(texts) == expect_text(context.prompt, context.n_tokens)
+    assert events[-1].data == b"[DONE]"
+
+
+@when("weighbridge asks for a summary of {n:d} tokens")
+def ask_weighbridge(context: Context, n: int) -> None:
+    answer = ask(context.fleet.client("weighbridge"), "mine", n)
+    context.paths = [
+        f"/v1/requests/{answer.request}{part}" for part in ("", "/events", "/answer")
+    ]
+
+
+@then("licence-desk is told {kind} for its status, events and answer")
+def check_other_customer(context: Context, kind: str) -> None:
+    for path in context.paths:
+        for daemon in context.fleet.daemons:
+            try:
+                found = context.fleet.client("licence-desk").request(
+                    "GET", path, address=daemon.http
+                )
+            except Problem as problem:
+                assert problem.kind == kind, problem
+            else:
+                raise AssertionError(found.data)
+
+
+@then("weighbridge can read all three")
+def check_own(context: Context) -> None:
+    for path in context.paths:
+        for daemon in context.fleet.daemons:
+            response = context.fleet.client().request("GET", path, address=daemon.http)
+            assert response.status == 200
+
+
+@when(
+    "the same summary of {n_tokens:d} tokens is asked for {n:d} times "
+    "at one daemon with one key"
+)
+def ask_same(context: Context, n_tokens: int, n: int) -> None:
+    context.address = context.fleet.daemons[0].http
+
+    def ask_keyed() -> object:
+        return context.fleet.client().call(
+            "POST",
+            "/v1/completions",
+            address=context.address,
+            document=make_document("same", n_tokens),
+            headers={"Idempotency-Key": "same-key"},
+        )
+
+    context.answers = run_all([ask_keyed] * n)
+
+
+@then("the {n:d} answers are equal and have one request id")
+def check_same(context: Context, n: int) -> None:
+    assert len(context.answers) == n
+    assert all(answer == context.answers[0] for answer in context.answers)
+    assert "choices" in context.answers[0], context.answers[0]
+
+
+@then("another body with that key is refused as {kind}")
+def check_key_reused(context: Context, kind: str) -> None:
+    try:
+        context.fleet.client().call(
+            "POST",
+            "/v1/completions",
+            address=context.address,
+            document=make_document("different", 3),
+            headers={"Idempotency-Key": "same-key"},
+        )
+    except Problem as problem:
+        assert problem.kind == kind
+    else:
+        raise AssertionError("accepted")
+
+
+@when("{body} is posted to {path} with token {token}")
+def post_body(context: Context, body: str, path: str, token: str) -> None:
+    connection, response = read_raw(
+        context.fleet.daemons[0].http,
+        path,
+        {"Authorization": f"Bearer {token}", "Content-Type": "application/json"},
+        body.encode(),
+    )
+    context.status, context.body = response.status, response.read()
+    context.type = response.getheader("Content-Type")
+    connection.close()
+
+
+@then("the answer is {status:d} {kind} and did not run")
+def check_problem(context: Context, status: int, kind: str) -> None:
+    assert context.type == "application/problem+json", context.type
+    document = json.loads(context.body)
+    found = (context.status, document["kind"], document["ran"])
+    assert found == (status, kind, "not_run"), (found, document)
+    assert document["kind"] in set(ErrorKind)
+
+
+_LINES = st.one_of(
+    st.sampled_from(
+        [
+            b"POST /v1/completions HTTP/1.1",
+            b"GET /v1/requests/%00/events HTTP/1.1",
+            b"POST /v1/services/intake/bookings HTTP/1.1",
+            b"PATCH /v1/deployments/darling-downs/configuration HTTP/1.1",
+            b"GET /v1/status HTTP/1.1",
+            b"DELETE /v1/requests/a.b.c HTTP/1.0",
+            b"GET /" + b"a" * 9_000 + b" HTTP/1.1",
+        ]
+    ),
+    st.binary(max_size=60).filter(lambda b: b"\n" not in b and b"\r" not in b),
+)
+_HEADERS = st.lists(
+    st.one_of(
+        st.sampled_from(
+            [
+                b"Authorization: Bearer weighbridge-token",
+                b"Authorization: Bearer operator-token",
+                b"Authorization: " + b"x" * 5_000,
+                b"Content-Length: 5",
+                b"Content-Length: 99999999999",
+                b"Content-Length: -3",
+                b"Content-Length: x",
+                b"Transfer-Encoding: chunked",
+                b"If-Match: 9e9",
+                b"Idempotency-Key: \xff\xfe",
+                b"Last-Event-ID: a.b.99999999999999999999",
+                b"Prefer: wait=0, respond-async",
+                b"Host:",
+            ]
+        ),
+        st.binary(max_size=40).filter(lambda b: b"\n" not in b and b"\r" not in b),
+    ),
+    max_size=6,
+)
+_BODIES = st.one_of(
+    st.binary(max_size=80),
+    st.sampled_from(
+        [
+            b'{"model":"summary-7b","prompt":"x","max_tokens":2}',
+            b'{"model":"summary-7b","prompt":"\\ud800","max_tokens":2}',
+            b'{"model":"summary-7b","prompt":"x","max_tokens":1e400}',
+            b"[" * 2_000,
+            b"5\r\nhello\r\n0\r\n\r\n",
+            b"ffffffffffffffff\r\n",
+        ]
+    ),
+)
+
+
+@when("{n:d} generated requests are sent raw to one daemon")
+def send_raw(context: Context, n: int) -> None:
+    host, port = context.fleet.daemons[0].http.split(":")
+    context.raw_answers = []
+
+    @settings(FIXED, max_examples=n)
+    @generate(_LINES, _HEADERS, _BODIES)
+    def send(line: bytes, headers: list[bytes], body: bytes) -> None:
+        request = b"\r\n".join([line, *headers]) + b"\r\n\r\n" + body
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(request)
+            sock.shutdown(socket.SHUT_WR)
+            answer = b""
+            try:
+                while data := sock.recv(65_536):
+                    answer += data
+            except ConnectionResetError:
+                pass
+        context.raw_answers.append((request, answer))
+
+    send()
+
+
+@then("each got a problem answer, an answer or a closed connection")
+def check_raw(context: Context) -> None:
+    assert len(context.raw_answers) >= 200
+    for request, answer in context.raw_answers:
+        assert answer == b"" or answer.startswith(b"HTTP/1.1 "), answer[:80]
+        assert b"Traceback" not in answer, request
+        assert not answer.startswith(b"HTTP/1.1 500"), (request, answer)
+        if answer.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5")):
+            assert b"application/problem+json" in answer, (request, answer)
+
+
+@then("that daemon still serves a whole summary and holds no open stream")
+def check_still_serves(context: Context) -> None:
+    daemon = context.fleet.daemons[0]
+    answer = ask(
+        Client(addresses=[daemon.http], token="weighbridge-token"), "still here", 12
+    )
+    assert is_whole(answer, "still here", 12), answer
+
+    def holds_none() -> bool:
+        names = ("berylpost_open_streams", "berylpost_queued_streams")
+        return sum(context.fleet.read_metric(daemon, name) for name in names) == 0
+
+    wait_until(holds_none, timeout_s=10, what="no open stream")
+    assert context.fleet.read_metric(daemon, "berylpost_invariant_failures_total") == 0
