Keep the pool's sums step by step instead of per request

Cause: each request summed limits and copied them for all replicas of the region. Change: running work, capacity and the set of replicas with room are kept up by the steps that change them; a bench of decisions measures the whole step.

--- a/berylpost/bench/catalogue.py
+++ b/berylpost/bench/catalogue.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -20,4 +20,19 @@
 
 Experiment = Callable[[int, float], Result]
 
-EXPERIMENTS: Final[dict[str, Experiment]] = {}
+
+def load_experiments() -> dict[str, Experiment]:
+    """Imports the experiments; only then are their libraries needed."""
+    from .bookings import run_bookings
+    from .decisions import run_decisions
+    from .gossip import run_gossip
+    from .relay import run_relay
+    from .store import run_store
+
+    return {
+        "bookings": run_bookings,
+        "decisions": run_decisions,
+        "gossip": run_gossip,
+        "relay": run_relay,
+        "store": run_store,
+    }
--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -13,6 +13,8 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from multiprocessing import get_context
+from multiprocessing.context import SpawnProcess
 from pathlib import Path
 from typing import Any, Final
 
@@ -25,7 +27,7 @@
 from ..configurations import create_configuration
 from ..fakes.cloud import Vm
 from ..fakes.engine import EngineShape
-from ..fakes.world import BackendSpec, WorldSpec, WorldThread
+from ..fakes.world import BackendSpec, WorldSpec, WorldThread, serve_world
 from ..platform.objects import HttpObjects
 from ..writer import ConditionalWriter
 
@@ -70,6 +72,8 @@
     Attributes:
         zones: daemons and backend servers go round them.
         customers: names; the token of each is `NAME-token`.
+        separate_world: run the stand-ins in a process of their own, for timings;
+            they are then reached over HTTP alone.
         overrides: settings merged over the defaults of each daemon, by section.
     """
 
@@ -87,6 +91,7 @@
     )
     shape: EngineShape = field(default_factory=EngineShape)
     overrides: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
+    separate_world: bool = False
 
 
 def make_document(spec: FleetSpec) -> dict[str, Any]:
@@ -198,6 +203,7 @@
             for i in range(spec.n_daemons)
         ]
         self.world: WorldThread
+        self._world_process: SpawnProcess | None = None
         self.objects = HttpObjects(
             url=f"http://{self.world_spec.objects}", timeout_s=2.0
         )
@@ -216,7 +222,14 @@
 
     def start(self) -> None:
         """Starts the world, writes the first configuration, starts the daemons."""
-        self.world = WorldThread(spec=self.world_spec)
+        if self.spec.separate_world:
+            self._world_process = get_context("spawn").Process(
+                target=serve_world, args=(self.world_spec,), daemon=True
+            )
+            self._world_process.start()
+            wait_until(self._is_world_up, timeout_s=START_TIMEOUT_S, what="world up")
+        else:
+            self.world = WorldThread(spec=self.world_spec)
         writer = ConditionalWriter(objects=self.objects, writer="fleet")
         document = make_document(self.spec)
         create_configuration(self.objects, writer, self.spec.deployment, document)
@@ -226,6 +239,25 @@
             self.wait_ready(daemon)
         self.wait_settled()
 
+    def _is_world_up(self) -> bool:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            for address in (self.world_spec.objects, self.world_spec.cloud):
+                self._http.request("GET", f"http://{address}/calls")
+            return True
+        return False
+
+    def read_store_calls(self) -> dict[str, int]:
+        """Reads the object API's count of calls by kind."""
+        url = f"http://{self.world_spec.objects}/calls"
+        return dict(self._http.request("GET", url).json())
+
+    def count_doubled(self) -> int:
+        """Counts the bookings that were executed more than once."""
+        service = next(b for b in self.world_spec.backends if b.role == "service")
+        url = f"http://{service.address}/bookings"
+        executed = self._http.request("GET", url).json()
+        return sum(n > 1 for n in executed.values())
+
     def start_daemon(self, daemon: Daemon, *, wait: bool = True) -> None:
         """Starts one daemon's process and lists its VM."""
         daemon.settings_path.write_text(yaml.safe_dump(self._make_settings(daemon)))
@@ -237,7 +269,8 @@
             deployment=self.spec.deployment,
             address=daemon.http,
         )
-        self.world.world.cloud.add(vm)
+        if self._world_process is None:
+            self.world.world.cloud.add(vm)
         with daemon.log_path.open("ab") as log:
             daemon.process = subprocess.Popen(
                 [
@@ -378,4 +411,7 @@
                 self.kill(daemon)
         if hasattr(self, "world"):
             self.world.stop()
+        if self._world_process is not None:
+            self._world_process.kill()
+            self._world_process.join()
         self._directory.cleanup()
--- /dev/null
+++ b/berylpost/bench/gossip.py
@@ -0,0 +1,256 @@
+"""Membership and news among real peers tasks, many in one process over loopback.
+
+Each member is a `PeersTask` with its own sockets and thread; they share a process
+and a ZeroMQ context, so processor time is the process's, divided by the members.
+"""
+
+import random
+import statistics
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+import zmq
+
+from ..kernel import Context
+from ..messages import Member
+from ..metrics import REGISTRY
+from ..peers import AnnounceNumbers, NumbersHeard, PeersTask
+from ..settings import parse_settings
+from .catalogue import Result
+from .fleet import HOST, find_ports, wait_until
+
+SIZES: Final = (8, 32, 128, 300)
+SETTLE_TIMEOUT_S: Final = 90.0
+STEADY_S: Final = 10.0
+DETECT_TIMEOUT_S: Final = 40.0
+N_VICTIMS: Final = 3
+N_CHANGES: Final = 5
+IN_FORCE_BOUND_S: Final = 15.0  # the users' letter
+CONTROL_BYTES_BOUND: Final = 8_192.0
+CONTROL_CORE_BOUND: Final = 0.039
+
+
+class _NewsListener:
+    """Stands in for `configurations`: notes when a number arrives, passes it on."""
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self.arrivals: dict[int, float] = {}
+
+    def post(self, message: Any) -> None:
+        """Takes numbers heard from a neighbour."""
+        if isinstance(message, NumbersHeard):
+            number = dict(message.numbers)["d"]
+            if number not in self.arrivals:
+                self.arrivals[number] = time.monotonic()
+                numbers = (("d", number),)
+                self._context.post("peers", AnnounceNumbers(numbers=numbers))
+
+    def start(self) -> None:
+        """Has no thread."""
+
+    def stop(self) -> None:
+        """Has no thread."""
+
+
+class Herd:
+    """Members in one process.
+
+    Args:
+        n_members: how many.
+        loss: share of messages that are dropped by their sender.
+        random_state: for the drops and the members' own streams.
+    """
+
+    def __init__(
+        self, *, n_members: int, loss: float, random_state: random.Random
+    ) -> None:
+        self._zmq = zmq.Context(io_threads=2)
+        self._zmq.set(zmq.MAX_SOCKETS, 65_000)
+        ports = [f"{HOST}:{port}" for port in find_ports(n_members)]
+        self.members: list[PeersTask] = []
+        self.listeners: list[_NewsListener] = []
+        self._running: list[bool] = []
+        self._random = random_state
+        for n, port in enumerate(ports):
+            context = self._make_context(n, port, ports[:3])
+            listener = _NewsListener(context=context)
+            context.tasks["configurations"] = listener
+            task = PeersTask(
+                context=context,
+                random_state=random.Random(random_state.random()),
+                drops=self._make_drops(loss),
+                zmq_context=self._zmq,
+            )
+            context.tasks["peers"] = task
+            self.members.append(task)
+            self.listeners.append(listener)
+            self._running.append(False)
+
+    def _make_context(self, n: int, port: str, seeds: list[str]) -> Context:
+        nowhere = f"http://{HOST}:9"
+        document = {
+            "daemon": {
+                "id": f"m{n}",
+                "region": "r",
+                "zone": f"z{n % 3}",
+                "deployments": ["d"],
+            },
+            "listen": {"http": f"{HOST}:9", "peers": port},
+            "platform": {p: nowhere for p in ("objects", "cloud", "weights")},
+            "peers": {"seeds": seeds},
+        }
+        text = msgspec.json.encode(document).decode()
+        settings = parse_settings(text, source="herd")
+        return Context(settings=settings, process_id=f"m{n}.herd")
+
+    def _make_drops(self, loss: float) -> Callable[[str], bool]:
+        return lambda _address: self._random.random() < loss
+
+    def start(self) -> None:
+        """Starts all members."""
+        for n, member in enumerate(self.members):
+            member.start()
+            self._running[n] = True
+
+    def stop_member(self, n: int) -> None:
+        """Stops a member without a word, as a killed process would."""
+        if self._running[n]:
+            self._running[n] = False
+            self.members[n].stop()
+
+    def stop(self) -> None:
+        """Stops all members."""
+        for n in range(len(self.members)):
+            self.stop_member(n)
+        self._zmq.destroy(linger=0)
+
+    def read_state(self, observer: int, of: int) -> str:
+        """Returns what one member thinks of another."""
+        entry = self.members[observer].members.read().entries.get(f"m{of}")
+        return entry.member.state if entry else ""
+
+    def list_running(self) -> list[int]:
+        """Lists the members that run."""
+        return [n for n, running in enumerate(self._running) if running]
+
+    def is_settled(self) -> bool:
+        """Tells whether all know all as alive."""
+        running = self.list_running()
+        return all(
+            sum(
+                e.member.state == "alive"
+                for e in self.members[n].members.read().entries.values()
+            )
+            >= len(running)
+            for n in running
+        )
+
+    def count_suspects(self) -> int:
+        """Counts pairs in which a running member is not taken for alive."""
+        running = self.list_running()
+        return sum(
+            self.read_state(n, of) in ("suspect", "dead")
+            for n in running
+            for of in running
+        )
+
+
+def _read_bytes_out() -> float:
+    labels = {"direction": "out"}
+    return REGISTRY.get_sample_value("berylpost_peer_bytes_total", labels) or 0.0
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value below which a share of the values lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def measure_herd(n_members: int, loss: float, seed: int) -> dict[str, Any]:
+    """Measures one size: steady cost, detection, spread of a number."""
+    herd = Herd(n_members=n_members, loss=loss, random_state=random.Random(seed))
+    try:
+        herd.start()
+        settled_s = wait_until(
+            herd.is_settled, timeout_s=SETTLE_TIMEOUT_S, what="herd settled"
+        )
+        steady = _measure_steady(herd)
+        spread = _measure_spread(herd)
+        detect = _measure_detection(herd)
+    finally:
+        herd.stop()
+    return {"settled_s": settled_s, **steady, **spread, **detect}
+
+
+def _measure_steady(herd: Herd) -> dict[str, float]:
+    n = len(herd.members)
+    bytes_before, cpu_before = _read_bytes_out(), time.process_time()
+    started = time.monotonic()
+    n_suspects = 0
+    while time.monotonic() - started < STEADY_S:
+        time.sleep(1.0)
+        n_suspects += herd.count_suspects()
+    took_s = time.monotonic() - started
+    return {
+        "bytes_out_a_member_s": (_read_bytes_out() - bytes_before) / n / took_s,
+        "core_a_member": (time.process_time() - cpu_before) / n / took_s,
+        "wrong_suspicions_seen": n_suspects,
+    }
+
+
+def _measure_spread(herd: Herd) -> dict[str, float]:
+    delays: list[float] = []
+    for number in range(1, N_CHANGES + 1):
+        started = time.monotonic()
+        herd.listeners[0].arrivals[number] = started
+        herd.members[0].post(AnnounceNumbers(numbers=(("d", number),)))
+
+        def is_everywhere(number: int = number) -> bool:
+            return all(number in x.arrivals for x in herd.listeners)
+
+        wait_until(is_everywhere, timeout_s=IN_FORCE_BOUND_S, what="number spread")
+        delays += [x.arrivals[number] - started for x in herd.listeners]
+    return {"spread_p50_s": percentile(delays, 0.5), "spread_p99_s": max(delays)}
+
+
+def _measure_detection(herd: Herd) -> dict[str, float]:
+    n = len(herd.members)
+    times: list[float] = []
+    for victim in range(n - N_VICTIMS, n):
+        started = time.monotonic()
+        herd.stop_member(victim)
+        waiting = set(herd.list_running())
+        while waiting and time.monotonic() - started < DETECT_TIMEOUT_S:
+            time.sleep(0.05)
+            found = {o for o in waiting if herd.read_state(o, victim) == "dead"}
+            times += [time.monotonic() - started] * len(found)
+            waiting -= found
+        times += [DETECT_TIMEOUT_S] * len(waiting)
+    return {
+        "detect_p50_s": statistics.median(times),
+        "detect_p99_s": percentile(times, 0.99),
+    }
+
+
+def run_gossip(seed: int, _minutes: float) -> Result:
+    """Measures all sizes, and the largest again with a tenth of messages lost."""
+    by_members = {n: measure_herd(n, 0.0, seed) for n in SIZES}
+    lossy = measure_herd(SIZES[-1], 0.1, seed)
+    passed = all(
+        found["bytes_out_a_member_s"] <= CONTROL_BYTES_BOUND
+        and found["core_a_member"] <= CONTROL_CORE_BOUND
+        and found["spread_p99_s"] <= IN_FORCE_BOUND_S
+        for found in [*by_members.values(), lossy]
+    )
+    figures = {
+        "what": "peers tasks, many in one process",
+        "by_members": by_members,
+        f"{SIZES[-1]}_members_10_percent_loss": lossy,
+    }
+    return Result(figures=figures, passed=passed)
+
+
+__all__ = ["Herd", "Member", "measure_herd", "run_gossip"]
--- /dev/null
+++ b/berylpost/bench/relay.py
@@ -0,0 +1,150 @@
+"""Open streams on one daemon: the relay against a thread a stream, in one run.
+
+Engines, daemon, baseline and reader are processes of their own; one chunk each
+42 ms for each stream, as the users' letter has it.
+"""
+
+import dataclasses
+import os
+import time
+from multiprocessing import get_context
+from multiprocessing.context import SpawnProcess
+from pathlib import Path
+from typing import Any, Final
+
+from ..fakes.engine import EngineShape
+from .catalogue import Result
+from .fleet import HOST, Daemon, Fleet, FleetSpec, find_ports
+from .loader import StreamLoad, load_streams, run_elsewhere
+from .threaded import serve_threaded
+
+TOKEN_S: Final = 0.042
+N_TOKENS: Final = 211
+SIZES: Final = (100, 250, 500)
+RAMP_S: Final = 4.0
+N_ENGINES: Final = 48
+N_CUTS: Final = 10_000
+CUT_BATCH: Final = 500
+GAP_BOUND_MS: Final = 44.0
+CORE_BOUND: Final = 0.5
+
+
+def _read_cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _count_sockets(pid: int) -> int:
+    links = Path(f"/proc/{pid}/fd").iterdir()
+    return sum("socket" in os.readlink(link) for link in links)
+
+
+def measure_load(address: str, pid: int, n_streams: int) -> dict[str, Any]:
+    """Runs streams through one process and reads what they cost it."""
+    load = StreamLoad(
+        address=address,
+        token="weighbridge-token",
+        model="summary-7b",
+        n_streams=n_streams,
+        n_tokens=N_TOKENS,
+        ramp_s=RAMP_S,
+    )
+    cpu_before, started = _read_cpu_s(pid), time.monotonic()
+    figures = run_elsewhere(load_streams, load)
+    took_s = time.monotonic() - started
+    core = (_read_cpu_s(pid) - cpu_before) / took_s
+    # A stream is open for its tokens; the run also holds ramp and start-up.
+    mean_open = n_streams * N_TOKENS * TOKEN_S / took_s
+    return {
+        **dataclasses.asdict(figures),
+        "core": core,
+        "mean_open_streams": mean_open,
+        "core_at_all_open": core * n_streams / mean_open,
+    }
+
+
+def _start_baseline(fleet: Fleet) -> tuple[SpawnProcess, str]:
+    address = f"{HOST}:{find_ports(1)[0]}"
+    engines = [b.address for b in fleet.world_spec.backends if b.role == "engine"]
+    process = get_context("spawn").Process(
+        target=serve_threaded, args=(address, engines, max(SIZES) + 8), daemon=True
+    )
+    process.start()
+    time.sleep(3.0)
+    return process, address
+
+
+def measure_cuts(daemon: Daemon) -> dict[str, Any]:
+    """Opens streams and cuts them at once, many times, and counts sockets."""
+    assert daemon.process is not None
+    before = _count_sockets(daemon.process.pid)
+    for _ in range(N_CUTS // CUT_BATCH):
+        run_elsewhere(open_and_cut, daemon.http, CUT_BATCH)
+    time.sleep(8.0)
+    after = _count_sockets(daemon.process.pid)
+    return {"n_cut": N_CUTS, "sockets_before": before, "sockets_after": after}
+
+
+def open_and_cut(address: str, n: int) -> None:
+    """Opens streams and closes each without reading; runs in its own process."""
+    from .loader import _open_stream
+
+    load = StreamLoad(
+        address=address,
+        token="weighbridge-token",
+        model="summary-7b",
+        n_streams=n,
+        n_tokens=20,
+        ramp_s=0.0,
+    )
+    for place in range(n):
+        _open_stream(load, place).socket.close()
+
+
+def run_relay(_seed: int, _minutes: float) -> Result:
+    """Measures sizes, the baseline and leaks."""
+    shape = EngineShape(slots=64, token_s=TOKEN_S)
+    overrides: dict[str, dict[str, Any]] = {
+        "relay": {"max_streams": 2_000, "max_queue": 2_000, "orphan_grace_s": 2.0},
+        "listen": {"threads": 16},
+    }
+    customers = ({"name": "weighbridge", "concurrency": 5_000, "rate": 5_000},)
+    spec = FleetSpec(
+        n_daemons=1,
+        n_engines=N_ENGINES,
+        n_services=1,
+        shape=shape,
+        customers=customers,
+        overrides=overrides,
+        separate_world=True,
+    )
+    with Fleet(spec=spec) as fleet:
+        daemon = fleet.daemons[0]
+        assert daemon.process is not None
+        idle_bytes = daemon.read_resident_bytes()
+        by_streams: dict[int, Any] = {}
+        for n in SIZES:
+            by_streams[n] = measure_load(daemon.http, daemon.process.pid, n)
+            by_streams[n]["resident_bytes"] = daemon.read_resident_bytes()
+        process, address = _start_baseline(fleet)
+        assert process.pid is not None
+        try:
+            baseline = measure_load(address, process.pid, max(SIZES))
+        finally:
+            process.terminate()
+            process.join()
+        cuts = measure_cuts(daemon)
+    largest = by_streams[max(SIZES)]
+    passed = (
+        largest["gap_p95_ms"] <= GAP_BOUND_MS
+        and largest["core_at_all_open"] <= CORE_BOUND
+        and largest["n_broken"] == 0
+        and cuts["sockets_after"] <= cuts["sockets_before"] + 10
+    )
+    figures = {
+        "idle_resident_bytes": idle_bytes,
+        "by_streams": by_streams,
+        "thread_a_stream": {max(SIZES): baseline},
+        "cuts": cuts,
+    }
+    return Result(figures=figures, passed=passed)
--- a/berylpost/commands.py
+++ b/berylpost/commands.py
@@ -408,13 +408,14 @@
 
 def run_bench(command: _Command) -> int:
     """Runs one experiment by name."""
-    from .bench.catalogue import EXPERIMENTS
+    from .bench.catalogue import load_experiments
 
+    experiments = load_experiments()
     name = str(command.argument("experiment"))
-    if name not in EXPERIMENTS:
-        raise InputError(f"no experiment {name!r}; accepted: {', '.join(EXPERIMENTS)}")
+    if name not in experiments:
+        raise InputError(f"no experiment {name!r}; accepted: {', '.join(experiments)}")
     seed, minutes = str(command.option("seed")), str(command.option("minutes"))
-    result = EXPERIMENTS[name](int(seed), float(minutes))
+    result = experiments[name](int(seed), float(minutes))
     _print_json(command, result.figures)
     return 0 if result.passed else 1
 
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -162,6 +162,7 @@
         context: settings, board and the other tasks.
         random_state: for the choice of whom to sync with.
         drops: tells whether to lose an outgoing message to an address; for tests.
+        zmq_context: shared by many members of one process when measuring.
     """
 
     def __init__(
@@ -170,6 +171,7 @@
         context: Context,
         random_state: random.Random,
         drops: Callable[[str], bool] = lambda _address: False,
+        zmq_context: "zmq.Context[Any] | None" = None,
     ) -> None:
         self._context = context
         self._random = random_state
@@ -185,7 +187,8 @@
         self._next_join_at = 0.0
         self._join_turn = 0
         self._watchers: list[str] = []
-        self._zmq = zmq.Context()
+        self._zmq = zmq_context or zmq.Context()
+        self._owns_zmq = zmq_context is None
         self._dealers: dict[tuple[str, str], zmq.Socket[bytes]] = {}
         self._inbox: list[Any] = []
         self._wake_read, self._wake_write = socket.socketpair()
@@ -277,7 +280,8 @@
             self._router.close()
         if self._authenticator is not None:
             self._authenticator.stop()
-        self._zmq.destroy(linger=200)
+        if self._owns_zmq:
+            self._zmq.destroy(linger=200)
         self._wake_read.close()
         self._wake_write.close()
 
--- a/berylpost/pools.py
+++ b/berylpost/pools.py
@@ -48,6 +48,12 @@
         self.service_s = SERVICE_S
         self.n_queued = 0
         self._ring: Ring = build_ring(())
+        # Kept up step by step: sums over all replicas for each request would grow
+        # with the region.
+        self._limit_values: dict[str, float] = {}
+        self._with_room: set[str] = set()
+        self._n_running = 0
+        self._capacity = 0.0
         self._prefixes: OrderedDict[int, dict[str, int]] = OrderedDict()
 
     def set_backends(self, backends: Iterable[Backend], n_daemons: int) -> None:
@@ -67,17 +73,29 @@
         self.leaving = frozenset(present) - frozenset(running)
         for gone in set(self.replicas) - set(present):
             del self.replicas[gone], self.limits[gone]
-            self.own.pop(gone, None)
+            self._n_running -= self.own.pop(gone, 0)
         if running != list(self._ring.ids):
             self._ring = build_ring(running)
+        self._limit_values = {i: self.limits[i].value for i in running}
+        self._capacity = sum(self._limit_values.values())
+        self._with_room = {i for i in running if self._has_room_at(i)}
+
+    def _has_room_at(self, replica_id: str) -> bool:
+        return self.own.get(replica_id, 0) < self._limit_values.get(replica_id, 0.0)
+
+    def _renew_room(self, replica_id: str) -> None:
+        if self._has_room_at(replica_id):
+            self._with_room.add(replica_id)
+        else:
+            self._with_room.discard(replica_id)
 
     def count_running(self) -> int:
         """Counts this daemon's requests in progress on all replicas."""
-        return sum(self.own.values())
+        return self._n_running
 
     def capacity(self) -> float:
         """Sums the limits of the replicas that take new work."""
-        return sum(self.limits[i].value for i in self._ring.ids)
+        return self._capacity
 
     def describe_load(self, max_streams: int, max_queue: int) -> Load:
         """Describes the pool for an admission decision."""
@@ -92,18 +110,17 @@
 
     def has_room(self) -> bool:
         """Tells whether any replica is below its limit; cheap, before choosing."""
-        return any(self.own.get(i, 0) < self.limits[i].value for i in self._ring.ids)
+        return bool(self._with_room)
 
     def choose(self, stream: Stream, now: float) -> Choice | None:
         """Chooses a replica for the next attempt of a stream."""
-        excluded = frozenset(stream.avoid) | self.leaving
-        if excluded.issuperset(self._ring.ids):
-            # Those that failed once are better than nothing; leaving ones are not.
-            excluded = self.leaving
+        # The ring has no leaving ones. Those that failed once are better than nothing.
+        few = len(stream.avoid) < len(self._ring.ids)
+        excluded = frozenset(stream.avoid) if few else frozenset()
         prompt = stream.request.prompt
         key = hash_prefix(prompt)
         cached = dict(self._prefixes.get(key, {}))
-        if stream.prefer in self.replicas and stream.prefer not in excluded:
+        if stream.prefer in self._limit_values:
             cached[stream.prefer] = len(prompt) + len(stream.text)
         return choose_replica(
             self._ring,
@@ -111,7 +128,7 @@
             prefix_key=key,
             prompt_chars=len(prompt) + len(stream.text),
             own=self.own,
-            limits={i: limit.value for i, limit in self.limits.items()},
+            limits=self._limit_values,
             cached_chars=cached,
             excluded=excluded,
             now=now,
@@ -120,6 +137,8 @@
     def start(self, stream: Stream, replica_id: str) -> None:
         """Notes that an attempt was sent."""
         self.own[replica_id] = self.own.get(replica_id, 0) + 1
+        self._n_running += 1
+        self._renew_room(replica_id)
         key = hash_prefix(stream.request.prompt)
         holders = self._prefixes.setdefault(key, {})
         # Only the shared prefix is sure to be of use to the next request.
@@ -132,10 +151,12 @@
 
     def end(self, replica_id: str, service_s: float | None) -> None:
         """Notes that an attempt is over, with its duration if it was whole."""
-        if self.own.get(replica_id, 0) <= 1:
-            self.own.pop(replica_id, None)
-        else:
+        if replica_id in self.own:
+            self._n_running -= 1
             self.own[replica_id] -= 1
+            if not self.own[replica_id]:
+                del self.own[replica_id]
+        self._renew_room(replica_id)
         if service_s is not None:
             self.service_s += EWMA_SHARE * (service_s - self.service_s)
 
@@ -145,13 +166,18 @@
         """Takes a time to first token, or a refusal, into the replica's limit."""
         limit = self.limits.get(replica_id)
         if limit is not None:
-            self.limits[replica_id] = take_sample(
+            changed = take_sample(
                 limit,
                 first_token_s=first_token_s,
                 target_s=target_s,
                 own=self.own.get(replica_id, 0),
                 now=now,
             )
+            self.limits[replica_id] = changed
+            if replica_id in self._limit_values:
+                self._capacity += changed.value - limit.value
+                self._limit_values[replica_id] = changed.value
+                self._renew_room(replica_id)
 
     def report(self, replica_id: str, report: LoadReport, now: float) -> None:
         """Takes a load report in."""
