Plan the fleet: VMs, orders and what is given back, under a lease

Cause: the declared configuration was served but nobody made it what runs. Change: policy.fleet decides starts by price, reclaims, refusals and spread, what is given back, and orders within the weight store's rate; the planner writes client tokens and orders down before it acts, carries the lease's epoch and reads back.

--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -105,7 +105,10 @@
             }
         ],
         "zones": list(spec.zones),
-        "vm_classes": [{"name": "small", "reclaimable": True}],
+        "vm_classes": [
+            {"name": "small", "reclaimable": True},
+            {"name": "steady", "reclaimable": False},
+        ],
         "customers": [
             {"tokens": [hash_token(f"{c['name']}-token")], **c} for c in spec.customers
         ],
@@ -188,6 +191,7 @@
             weights=next_address(),
             deployment=spec.deployment,
             backends=tuple(backends),
+            zones=spec.zones,
             shape=spec.shape,
         )
         self.daemons = [
--- a/berylpost/daemon.py
+++ b/berylpost/daemon.py
@@ -18,6 +18,7 @@
     drain,
     ledger,
     peers,
+    planner,
     relay,
     services,
     web,
--- a/berylpost/fakes/cloud.py
+++ b/berylpost/fakes/cloud.py
@@ -1,12 +1,13 @@
 """Stand-in for the cloud API: VMs, client tokens, reclaim notices, refusals.
 
-`GET /v1/vms` lists (with the lag it is told to have), `POST /v1/vms` starts one
-under a client token, `DELETE /v1/vms/ID` ends one, `GET /v1/vms/ID` tells its
-notice, `POST /v1/vms/ID/notice` (the test's lever) gives notice. A started VM
-runs what `boot` returns.
+`GET /v1/offers` lists what may be asked for, `GET /v1/vms` the VMs, `POST /v1/vms`
+starts one under a client token, `DELETE /v1/vms/ID` ends one, `GET /v1/vms/ID` tells
+its notice, `POST /v1/vms/ID/notice` (the test's lever) gives notice. A started VM
+runs what `boot` starts.
 """
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -38,6 +39,13 @@
     state: str = "running"
 
 
+def find_address() -> str:
+    """Finds a free loopback address for a VM that is started."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
 Boot = Callable[[Vm], Awaitable[None]]
 
 
@@ -49,6 +57,8 @@
     ) -> None:
         self.vms: dict[str, Vm] = {}
         self.refuse_zones: set[str] = set()
+        self.n_created = 0
+        self.offers: list[dict[str, Any]] = []
         self._boot = boot
         self._shut = shut
         self._warn = warn
@@ -75,6 +85,8 @@
             await self._shut(vm)
 
     async def _handle(self, request: Request) -> Reply:
+        if request.path == "/v1/offers":
+            return reply_json({"offers": self.offers})
         parts = request.path.strip("/").split("/")
         if parts[:2] != ["v1", "vms"] or len(parts) > 4:
             return reply_json({"error": "no such path"}, 404)
@@ -99,7 +111,10 @@
         if wanted.get("zone") in self.refuse_zones:
             return reply_json({"error": "no capacity"}, 409)
         self._serial += 1
+        self.n_created += 1
         vm = msgspec.convert({"id": f"vm-new-{self._serial}", **wanted}, Vm)
+        if not vm.address:
+            vm.address = find_address()
         self.vms[vm.id] = vm
         await self._boot(vm)
         return reply_json(vm, 201)
--- a/berylpost/fakes/world.py
+++ b/berylpost/fakes/world.py
@@ -36,13 +36,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorldSpec:
-    """Addresses and shape of a world."""
+    """Addresses and shape of a world; the cloud offers VMs in `zones`."""
 
     objects: str
     cloud: str
     weights: str
     deployment: str
     backends: tuple[BackendSpec, ...]
+    zones: tuple[str, ...] = ()
     shape: EngineShape = field(default_factory=EngineShape)
 
 
@@ -62,6 +63,17 @@
 
     async def start(self) -> None:
         """Starts every stand-in."""
+        zones = self.spec.zones or {backend.zone for backend in self.spec.backends}
+        self.cloud.offers = [
+            {
+                "zone": zone,
+                "vm_class": vm_class,
+                "reclaimable": vm_class == "small",
+                "price": price + place / 100,
+            }
+            for place, zone in enumerate(sorted(zones))
+            for vm_class, price in (("small", 0.3), ("steady", 1.0))
+        ]
         for server in (self.objects.server, self.cloud.server, self.weights.server):
             await server.start()
         for backend in self.spec.backends:
--- a/berylpost/metrics.py
+++ b/berylpost/metrics.py
@@ -71,6 +71,9 @@
     registry=REGISTRY,
 )
 LEDGER_SHARDS: Final = _gauge("berylpost_ledger_shards", "Shards owned here.")
+FLEET_ACTIONS: Final = _counter(
+    "berylpost_fleet_actions", "Actions of the fleet planner by kind.", "kind"
+)
 HANDED_OVER: Final = _counter(
     "berylpost_handed_over", "Requests handed to another daemon, by way.", "way"
 )
--- a/berylpost/operator_api.py
+++ b/berylpost/operator_api.py
@@ -14,6 +14,7 @@
 from .drain import PlannedStop
 from .errors import BerylpostError, ErrorKind, PlatformError
 from .metrics import REGISTRY
+from .planner import list_reasons
 from .platform.objects import HttpObjects
 from .web import HttpRequest, HttpResponse, Site, register_route
 from .writer import ConditionalWriter
@@ -148,6 +149,17 @@
     return reply_json(describe_status(site))
 
 
+def get_fleet(site: Site, request: HttpRequest) -> HttpResponse:
+    """`GET /v1/deployments/{name}/fleet`: the planner's last actions, with reasons."""
+    try:
+        reasons = list_reasons(_open_store(site), _check_name(request))
+    except PlatformError as error:
+        raise BerylpostError(
+            ErrorKind.STORE_UNAVAILABLE, str(error), retry_after_s=2
+        ) from error
+    return reply_json({"actions": reasons})
+
+
 def post_drain(site: Site, _: HttpRequest) -> HttpResponse:
     """`POST /v1/drain`: a planned stop of this daemon."""
     site.context.post("drain", PlannedStop())
@@ -177,6 +189,7 @@
 register_route("GET", CONFIGURATION_PATH, "operator", get_configuration)
 register_route("PATCH", CONFIGURATION_PATH, "operator", patch_configuration)
 register_route("GET", "/v1/deployments/{name}/audit", "operator", get_audit)
+register_route("GET", "/v1/deployments/{name}/fleet", "operator", get_fleet)
 register_route("GET", "/v1/status", "operator", get_status)
 register_route("POST", "/v1/drain", "operator", post_drain)
 register_route("GET", "/healthz", "open", get_health)
--- /dev/null
+++ b/berylpost/planner.py
@@ -0,0 +1,441 @@
+"""The task that makes the declared configuration what actually runs.
+
+One daemon of the region plans for a deployment, by lease. What it is about to do is
+in the deployment's fleet record before it does it: client tokens of VMs asked for,
+orders under way. Whoever plans next reads the record and asks again with the same
+tokens, so a VM is neither paid for twice nor forgotten. Orders carry the lease's
+epoch; engines that ignore it are read back every period and corrected.
+"""
+
+import logging
+import random
+import time
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+import urllib3
+
+from .configurations import InForce
+from .errors import PlatformError
+from .kernel import Context, MailboxTask, Plugin, Slot, register_plugin
+from .lease import Lease
+from .logs import log_event
+from .messages import Backend
+from .metrics import FLEET_ACTIONS
+from .peers import BackendsHeard
+from .platform.cloud import HttpCloud, RefusedStartError, Vm
+from .platform.objects import HttpObjects, Objects
+from .policy.fleet import (
+    EngineVm,
+    GiveBackVm,
+    History,
+    Offer,
+    SendOrder,
+    StartVm,
+    plan_orders,
+    plan_vms,
+)
+from .policy.ledger import choose_owner
+from .policy.membership import GONE, Table, list_active
+from .writer import ABSENT, ConditionalWriter, Seen, Verdict, read_object
+
+LOGGER: Final = logging.getLogger(__name__)
+PERIOD_S: Final = 1.0
+LEASE_S: Final = 10.0
+ENGINE_TIMEOUT_S: Final = 1.0
+LOADS_PER_S: Final = 2.0  # orders a second, under the weight store's rate
+LOADS_BURST: Final = 4.0
+ORDER_TIMEOUT_S: Final = 10.0
+UNLISTED_S: Final = 60.0  # a started VM may be missing from the list for so long
+DRAIN_S: Final = 600.0
+MAX_REASONS: Final = 50
+
+
+class StartRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A VM that was or is about to be asked for, under its client token."""
+
+    zone: str
+    vm_class: str
+    reclaimable: bool
+    model: str
+    since: float
+    vm: str = ""
+
+
+class FleetRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a planner has under way; times are wall clock.
+
+    Attributes:
+        starts: by client token.
+        ends: VMs being drained, with the time at which they end in any case.
+        orders: engines with an order under way, with its time.
+        reasons: the last actions in plain words, newest last.
+    """
+
+    epoch: int = 0
+    starts: dict[str, StartRecord] = {}
+    ends: dict[str, float] = {}
+    orders: dict[str, float] = {}
+    reasons: tuple[str, ...] = ()
+
+
+class _EngineLoad(msgspec.Struct, frozen=True):
+    model: str = ""
+    version: str = ""
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Plan:
+    """The planner's view of one deployment."""
+
+    lease: Lease
+    record: FleetRecord = field(default_factory=FleetRecord)
+    seen: Seen = ABSENT
+    loaded: bool = False
+    refused_at: dict[str, float] = field(default_factory=dict)
+    reclaims: dict[str, int] = field(default_factory=dict)
+    noticed: set[str] = field(default_factory=set)
+
+
+class PlannerTask(MailboxTask):
+    """Plans for the deployments whose lease this daemon holds."""
+
+    def __init__(self, *, context: Context, objects: Objects, cloud: HttpCloud) -> None:
+        super().__init__(name="planner", handle=lambda _m: None, tick=self._advance)
+        self._context = context
+        self._objects = objects
+        self._cloud = cloud
+        self._members: Slot[Table] = context.slots["members"]
+        self._in_force: Slot[Mapping[str, InForce]] = context.slots["configurations"]
+        self._random = random.Random(f"{context.process_id}/planner")
+        self._writer = ConditionalWriter(
+            objects=objects, writer=f"{context.process_id}.planner", patience_s=2.0
+        )
+        self._engines = urllib3.PoolManager(
+            maxsize=8, retries=False, timeout=ENGINE_TIMEOUT_S
+        )
+        self._loads_left = LOADS_BURST
+        self._plans = {
+            name: _Plan(
+                lease=Lease(
+                    objects=objects,
+                    key=f"leases/planner/{name}",
+                    holder=context.process_id,
+                    duration_s=LEASE_S,
+                )
+            )
+            for name in context.settings.daemon.deployments
+        }
+
+    def _advance(self) -> float:
+        filled = self._loads_left + LOADS_PER_S * PERIOD_S
+        self._loads_left = min(LOADS_BURST, filled)
+        active = [m.id for m in list_active(self._members.read())]
+        for place, (name, plan) in enumerate(self._plans.items()):
+            in_force = self._in_force.read().get(name)
+            mine = choose_owner(1_000_000 + place, active) == self._self_id()
+            if in_force is None or not mine:
+                plan.lease.release()
+                plan.loaded = False
+                continue
+            try:
+                if plan.lease.try_hold(holder_is_gone=self._is_holder_gone(plan)):
+                    self._reconcile(name, plan, in_force)
+            except PlatformError as error:
+                log_event(LOGGER, "plan_postponed", logging.WARNING, error=error)
+        return PERIOD_S * self._random.uniform(0.8, 1.2)
+
+    def _self_id(self) -> str:
+        return self._context.settings.daemon.id
+
+    def _is_holder_gone(self, plan: _Plan) -> bool:
+        holder = plan.lease.read_holder().partition(".")[0]
+        entry = self._members.read().entries.get(holder)
+        return entry is not None and entry.member.state in GONE
+
+    # One round.
+
+    def _reconcile(self, name: str, plan: _Plan, in_force: InForce) -> None:
+        if not plan.loaded or plan.record.epoch != plan.lease.epoch:
+            self._load(name, plan)
+        vms = [v for v in self._cloud.list_vms() if v.deployment == name]
+        engines = [v for v in vms if v.role == "engine"]
+        self._finish_starts(name, plan, engines)
+        self._finish_ends(plan, engines)
+        states = [self._describe(vm, plan) for vm in engines]
+        listed = {vm.id for vm in engines}
+        states += [
+            EngineVm(
+                id=token,
+                zone=start.zone,
+                vm_class=start.vm_class,
+                reclaimable=start.reclaimable,
+                model=start.model,
+                starting=True,
+            )
+            for token, start in plan.record.starts.items()
+            if start.vm not in listed
+        ]
+        self._note_reclaims(plan, engines)
+        self._plan_models(name, plan, in_force, states)
+        self._plan_versions(name, plan, in_force, states, engines)
+
+    def _load(self, name: str, plan: _Plan) -> None:
+        """Reads what the last planner had under way and fences it off."""
+        plan.seen = read_object(self._objects, f"fleet/{name}")
+        value = plan.seen.open()
+        record = FleetRecord()
+        if value is not None:
+            record = msgspec.json.decode(value, type=FleetRecord)
+        record = msgspec.structs.replace(record, epoch=plan.lease.epoch)
+        # Orders of the last planner may or may not have been sent: read back first.
+        record = msgspec.structs.replace(record, orders={})
+        self._write(name, plan, record)
+        plan.loaded = True
+        # A start whose answer was lost is asked for again under its token.
+        for token, start in record.starts.items():
+            if not start.vm:
+                self._ask_cloud(name, plan, token, start)
+
+    def _write(self, name: str, plan: _Plan, record: FleetRecord) -> None:
+        value = msgspec.json.encode(record)
+        outcome = self._writer.write(f"fleet/{name}", value, over=plan.seen)
+        if outcome.verdict is not Verdict.WRITTEN or outcome.seen is None:
+            plan.loaded = False
+            raise PlatformError(f"fleet record: {outcome.verdict}")
+        plan.seen, plan.record = outcome.seen, record
+
+    def _describe(self, vm: Vm, plan: _Plan) -> EngineVm:
+        load = self._read_load(vm)
+        leaving = bool(vm.notice_at) or vm.id in plan.record.ends
+        return EngineVm(
+            id=vm.id,
+            zone=vm.zone,
+            vm_class=vm.vm_class,
+            reclaimable=vm.reclaimable,
+            # While it does not answer it is what the cloud was asked for.
+            model=load.model or vm.name,
+            version=load.version,
+            leaving=leaving,
+            running=load.running + load.waiting,
+            starting=not load.model,
+        )
+
+    def _read_load(self, vm: Vm) -> _EngineLoad:
+        try:
+            response = self._engines.request("GET", f"http://{vm.address}/load")
+            return msgspec.json.decode(response.data, type=_EngineLoad)
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError, OSError):
+            return _EngineLoad()
+
+    def _note_reclaims(self, plan: _Plan, engines: list[Vm]) -> None:
+        for vm in engines:
+            if vm.notice_at and vm.id not in plan.noticed:
+                plan.noticed.add(vm.id)
+                key = f"{vm.zone}/{vm.vm_class}"
+                plan.reclaims[key] = plan.reclaims.get(key, 0) + 1
+
+    # VMs.
+
+    def _plan_models(
+        self, name: str, plan: _Plan, in_force: InForce, states: list[EngineVm]
+    ) -> None:
+        deployment = in_force.deployment
+        offers = [Offer(**offer) for offer in self._cloud.list_offers()]
+        history = History(refused_at=plan.refused_at, reclaims=plan.reclaims)
+        for model in deployment.models:
+            actions = plan_vms(
+                model,
+                [vm for vm in states if vm.model == model.name],
+                offers,
+                zones=deployment.zones,
+                classes=[c.name for c in deployment.vm_classes],
+                history=history,
+                now=time.monotonic(),
+            )
+            for action in actions:
+                if isinstance(action, StartVm):
+                    self._start(name, plan, action)
+                elif isinstance(action, GiveBackVm):
+                    self._give_back(name, plan, action)
+
+    def _explain(
+        self, plan: _Plan, record: FleetRecord, kind: str, reason: str
+    ) -> FleetRecord:
+        FLEET_ACTIONS.labels(kind).inc()
+        log_event(LOGGER, "fleet_action", kind=kind, reason=reason)
+        reasons = (*record.reasons, f"{kind}: {reason}")[-MAX_REASONS:]
+        return msgspec.structs.replace(record, reasons=reasons)
+
+    def _start(self, name: str, plan: _Plan, action: StartVm) -> None:
+        token = uuid.uuid4().hex
+        start = StartRecord(
+            zone=action.offer.zone,
+            vm_class=action.offer.vm_class,
+            reclaimable=action.offer.reclaimable,
+            model=action.model,
+            since=time.time(),
+        )
+        record = msgspec.structs.replace(
+            plan.record, starts={**plan.record.starts, token: start}
+        )
+        self._write(name, plan, self._explain(plan, record, "start", action.reason))
+        self._ask_cloud(name, plan, token, start)
+
+    def _ask_cloud(
+        self, name: str, plan: _Plan, token: str, start: StartRecord
+    ) -> None:
+        wanted = {
+            "zone": start.zone,
+            "vm_class": start.vm_class,
+            "reclaimable": start.reclaimable,
+            "role": "engine",
+            "name": start.model,
+            "deployment": name,
+        }
+        starts = dict(plan.record.starts)
+        try:
+            vm = self._cloud.start_vm(client_token=token, wanted=wanted)
+        except RefusedStartError:
+            plan.refused_at[f"{start.zone}/{start.vm_class}"] = time.monotonic()
+            FLEET_ACTIONS.labels("refused").inc()
+            del starts[token]
+        else:
+            starts[token] = msgspec.structs.replace(start, vm=vm.id)
+        self._write(name, plan, msgspec.structs.replace(plan.record, starts=starts))
+
+    def _finish_starts(self, name: str, plan: _Plan, engines: list[Vm]) -> None:
+        """Closes starts that the list shows; asks again where the answer was lost."""
+        listed = {vm.client_token for vm in engines if vm.client_token}
+        for token, start in list(plan.record.starts.items()):
+            over = bool(start.vm) and time.time() - start.since > UNLISTED_S
+            if token in listed or over:
+                starts = {t: s for t, s in plan.record.starts.items() if t != token}
+                record = msgspec.structs.replace(plan.record, starts=starts)
+                self._write(name, plan, record)
+            elif not start.vm:
+                self._ask_cloud(name, plan, token, start)
+
+    def _give_back(self, name: str, plan: _Plan, action: GiveBackVm) -> None:
+        ends = {**plan.record.ends, action.vm: time.time() + DRAIN_S}
+        record = msgspec.structs.replace(plan.record, ends=ends)
+        self._write(name, plan, self._explain(plan, record, "give_back", action.reason))
+
+    def _finish_ends(self, plan: _Plan, engines: list[Vm]) -> None:
+        """Tells daemons to send no new work, ends VMs that are idle."""
+        by_id = {vm.id: vm for vm in engines}
+        for vm_id, end_at in plan.record.ends.items():
+            vm = by_id.get(vm_id)
+            if vm is None:
+                continue
+            leaving = Backend(
+                id=vm.id,
+                role=vm.role,
+                name=vm.name,
+                deployment=vm.deployment,
+                address=vm.address,
+                zone=vm.zone,
+                state="leaving",
+                deadline=end_at,
+            )
+            self._context.post("backends", BackendsHeard(backends=(leaving,)))
+            load = self._read_load(vm)
+            told_since = time.time() - (end_at - DRAIN_S)
+            idle = load.running + load.waiting == 0
+            if time.time() >= end_at or (idle and told_since > 3 * PERIOD_S):
+                self._cloud.end_vm(vm_id)
+                FLEET_ACTIONS.labels("end").inc()
+
+    # Orders.
+
+    def _plan_versions(
+        self,
+        name: str,
+        plan: _Plan,
+        in_force: InForce,
+        states: list[EngineVm],
+        engines: list[Vm],
+    ) -> None:
+        now = time.time()
+        orders = {
+            vm: at
+            for vm, at in plan.record.orders.items()
+            if now - at < ORDER_TIMEOUT_S
+        }
+        declared = {m.name: m.version for m in in_force.deployment.models}
+        done = {vm.id for vm in states if declared.get(vm.model) == vm.version}
+        orders = {vm: at for vm, at in orders.items() if vm not in done}
+        planned = plan_orders(
+            in_force.deployment.models,
+            states,
+            open_orders=orders,
+            loads_left=self._loads_left,
+        )
+        addresses = {vm.id: vm.address for vm in engines}
+        for order in planned:
+            self._loads_left -= 1
+            orders[order.vm] = now
+            record = msgspec.structs.replace(plan.record, orders=dict(orders))
+            reason = f"{order.vm} to {order.model} {order.version}, {order.reason}"
+            self._write(name, plan, self._explain(plan, record, "order", reason))
+            if not plan.lease.is_held():
+                return  # paused in between; the next holder reads back and orders
+            if self._send_order(plan, order, addresses[order.vm]):
+                orders.pop(order.vm)
+
+    def _send_order(self, plan: _Plan, order: SendOrder, address: str) -> bool:
+        """Sends one order; tells whether it was answered and so is closed.
+
+        One that was not may still be carried out and stays open for a while. What
+        the engine runs is read back in the next round in either case.
+        """
+        body = msgspec.json.encode(
+            {
+                "model": order.model,
+                "version": order.version,
+                "fence": plan.lease.epoch,
+                "id": f"{order.vm}/{plan.lease.epoch}",
+            }
+        )
+        try:
+            response = self._engines.request(
+                "PUT", f"http://{address}/orders", body=body
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            log_event(LOGGER, "order_failed", logging.WARNING, vm=order.vm, why=error)
+            return False
+        if response.status != 200:
+            log_event(LOGGER, "order_refused", vm=order.vm, status=response.status)
+        return True
+
+
+def _build(context: Context) -> PlannerTask:
+    platform = context.settings.platform
+    return PlannerTask(
+        context=context,
+        objects=HttpObjects(url=platform.objects, timeout_s=platform.timeout_s),
+        cloud=HttpCloud(url=platform.cloud, timeout_s=platform.timeout_s),
+    )
+
+
+register_plugin(
+    Plugin(
+        name="planner", requires=("peers", "configurations", "backends"), build=_build
+    )
+)
+
+
+def list_reasons(objects: Objects, name: str) -> list[str]:
+    """Reads the last fleet actions of a deployment in plain words."""
+    value = read_object(objects, f"fleet/{name}").open()
+    if value is None:
+        return []
+    return list(msgspec.json.decode(value, type=FleetRecord).reasons)
+
+
+__all__: Final[list[Any]] = ["FleetRecord", "PlannerTask", "StartRecord"]
--- a/berylpost/platform/cloud.py
+++ b/berylpost/platform/cloud.py
@@ -54,6 +54,11 @@
             return None
         return msgspec.json.decode(response.data, type=Vm)
 
+    def list_offers(self) -> list[dict[str, Any]]:
+        """Lists what may be asked for: zone, vm_class, reclaimable, price an hour."""
+        response = call(self._pool, "GET", f"{self._url}/v1/offers")
+        return list(response.json()["offers"])
+
     def start_vm(self, *, client_token: str, wanted: dict[str, Any]) -> Vm:
         """Starts a VM; repeating it with the same token starts no second one.
 
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,223 @@
+"""Steps of fleet.feature."""
+
+import dataclasses
+import re
+import time
+
+import msgspec
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+from steps.shared import MODEL, is_whole
+
+from berylpost.bench.fleet import wait_until
+from berylpost.configuration import Model
+from berylpost.policy.fleet import (
+    EngineVm,
+    GiveBackVm,
+    History,
+    Offer,
+    StartVm,
+    plan_orders,
+    plan_vms,
+)
+from berylpost.policy.ledger import choose_owner
+
+NOW = 1_000.0
+
+
+@given("offers by zone and price: {offers}")
+def make_offers(context: Context, offers: str) -> None:
+    context.offers = [
+        Offer(
+            zone=zone,
+            vm_class=vm_class,
+            reclaimable=vm_class == "small",
+            price=float(price),
+        )
+        for zone, vm_class, price in (
+            text.split(":") for text in offers.split() if text != "-"
+        )
+    ]
+
+
+@given("VMs that run the model: {vms}")
+def make_vms(context: Context, vms: str) -> None:
+    context.vms = []
+    for place, text in enumerate(v for v in vms.split() if v != "-"):
+        zone, _, what = text.partition(":")
+        vm_class = "steady" if what == "steady" else "small"
+        context.vms.append(
+            EngineVm(
+                id=f"vm{place}",
+                zone=zone,
+                vm_class=vm_class,
+                reclaimable=vm_class == "small",
+                model="m",
+                leaving=what == "leaving",
+                starting=what == "starting",
+            )
+        )
+
+
+@when("{n:d} replicas are wanted and {history}")
+def plan(context: Context, n: int, history: str) -> None:
+    refused = re.match(r"(\S+) refused", history)
+    reclaimed = re.match(r"(\S+) reclaimed (\d+) times", history)
+    context.plan = plan_vms(
+        Model(name="m", version="1", replicas=n),
+        context.vms,
+        context.offers,
+        zones=(),
+        classes=(),
+        history=History(
+            refused_at={refused[1]: NOW - 1} if refused else {},
+            reclaims={reclaimed[1]: int(reclaimed[2])} if reclaimed else {},
+        ),
+        now=NOW,
+    )
+
+
+@then("the plan is {plan}")
+def check_plan(context: Context, plan: str) -> None:
+    zones = {vm.id: vm.zone for vm in context.vms}
+    found = [
+        f"start {action.offer.key}"
+        if isinstance(action, StartVm)
+        else f"give back 1 of {zones[action.vm]}"
+        for action in context.plan
+        if isinstance(action, StartVm | GiveBackVm)
+    ]
+    wanted = [] if plan == "nothing" else plan.split(", ")
+    assert found == wanted, found
+    assert all(action.reason for action in context.plan)
+
+
+@given("engines that run: {engines}")
+def make_engines(context: Context, engines: str) -> None:
+    context.engines, context.open_orders = [], {}
+    for place, text in enumerate(engines.split()):
+        model, version, *more = text.split(":")
+        if more == ["open"]:
+            context.open_orders[f"e{place}"] = NOW
+        context.engines.append(
+            EngineVm(
+                id=f"e{place}",
+                zone="a",
+                vm_class="small",
+                reclaimable=True,
+                model=model,
+                version=version,
+                leaving=more == ["leaving"],
+            )
+        )
+
+
+@when(
+    "m is declared at version {version:d} with {n:d} replicas "
+    "and {loads:d} loads are allowed"
+)
+def plan_engine_orders(context: Context, version: int, n: int, loads: int) -> None:
+    context.orders = plan_orders(
+        [Model(name="m", version=str(version), replicas=n)],
+        context.engines,
+        open_orders=context.open_orders,
+        loads_left=float(loads),
+    )
+
+
+@then("the orders go to {names}")
+def check_orders(context: Context, names: str) -> None:
+    wanted = [] if names == "nobody" else names.split()
+    assert [order.vm for order in context.orders] == wanted, context.orders
+
+
+@when("the model is patched to version {version:d} with {n:d} replicas")
+def patch_model(context: Context, version: int, n: int) -> None:
+    fleet = context.fleet
+    path = f"/v1/deployments/{fleet.spec.deployment}/configuration"
+    number = fleet.operator().call("GET", path)["number"]
+    patch = {"models": [{"name": MODEL, "version": str(version), "replicas": n}]}
+    fleet.operator().call(
+        "PATCH", path, document=patch, headers={"If-Match": f'"{number}"'}
+    )
+
+
+def list_engines(context: Context) -> list[tuple[str, str]]:
+    """Lists the running engines' VMs with the version each runs."""
+    world = context.fleet.world.world
+    return [
+        (vm.id, world.engines[vm.id].version)
+        for vm in list(world.cloud.vms.values())
+        if vm.role == "engine" and not vm.notice_at
+    ]
+
+
+@then("within {bound:d} s the cloud runs {n:d} engines of version {version:d}")
+def check_engines(context: Context, bound: int, n: int, version: int) -> None:
+    def is_so() -> bool:
+        engines = list_engines(context)
+        return len(engines) == n and all(v == str(version) for _, v in engines)
+
+    try:
+        wait_until(is_so, timeout_s=bound, what="the declared engines run")
+    except TimeoutError as error:
+        raise AssertionError(f"{error}: {list_engines(context)}") from error
+
+
+@then("the engines serve a whole summary")
+def check_serving(context: Context) -> None:
+    document = {"model": MODEL, "prompt": "after", "max_tokens": 20}
+    answer = context.fleet.client().complete("/v1/completions", document)
+    assert is_whole(answer, "after", 20)
+
+
+@given("the cloud loses the next {n:d} answers to starts")
+def lose_starts(context: Context, n: int) -> None:
+    address = context.fleet.world_spec.cloud
+    context.fleet.set_fault(address, lose_answers=n, methods=["POST"])
+
+
+@when("the planner is killed after {after:g} s")
+def kill_planner(context: Context, after: float) -> None:
+    time.sleep(after)
+    ids = [daemon.id for daemon in context.fleet.daemons]
+    planner = choose_owner(1_000_000, ids)
+    daemon = next(d for d in context.fleet.daemons if d.id == planner)
+    context.fleet.kill(daemon)
+
+
+@then("after {seconds:d} s more it still runs exactly {n:d} engines")
+def check_still(context: Context, seconds: int, n: int) -> None:
+    time.sleep(seconds)
+    assert len(list_engines(context)) == n, list_engines(context)
+
+
+@then("the cloud started exactly {n:d} VMs")
+def check_started(context: Context, n: int) -> None:
+    assert context.fleet.world.world.cloud.n_created == n
+
+
+@given("the zones {first} and {second} refuse starts")
+def refuse_zones(context: Context, first: str, second: str) -> None:
+    context.fleet.world.world.cloud.refuse_zones.update({first, second})
+
+
+@given("engines that ignore fencing numbers")
+def ignore_fences(context: Context) -> None:
+    for engine in context.fleet.world.world.engines.values():
+        engine.shape = dataclasses.replace(engine.shape, fenced=False)
+
+
+@when("an order of an old holder for version {version:d} reaches the first engine")
+def send_old_order(context: Context, version: int) -> None:
+    vm = list_engines(context)[0][0]
+    engine = context.fleet.world.world.engines[vm]
+    body = {"model": MODEL, "version": str(version), "fence": 0}
+    response = urllib3.PoolManager().request(
+        "PUT",
+        f"http://{engine.server.endpoint}/orders",
+        body=msgspec.json.encode(body),
+    )
+    assert response.status == 200
+    assert engine.version == str(version)
