Route by what others likely did, admit by when the first token comes

Cause: a load report that fades into nothing made each daemon see room where all three of them sent; the cache was known only where this daemon had sent; a request could wait for its slot until the very moment its first token was due. Change: a report fades into what this daemon does there itself, times the daemons; the first on the ring is taken to hold a shared prompt; waiting sets in softly before the slots are full; prefill weighs more than its own time; the patience leaves the time from slot to first token. News of members is gathered for 20 ms, rings are sorted only when members come or go.

--- a/berylpost/bench/catalogue.py
+++ b/berylpost/bench/catalogue.py
@@ -26,13 +26,17 @@
     from .bookings import run_bookings
     from .decisions import run_decisions
     from .gossip import run_gossip
+    from .limits import run_limits
     from .relay import run_relay
+    from .routing import run_routing
     from .store import run_store
 
     return {
         "bookings": run_bookings,
         "decisions": run_decisions,
         "gossip": run_gossip,
+        "limits": run_limits,
         "relay": run_relay,
+        "routing": run_routing,
         "store": run_store,
     }
--- a/berylpost/bench/decisions.py
+++ b/berylpost/bench/decisions.py
@@ -77,6 +77,7 @@
             own=own,
             limits=limits,
             cached_chars={},
+            n_daemons=100,
             excluded=frozenset(),
             now=100.0,
         )
--- a/berylpost/bench/gossip.py
+++ b/berylpost/bench/gossip.py
@@ -6,6 +6,7 @@
 
 import random
 import statistics
+import sys
 import time
 from collections.abc import Callable
 from typing import Any, Final
@@ -21,7 +22,7 @@
 from .catalogue import Result
 from .fleet import HOST, find_ports, wait_until
 
-SIZES: Final = (8, 32, 128, 300)
+SIZES: Final = (8, 32, 64, 128)  # a region at the size that decides has 122
 SETTLE_TIMEOUT_S: Final = 90.0
 STEADY_S: Final = 10.0
 DETECT_TIMEOUT_S: Final = 40.0
@@ -182,6 +183,7 @@
         detect = _measure_detection(herd)
     finally:
         herd.stop()
+    # Seconds until all knew all; members of one process share one core here.
     return {"settled_s": settled_s, **steady, **spread, **detect}
 
 
@@ -237,7 +239,10 @@
 
 def run_gossip(seed: int, _minutes: float) -> Result:
     """Measures all sizes, and the largest again with a tenth of messages lost."""
-    by_members = {n: measure_herd(n, 0.0, seed) for n in SIZES}
+    by_members = {}
+    for n in SIZES:
+        by_members[n] = measure_herd(n, 0.0, seed)
+        print(n, by_members[n], file=sys.stderr, flush=True)
     lossy = measure_herd(SIZES[-1], 0.1, seed)
     passed = all(
         found["bytes_out_a_member_s"] <= CONTROL_BYTES_BOUND
--- a/berylpost/bench/traces.py
+++ b/berylpost/bench/traces.py
@@ -148,6 +148,7 @@
         "own": {name: stream.randrange(16) for name in names},
         "limits": {name: 16.0 for name in names},
         "cached_chars": {stream.choice(names): 512},
+        "n_daemons": 3,
         "excluded": sorted({stream.choice(names) for _ in range(stream.randrange(3))}),
     }
     choice = choose_replica(
@@ -158,6 +159,7 @@
         own=inputs["own"],
         limits=inputs["limits"],
         cached_chars=inputs["cached_chars"],
+        n_daemons=3,
         excluded=frozenset(inputs["excluded"]),
         now=now,
     )
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Final
@@ -88,6 +89,7 @@
         return Reply(headers=(("Content-Type", "application/jsonl"),), stream=stream)
 
     async def _stream_changes(self, prefix: str, since: int) -> AsyncIterator[bytes]:
+        beat_at = time.monotonic() + HEARTBEAT_S
         while True:
             newer = sorted(
                 (version, key, value)
@@ -96,6 +98,7 @@
             )
             for version, key, value in newer:
                 since = version
+                beat_at = time.monotonic() + HEARTBEAT_S
                 yield (
                     msgspec.json.encode(
                         {
@@ -109,7 +112,10 @@
             if self.server.faults.down:
                 return
             try:
+                # Changes elsewhere wake it too and must not put the beat off.
+                left_s = max(0.01, beat_at - time.monotonic())
                 async with self._changed:
-                    await asyncio.wait_for(self._changed.wait(), HEARTBEAT_S)
+                    await asyncio.wait_for(self._changed.wait(), left_s)
             except TimeoutError:
+                beat_at = time.monotonic() + HEARTBEAT_S
                 yield b"{}\n"
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -20,7 +20,7 @@
 
 from .errors import SettingsError
 from .hashing import hash_bytes
-from .kernel import Context, Plugin, Slot, register_plugin
+from .kernel import STOP_TIMEOUT_S, Context, Plugin, Slot, register_plugin
 from .logs import log_event
 from .messages import (
     Backend,
@@ -69,6 +69,8 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 TICK_MS: Final = 50
+SPREAD_DELAY_S: Final = 0.02
+SPREAD_POLL_MS: Final = 10
 JOIN_RETRY_S: Final = 0.5
 REJOIN_S: Final = 30.0  # two halves of a region find each other within about this
 SEND_QUEUE: Final = 1_000
@@ -185,6 +187,8 @@
         self._numbers: tuple[tuple[str, int], ...] = ()
         self._next_sync_at = 0.0
         self._next_join_at = 0.0
+        self._to_spread: dict[str, Member] = {}
+        self._spread_at = 0.0
         self._join_turn = 0
         self._watchers: list[str] = []
         self._zmq = zmq_context or zmq.Context()
@@ -274,7 +278,7 @@
         self._stopping = True
         self._wake()
         if self._thread is not None:
-            self._thread.join(5)
+            self._thread.join(STOP_TIMEOUT_S)
             for dealer in self._dealers.values():
                 dealer.close(linger=200)
             self._router.close()
@@ -307,7 +311,7 @@
         poller.register(self._router, zmq.POLLIN)
         poller.register(self._wake_read.fileno(), zmq.POLLIN)
         while not self._stopping:
-            events = dict(poller.poll(TICK_MS))
+            events = dict(poller.poll(SPREAD_POLL_MS if self._to_spread else TICK_MS))
             if self._wake_read.fileno() in events:
                 self._wake_read.recv(4_096)
             inbox, self._inbox = self._inbox, []
@@ -398,6 +402,7 @@
     def _tick(self) -> None:
         now = time.monotonic()
         self._apply(*advance(self._table, now, self._rules))
+        self._flush_spread()
         alone = len(self._table.entries) == 1
         if now >= self._next_join_at:
             pause_s = (
@@ -468,6 +473,16 @@
                     self._context.readiness["unique_id"] = lambda: False
 
     def _spread(self, members: tuple[Member, ...]) -> None:
+        """Gathers news for a moment: a mass start would else be a message a change."""
+        if not self._to_spread:
+            self._spread_at = time.monotonic() + SPREAD_DELAY_S
+        self._to_spread.update({member.id: member for member in members})
+
+    def _flush_spread(self) -> None:
+        if not self._to_spread or time.monotonic() < self._spread_at:
+            return
+        members = tuple(self._to_spread.values())
+        self._to_spread = {}
         for start in range(0, len(members), MAX_CORRECTIONS):
             self._notify(News(members=members[start : start + MAX_CORRECTIONS]))
 
--- a/berylpost/policy/admission.py
+++ b/berylpost/policy/admission.py
@@ -144,6 +144,19 @@
     return (usage.queued + 1) / freed_per_s
 
 
+def allow_wait(patience_s: float, first_token_s: float) -> float:
+    """Returns how long a request may wait for its slot, in seconds.
+
+    The first token comes only some time after the slot; a request that starts at
+    the last moment of its patience would be late all the same.
+
+    Args:
+        patience_s: until the first token is wanted.
+        first_token_s: from the slot to the first token, as seen lately.
+    """
+    return max(0.0, patience_s - first_token_s)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Waiting:
     """A queued request.
--- a/berylpost/policy/membership.py
+++ b/berylpost/policy/membership.py
@@ -6,6 +6,7 @@
 functions take a frozen `Table` and return a new one with the actions to carry out.
 """
 
+import functools
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
@@ -137,13 +138,18 @@
     for ring in range(degree):
         if len(chosen) >= degree:
             break
-        order = sorted(others, key=lambda i: hash_text(f"{ring}/{i}"))
+        order = sorted(others, key=lambda i: _place_on_ring(ring, i))
         place = order.index(self_id)
         chosen[order[place - 1]] = None
         chosen[order[(place + 1) % len(order)]] = None
     return tuple(chosen)[:degree]
 
 
+@functools.lru_cache(maxsize=16_384)
+def _place_on_ring(ring: int, member_id: str) -> int:
+    return hash_text(f"{ring}/{member_id}")
+
+
 def merge_members(
     table: Table, members: Iterable[Member], now: float, rules: Rules
 ) -> tuple[Table, list[Action]]:
@@ -162,6 +168,7 @@
     rumours = dict(table.rumours)
     actions: list[Action] = []
     news: list[Member] = []
+    present_changed = False
     n_sends = _count_sends(len(table.entries))
     for member in members:
         known = (entries or table.entries).get(member.id)
@@ -180,6 +187,8 @@
         entries[member.id] = Entry(member=member, since=now)
         rumours[member.id] = n_sends
         news.append(member)
+        was_present = known is not None and known.member.state not in GONE
+        present_changed |= was_present != (member.state not in GONE)
         before = known.member.state if known else ""
         if before != member.state:
             actions.append(Changed(member=member, before=before))
@@ -189,7 +198,9 @@
     # lasts: with 15 percent of messages lost, members that lived were given up.
     actions.append(Spread(members=tuple(news)))
     table = replace(table, entries=entries, rumours=rumours)
-    return _renew_neighbours(table, rules), actions
+    if present_changed:
+        table = _renew_neighbours(table, rules)
+    return table, actions
 
 
 def _is_newer(member: Member, known: Member) -> bool:
--- a/berylpost/policy/routing.py
+++ b/berylpost/policy/routing.py
@@ -21,7 +21,11 @@
 FIRST_CANDIDATES: Final = 2
 MAX_CANDIDATES: Final = 16
 LOAD_HALF_LIFE_S: Final = 2.0
-WIDEN_ABOVE_S: Final = 0.15  # a wait that more candidates may shorten
+WIDEN_ABOVE_S: Final = 0.05  # a wait that more candidates may shorten
+PREFILL_WEIGHT: Final = 4.0  # above 1: what is computed again also delays others
+HOME_CHARS: Final = 4_000  # a shared prompt, taken for cached at its first on the ring
+GUESS_ERROR: Final = 1.5  # requests by which the count of outstanding ones may err
+BATCH_SLOWDOWN: Final = 0.5  # a full batch computes this much slower
 CHARS_PER_TOKEN: Final = 4
 
 
@@ -105,25 +109,33 @@
 
 
 def predict_first_token(
-    replica: Replica, *, own: int, uncached_tokens: float, now: float
+    replica: Replica, *, own: int, n_daemons: int, uncached_tokens: float, now: float
 ) -> float:
     """Predicts the time to first token at a replica, in seconds.
 
+    The other daemons' work is what the last report said, fading with its age into
+    what this daemon does there itself: callers spread evenly over daemons. Fading
+    into nothing instead made every daemon see room where all of them sent.
+
     Args:
         replica: with its last report.
         own: this daemon's requests in progress there now.
+        n_daemons: that send requests to the same replicas.
         uncached_tokens: prompt tokens that it must still compute.
         now: monotonic seconds.
     """
     age = max(0.0, now - replica.reported_at)
     others = max(0, replica.reported - replica.reported_own)
-    outstanding = own + others * math.pow(0.5, age / LOAD_HALF_LIFE_S)
+    trust = math.pow(0.5, age / LOAD_HALF_LIFE_S)
+    outstanding = own + others * trust + own * (n_daemons - 1) * (1 - trust)
     prefill = uncached_tokens * replica.prefill_token_s
-    # A slot frees each service_s / slots; below full there is no wait, but a
-    # fuller batch is slower, which also keeps ties from going to one replica.
-    excess = max(0.0, outstanding + 1 - replica.slots)
-    wait = excess * replica.service_s / replica.slots
-    return wait + prefill * (1 + outstanding / replica.slots)
+    # A slot frees each service_s / slots. The count is a guess, so the wait sets in
+    # softly before the slots are full, which also keeps the fullest from filling up.
+    excess = (outstanding + 1 - replica.slots) / GUESS_ERROR
+    soft = GUESS_ERROR * (excess if excess > 30 else math.log1p(math.exp(excess)))
+    wait = soft * replica.service_s / replica.slots
+    slow = 1 + BATCH_SLOWDOWN * outstanding / replica.slots
+    return wait + PREFILL_WEIGHT * prefill * slow
 
 
 def choose_replica(
@@ -136,6 +148,7 @@
     limits: Mapping[str, float],
     cached_chars: Mapping[str, int],
     excluded: frozenset[str],
+    n_daemons: int,
     now: float,
 ) -> Choice | None:
     """Chooses a replica for a model request.
@@ -149,12 +162,16 @@
         limits: concurrency limits by replica.
         cached_chars: by replica, how much of the prompt it likely holds.
         excluded: replicas that leave or that failed this request.
+        n_daemons: that send requests to the same replicas.
         now: monotonic seconds.
 
     Returns:
         The choice, or None when no replica is below its limit.
     """
     n_wanted = FIRST_CANDIDATES
+    home = list_candidates(ring, prefix_key, 1)
+    # All daemons send a prefix there first, so it likely holds what others sent.
+    held = {home[0]: min(HOME_CHARS, prompt_chars), **cached_chars} if home else {}
     while True:
         candidates = list_candidates(ring, prefix_key, n_wanted)
         open_ones = [
@@ -168,7 +185,8 @@
                 predict_first_token(
                     replica,
                     own=own.get(replica.id, 0),
-                    uncached_tokens=(prompt_chars - cached_chars.get(replica.id, 0))
+                    n_daemons=n_daemons,
+                    uncached_tokens=(prompt_chars - held.get(replica.id, 0))
                     / CHARS_PER_TOKEN,
                     now=now,
                 ),
--- a/berylpost/pools.py
+++ b/berylpost/pools.py
@@ -46,6 +46,7 @@
         self.limits: dict[str, Limit] = {}
         self.leaving: frozenset[str] = frozenset()
         self.service_s = SERVICE_S
+        self.first_token_s = 0.0
         self.n_queued = 0
         self._ring: Ring = build_ring(())
         # Kept up step by step: sums over all replicas for each request would grow
@@ -54,10 +55,12 @@
         self._with_room: set[str] = set()
         self._n_running = 0
         self._capacity = 0.0
+        self._n_daemons = 1
         self._prefixes: OrderedDict[int, dict[str, int]] = OrderedDict()
 
     def set_backends(self, backends: Iterable[Backend], n_daemons: int) -> None:
         """Takes the present table of backend servers of this model."""
+        self._n_daemons = max(1, n_daemons)
         present = {b.id: b for b in backends if b.state != "gone"}
         running = sorted(i for i, b in present.items() if b.state == "running")
         for backend_id, backend in present.items():
@@ -130,6 +133,7 @@
             own=self.own,
             limits=self._limit_values,
             cached_chars=cached,
+            n_daemons=self._n_daemons,
             excluded=excluded,
             now=now,
         )
@@ -164,6 +168,8 @@
         self, replica_id: str, first_token_s: float | None, target_s: float, now: float
     ) -> None:
         """Takes a time to first token, or a refusal, into the replica's limit."""
+        if first_token_s is not None:
+            self.first_token_s += EWMA_SHARE * (first_token_s - self.first_token_s)
         limit = self.limits.get(replica_id)
         if limit is not None:
             changed = take_sample(
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -41,6 +41,7 @@
     Refused,
     Usage,
     Waiting,
+    allow_wait,
     decide_admission,
     list_overdue,
     order_queue,
@@ -309,7 +310,7 @@
             request=request,
             accepted_at=now,
             deadline=now + request.deadline_s,
-            start_by=now + request.patience_s,
+            start_by=now + self._allow_wait(request),
         )
         self._streams[request.id] = stream
         if request.key:
@@ -322,6 +323,10 @@
             self._add_caller(stream, message.socket, 0, not request.stream)
         self._start_waiting(now)
 
+    def _allow_wait(self, request: StreamRequest) -> float:
+        pool = self._find_pool(request)
+        return allow_wait(request.patience_s, pool.first_token_s if pool else 0.0)
+
     def _attach_repeat(self, stream_id: str, message: Submit) -> None:
         """Answers a repeated Idempotency-Key from the request it names."""
         stream = self._streams[stream_id]
@@ -351,12 +356,13 @@
         }
         weights = {c: customers[c].weight for c in active if c in customers}
         load = pool.describe_load(self._settings.max_streams, self._settings.max_queue)
+        patience_s = self._allow_wait(request)
         decision = decide_admission(
             customer=customer,
             usage=usage,
             weights={**weights, customer.name: customer.weight},
             load=load,
-            patience_s=request.patience_s,
+            patience_s=patience_s,
             now=now,
         )
         self._recorder.record(
@@ -367,7 +373,7 @@
                 "usage": usage,
                 "weights": {**weights, customer.name: customer.weight},
                 "load": load,
-                "patience_s": request.patience_s,
+                "patience_s": patience_s,
             },
             outcome=decision,
         )
--- a/berylpost/replay.py
+++ b/berylpost/replay.py
@@ -55,6 +55,7 @@
         own=inputs["own"],
         limits=inputs["limits"],
         cached_chars=inputs["cached_chars"],
+        n_daemons=inputs["n_daemons"],
         excluded=frozenset(inputs["excluded"]),
         now=now,
     )
