--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -45,6 +45,7 @@
 LOGGER: Final = logging.getLogger(__name__)
 PERIOD_S: Final = 1.0
 LEASE_S: Final = 10.0
+RENEWALS_PER_LEASE: Final = 3
 ENGINE_TIMEOUT_S: Final = 1.0
 LOADS_PER_S: Final = 2.0  # orders a second, under the weight store's rate
 LOADS_BURST: Final = 4.0
@@ -97,6 +98,7 @@
     record: FleetRecord = field(default_factory=FleetRecord)
     seen: Seen = ABSENT
     loaded: bool = False
+    renew_at: float = 0.0
     refused_at: dict[str, float] = field(default_factory=dict)
     reclaims: dict[str, int] = field(default_factory=dict)
     noticed: set[str] = field(default_factory=set)
@@ -144,12 +146,20 @@
                 plan.loaded = False
                 continue
             try:
-                if plan.lease.try_hold(holder_is_gone=self._is_holder_gone(plan)):
+                if self._hold(plan):
                     self._reconcile(name, plan, in_force)
             except PlatformError as error:
                 log_event(LOGGER, "plan_postponed", logging.WARNING, error=error)
         return PERIOD_S * self._random.uniform(0.8, 1.2)
 
+    def _hold(self, plan: _Plan) -> bool:
+        """Holds the lease; a renewal is a write, so it is made no more than needed."""
+        now = time.monotonic()
+        if plan.lease.is_held() and now < plan.renew_at:
+            return True
+        plan.renew_at = now + LEASE_S / RENEWALS_PER_LEASE
+        return plan.lease.try_hold(holder_is_gone=self._is_holder_gone(plan))
+
     def _self_id(self) -> str:
         return self._context.settings.daemon.id
 
