Split the relay by job: connections, waiting, attempts, reclaims

Cause: relay.py had grown to 1,028 lines with one class for four jobs. Change: callers' sockets, the waiting room, attempts and reclaims are modules of their own that the relay's thread owns; messages to the relay stand in a module.

--- /dev/null
+++ b/berylpost/attempts.py
@@ -0,0 +1,266 @@
+"""The engines' side of the relay: attempts, their events and what follows a failure.
+
+Owned by the relay's thread. `upstream` is one connection; this module keeps all of
+them, takes tokens in and decides by `policy.retry` how a failed attempt goes on.
+"""
+
+import logging
+import random
+import selectors
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from .configurations import InForce
+from .errors import BerylpostError, ErrorKind
+from .invariants import check_invariant
+from .kernel import Slot
+from .logs import log_event
+from .metrics import ATTEMPTS, FIRST_TOKEN, LATE_ANSWERS, RECOMPUTED_TOKENS, TOKEN_GAP
+from .policy.retry import Budget, Failure, GiveUp, Retry, decide_retry, earn_budget
+from .policy.routing import CHARS_PER_TOKEN
+from .pools import Pool
+from .recording import Recorder
+from .settings import RelaySettings
+from .streams import Stream, StreamState, build_body
+from .upstream import Ended, LoadReport, Refusal, Token, Upstream, UpstreamEvent
+from .waiting import WaitingRoom
+
+LOGGER: Final = logging.getLogger(__name__)
+PATHS: Final = {False: "/v1/completions", True: "/v1/chat/completions"}
+FULL_STATUSES: Final = frozenset({429, 503})
+GAP_SAMPLE: Final = 16  # one gap in so many is observed; each costs 8 us
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptEvents:
+    """What the relay wants to hear of attempts.
+
+    Attributes:
+        served: something is new for the callers of a stream.
+        finished: the answer is whole; with its finish reason and the time.
+        failed: the request is given up.
+        again_at: a retry is due at a time, monotonic seconds.
+    """
+
+    served: Callable[[Stream], None]
+    finished: Callable[[Stream, str, float], None]
+    failed: Callable[[Stream, BerylpostError], None]
+    again_at: Callable[[float], None]
+
+
+class Attempts:
+    """All open attempts.
+
+    Args:
+        selector: of the relay.
+        settings: of the relay.
+        in_force: the board's slot of configurations.
+        waiting: the waiting room, with the pools.
+        recorder: of decisions.
+        random_state: for jitter.
+        events: of the relay.
+    """
+
+    def __init__(
+        self,
+        *,
+        selector: selectors.BaseSelector,
+        settings: RelaySettings,
+        in_force: Slot[Mapping[str, InForce]],
+        waiting: WaitingRoom,
+        recorder: Recorder,
+        random_state: random.Random,
+        events: AttemptEvents,
+    ) -> None:
+        self.open: dict[str, Upstream] = {}
+        self._selector = selector
+        self._settings = settings
+        self._in_force = in_force
+        self._waiting = waiting
+        self._recorder = recorder
+        self._random = random_state
+        self._events = events
+        self._budget = Budget()
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for upstream in self.open.values():
+            upstream.close()
+
+    def earn_retries(self) -> None:
+        """Notes a new request, which earns a share of a retry."""
+        self._budget = earn_budget(self._budget, self._settings.retry_ratio)
+
+    def start(self, stream: Stream, pool: Pool, now: float) -> bool:
+        """Sends the next attempt; False when no replica takes it."""
+        choice = pool.choose(stream, now)
+        if choice is None:
+            return False
+        self._recorder.record_choice(stream.request, choice, now)
+        self._waiting.remove(stream)
+        replica = choice.replica
+        if stream.n_attempts:
+            moved = replica.id != stream.prefer
+            n_chars = len(stream.request.prompt) + len(stream.text)
+            RECOMPUTED_TOKENS.inc(n_chars // CHARS_PER_TOKEN if moved else 0)
+        stream.n_attempts += 1
+        stream.state = StreamState.RUNNING
+        stream.backend = replica.id
+        stream.prefer = ""
+        stream.base_tokens = stream.n_tokens
+        stream.started_at = now
+        stream.last_token_at = 0.0
+        pool.start(stream, replica.id)
+        self._waiting.change_usage(stream, running=1)
+        ATTEMPTS.labels("first" if stream.n_attempts == 1 else "again").inc()
+        upstream = Upstream(
+            address=replica.address,
+            path=PATHS[stream.request.chat],
+            body=build_body(stream),
+            request_id=stream.request.id,
+            now=now,
+        )
+        self.open[stream.request.id] = upstream
+        mask = selectors.EVENT_READ | selectors.EVENT_WRITE
+        self._selector.register(upstream.socket, mask, (stream, upstream))
+        return True
+
+    def handle(self, data: tuple[Stream, Upstream], mask: int) -> None:
+        """Handles an engine's socket that the selector says is ready."""
+        stream, upstream = data
+        if self.open.get(stream.request.id) is not upstream:
+            LATE_ANSWERS.inc()
+            return
+        events: list[UpstreamEvent] = []
+        if mask & selectors.EVENT_WRITE:
+            events += upstream.write_ready()
+            if not upstream.wants_write():
+                self._selector.modify(upstream.socket, selectors.EVENT_READ, data)
+        if mask & selectors.EVENT_READ and not events:
+            events += upstream.read_ready(time.monotonic())
+        for event in events:
+            if self.open.get(stream.request.id) is not upstream:
+                break
+            self._take_event(stream, event)
+        self._events.served(stream)
+
+    def _take_event(self, stream: Stream, event: UpstreamEvent) -> None:
+        now = time.monotonic()
+        match event:
+            case Token():
+                self._take_token(stream, event, now)
+            case LoadReport():
+                self._take_load(stream, event, now)
+            case Refusal():
+                self._observe(stream, None, now)
+                full = event.status in FULL_STATUSES
+                self.fail(stream, Failure.REFUSED if full else Failure.CUT)
+            case Ended():
+                if not event.whole or not stream.finish_reason:
+                    failure = Failure.CUT if event.sent else Failure.UNSENT
+                    self.fail(stream, failure)
+
+    def _take_token(self, stream: Stream, token: Token, now: float) -> None:
+        if not stream.first_token_at:
+            stream.first_token_at = now
+            FIRST_TOKEN.observe(now - stream.accepted_at)
+        if not stream.last_token_at:
+            self._observe(stream, now - stream.started_at, now)
+        elif not token.n_tokens % GAP_SAMPLE:
+            TOKEN_GAP.observe(now - stream.last_token_at)
+        stream.last_token_at = now
+        stream.n_tokens = stream.base_tokens + token.n_tokens
+        if stream.n_tokens > stream.max_tokens:
+            check_invariant(
+                "answer_within_max_tokens", False, request=stream.request.id
+            )
+        if token.text or token.finish_reason:
+            stream.add(token.text)
+        if token.finish_reason:
+            self._events.finished(stream, token.finish_reason, now)
+
+    def _take_load(self, stream: Stream, report: LoadReport, now: float) -> None:
+        pool = self._waiting.find_pool(stream.request)
+        if pool is not None:
+            pool.report(stream.backend, report, now)
+
+    def _observe(self, stream: Stream, first_s: float | None, now: float) -> None:
+        pool = self._waiting.find_pool(stream.request)
+        in_force = self._in_force.read().get(stream.request.deployment)
+        if pool is not None and in_force is not None:
+            target_s = in_force.deployment.target.first_token_ms / 1_000
+            pool.observe(stream.backend, first_s, target_s, now)
+
+    def close_attempt(self, stream: Stream, service_s: float | None = None) -> None:
+        """Closes the connection to the engine, if one is open."""
+        upstream = self.open.pop(stream.request.id, None)
+        if upstream is None:
+            return
+        self._selector.unregister(upstream.socket)
+        upstream.close()
+        self._waiting.change_usage(stream, running=-1)
+        pool = self._waiting.find_pool(stream.request)
+        if pool is not None:
+            pool.end(stream.backend, service_s)
+
+    def fail(self, stream: Stream, failure: Failure) -> None:
+        """Ends an attempt that did not finish and decides how to go on."""
+        now = time.monotonic()
+        backend = stream.backend
+        self.close_attempt(stream)
+        if stream.n_tokens >= stream.max_tokens:
+            # All tokens came; only the engine's closing word was cut.
+            stream.add("")
+            self._events.finished(stream, "length", now)
+            return
+        if failure is not Failure.LEAVING:
+            stream.n_failures += 1
+            stream.avoid.add(backend)
+        decision = decide_retry(
+            failure=failure,
+            idempotent=True,
+            n_attempts=stream.n_failures,
+            max_attempts=self._settings.max_attempts,
+            n_tokens=stream.n_tokens,
+            left_s=stream.deadline - now,
+            budget=self._budget,
+            random_state=self._random,
+        )
+        log_event(
+            LOGGER,
+            "attempt_ended",
+            request=stream.request.id,
+            backend=backend,
+            failure=failure,
+            tokens=stream.n_tokens,
+            decision=type(decision).__name__,
+        )
+        match decision:
+            case Retry():
+                self._budget = decision.budget
+                stream.not_before = now + decision.pause_s
+                stream.start_by = stream.deadline
+                self._waiting.add(stream)
+                self._events.again_at(stream.not_before)
+            case GiveUp():
+                kind = (
+                    ErrorKind.ANSWER_CUT
+                    if stream.n_tokens
+                    else ErrorKind.NO_BACKEND
+                    if failure in (Failure.UNSENT, Failure.REFUSED)
+                    else ErrorKind.BACKEND_FAILED
+                )
+                self._events.failed(stream, BerylpostError(kind, decision.reason))
+
+    def end_stalled(self, now: float, streams: Mapping[str, Stream]) -> None:
+        """Ends attempts that do not connect or have gone silent."""
+        for stream_id, upstream in list(self.open.items()):
+            silent_s = now - upstream.last_data_at
+            stream = streams[stream_id]
+            if not upstream.connected and silent_s > self._settings.connect_timeout_s:
+                self.fail(stream, Failure.UNSENT)
+            elif silent_s > self._settings.stall_timeout_s:
+                self._observe(stream, None, now)
+                self.fail(stream, Failure.STALLED)
--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -20,7 +20,7 @@
 from .policy.addresses import N_ADDRESSES, choose_addresses
 from .policy.ledger import choose_owner, choose_shard
 from .policy.membership import Table, find_successor, list_active
-from .relay import Attach, Query, Submit
+from .relay_messages import Attach, Query, Submit
 from .services import Defer, ServiceCall
 from .streams import StreamRequest, parse_event_id
 from .web import HttpRequest, HttpResponse, Site, TakeSocket, register_route
--- a/berylpost/deferred.py
+++ b/berylpost/deferred.py
@@ -22,7 +22,7 @@
 from .messages import DeferAnswer, DeferRequest, HeldRequest
 from .peers import Send
 from .policy.ledger import Entry, EntryKind
-from .relay import Hold, Peek, Resume
+from .relay_messages import Hold, Peek, Resume
 from .shards import Shard, ShardKeeper
 from .streams import Stream, StreamState, describe_answer, hold_stream
 
--- a/berylpost/drain.py
+++ b/berylpost/drain.py
@@ -28,7 +28,7 @@
 from .platform.objects import HttpObjects, Objects
 from .policy.ledger import choose_owner
 from .policy.membership import GONE, Table, choose_successors, list_active
-from .relay import CountOpen, HoldAll, Released, Resume
+from .relay_messages import CountOpen, HoldAll, Released, Resume
 from .settings import DrainSettings
 
 LOGGER: Final = logging.getLogger(__name__)
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -2,8 +2,10 @@
 
 CherryPy accepts a request and hands its socket over; from then on one thread with
 one selector admits, queues, routes, relays and, when an engine fails or leaves,
-goes on elsewhere. A thread a stream would cost six times the processor time; see
-docs/DESIGN.md. What to do is decided in `policy`; this module carries it out.
+goes on elsewhere. A thread a stream would cost twice the processor time and more;
+see docs/DESIGN.md. This module is the loop, the messages and the life of a request;
+its parts are `connections` (callers), `waiting` (the queue), `attempts` (engines)
+and `reclaims`. What to do is decided in `policy`.
 """
 
 import heapq
@@ -14,147 +16,45 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from concurrent.futures import Future
-from dataclasses import dataclass
 from typing import Any, Final
 
+from .attempts import AttemptEvents, Attempts
 from .callers import Caller
 from .configurations import InForce
+from .connections import Connections
 from .errors import ANSWERS, BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Context, Plugin, Slot, register_plugin
-from .logs import log_event
 from .messages import Backend, HeldRequest
-from .metrics import (
-    ATTEMPTS,
-    FIRST_TOKEN,
-    LATE_ANSWERS,
-    OPEN_STREAMS,
-    QUEUED_STREAMS,
-    RECOMPUTED_TOKENS,
-    REFUSALS,
-    REQUESTS,
-    TOKEN_GAP,
-)
+from .metrics import OPEN_STREAMS, QUEUED_STREAMS, REFUSALS, REQUESTS
+from .movers import Mover, make_mover
 from .peers import BackendsHeard
-from .policy.admission import (
-    Refused,
-    Usage,
-    Waiting,
-    allow_wait,
-    decide_admission,
-    list_overdue,
-    order_queue,
-)
-from .policy.membership import Table, list_active
-from .policy.reclaim import OpenStream, Plan, Way, plan_reclaim
-from .policy.retry import (
-    Budget,
-    Failure,
-    GiveUp,
-    Retry,
-    decide_retry,
-    earn_budget,
-)
-from .policy.routing import CHARS_PER_TOKEN
-from .pools import Pool, group_backends
+from .reclaims import CacheMoved, Reclaims
 from .recording import Recorder
+from .relay_messages import (
+    Attach,
+    CountOpen,
+    Hold,
+    HoldAll,
+    Peek,
+    Query,
+    Released,
+    Resume,
+    Submit,
+)
 from .streams import (
     Stream,
     StreamRequest,
     StreamState,
-    build_body,
     describe_status,
     hold_stream,
     render_error,
     resume_stream,
 )
-from .upstream import Ended, LoadReport, Refusal, Token, Upstream, UpstreamEvent
+from .waiting import WaitingRoom
 
 LOGGER: Final = logging.getLogger(__name__)
 TICK_S: Final = 0.25
-PATHS: Final = {False: "/v1/completions", True: "/v1/chat/completions"}
-FULL_STATUSES: Final = frozenset({429, 503})
-DEFAULT_TOKEN_S: Final = 0.042
-GAP_SAMPLE: Final = 16  # one gap in so many is observed; each costs 8 us
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Submit:
-    """A new request with the socket of its caller, if one waits."""
-
-    request: StreamRequest
-    socket: socket.socket | None
-    on_end: Callable[[Stream], None] | None = None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Attach:
-    """A caller that asks for the answer of a request accepted earlier."""
-
-    stream_id: str
-    socket: socket.socket
-    after: int = 0
-    whole: bool = False
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Query:
-    """Asks for a request's status; the result is None when it is not known."""
-
-    stream_id: str
-    customer: str
-    result: "Future[dict[str, Any] | None]"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HoldAll:
-    """Asks for all requests that need longer than `left_s`; they stop here."""
-
-    left_s: float
-    result: "Future[list[HeldRequest]]"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Hold:
-    """Asks for some requests, which stop here; those that ended are left out."""
-
-    stream_ids: tuple[str, ...]
-    result: "Future[list[HeldRequest]]"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Peek:
-    """Asks how far some requests are; they go on."""
-
-    stream_ids: tuple[str, ...]
-    result: "Future[list[HeldRequest]]"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Released:
-    """Another daemon has these requests; tell the callers to go there."""
-
-    stream_ids: tuple[str, ...]
-    address: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Resume:
-    """Requests to go on with: taken over, or held and not taken by anyone.
-
-    With `on_end` nobody else waits for them, and it hears of their end.
-    """
-
-    requests: tuple[HeldRequest, ...]
-    on_end: Callable[[Stream], None] | None = None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CountOpen:
-    """Asks how many requests are not final yet."""
-
-    result: "Future[int]"
 
 
 class RelayTask:
@@ -163,6 +63,7 @@
     Args:
         context: settings, board and the other tasks.
         random_state: for jitter.
+        recorder: of decisions.
         mover: moves the KV cache of a text between two engines; it runs elsewhere
             and calls back with whether it succeeded. None when engines cannot.
     """
@@ -173,13 +74,9 @@
         context: Context,
         random_state: random.Random,
         recorder: Recorder,
-        mover: Callable[[str, str, str, Callable[[bool], None]], None] | None = None,
+        mover: Mover | None = None,
     ) -> None:
-        self._context = context
         self._settings = context.settings.relay
-        self._random = random_state
-        self._recorder = recorder
-        self._mover = mover
         self._selector = selectors.DefaultSelector()
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
@@ -187,16 +84,8 @@
         self._selector.register(self._wake_read, selectors.EVENT_READ, None)
         self._inbox: list[Any] = []
         self._streams: dict[str, Stream] = {}
-        self._upstreams: dict[str, Upstream] = {}
-        self._callers: dict[str, list[Caller]] = {}
         self._on_end: dict[str, Callable[[Stream], None]] = {}
         self._keys: dict[tuple[str, str], str] = {}
-        self._queue: dict[str, Stream] = {}
-        self._pools: dict[tuple[str, str], Pool] = {}
-        self._usage: dict[tuple[str, str], Usage] = {}
-        self._running: dict[str, int] = {}
-        self._orphans: dict[str, float] = {}
-        self._budget = Budget()
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._n_timers = 0
         self._next_tick_at = 0.0
@@ -204,9 +93,41 @@
         self._leaving = False
         self._stopping = False
         self._thread: threading.Thread | None = None
-        self._members: Slot[Table] = context.slots["members"]
         self._in_force: Slot[Mapping[str, InForce]] = context.slots["configurations"]
         self._backends: Slot[Mapping[str, Backend]] = context.slots["backends"]
+        self._connections = Connections(
+            selector=self._selector,
+            settings=self._settings,
+            find=self._streams.get,
+            end_orphan=self._end_orphan,
+        )
+        self._waiting = WaitingRoom(
+            settings=self._settings, in_force=self._in_force, recorder=recorder
+        )
+        self._attempts = Attempts(
+            selector=self._selector,
+            settings=self._settings,
+            in_force=self._in_force,
+            waiting=self._waiting,
+            recorder=recorder,
+            random_state=random_state,
+            events=AttemptEvents(
+                served=self._connections.serve,
+                finished=self._finish,
+                failed=self._fail,
+                again_at=lambda when: self._call_at(when, self._start_waiting),
+            ),
+        )
+        self._reclaims = Reclaims(
+            streams=self._streams,
+            waiting=self._waiting,
+            attempts=self._attempts,
+            backends=self._backends,
+            members=context.slots["members"],
+            recorder=recorder,
+            mover=mover,
+            post=self.post,
+        )
         self._handlers: dict[type, Callable[[Any], None]] = {
             Submit: self._submit,
             Attach: self._attach,
@@ -218,6 +139,7 @@
             Resume: self._resume,
             CountOpen: lambda m: m.result.set_result(self._count_open()),
             BackendsHeard: self._hear_backends,
+            CacheMoved: self._reclaims.go_on,
         }
 
     # The task's life.
@@ -233,11 +155,8 @@
         self._wake()
         if self._thread is not None:
             self._thread.join(5)
-        for upstream in self._upstreams.values():
-            upstream.close()
-        for callers in self._callers.values():
-            for caller in callers:
-                caller.socket.close()
+        self._attempts.close()
+        self._connections.close()
         self._selector.close()
         self._wake_read.close()
         self._wake_write.close()
@@ -289,9 +208,9 @@
         if key.data is None:
             self._wake_read.recv(4_096)
         elif isinstance(key.data, Caller):
-            self._handle_caller(key.data, mask)
+            self._connections.handle(key.data, mask)
         else:
-            self._handle_upstream(key.data, mask)
+            self._attempts.handle(key.data, mask)
 
     # Requests come in.
 
@@ -310,22 +229,18 @@
             request=request,
             accepted_at=now,
             deadline=now + request.deadline_s,
-            start_by=now + self._allow_wait(request),
+            start_by=now + self._waiting.allow_wait(request),
         )
         self._streams[request.id] = stream
         if request.key:
             self._keys[request.customer, request.key] = request.id
         if message.on_end is not None:
             self._on_end[request.id] = message.on_end
-        self._budget = earn_budget(self._budget, self._settings.retry_ratio)
-        self._enqueue(stream)
+        self._attempts.earn_retries()
+        self._waiting.add(stream)
         if message.socket is not None:
-            self._add_caller(stream, message.socket, 0, not request.stream)
-        self._start_waiting(now)
-
-    def _allow_wait(self, request: StreamRequest) -> float:
-        pool = self._find_pool(request)
-        return allow_wait(request.patience_s, pool.first_token_s if pool else 0.0)
+            self._connections.add(stream, message.socket, 0, not request.stream)
+        self._start_waiting()
 
     def _attach_repeat(self, stream_id: str, message: Submit) -> None:
         """Answers a repeated Idempotency-Key from the request it names."""
@@ -335,54 +250,7 @@
             self._refuse(message, error)
         elif message.socket is not None:
             whole = not message.request.stream
-            self._add_caller(stream, message.socket, 0, whole)
-
-    def _admit(self, request: StreamRequest, now: float) -> BerylpostError | None:
-        if self._leaving:
-            return BerylpostError(ErrorKind.LEAVING, "use another address")
-        in_force = self._in_force.read().get(request.deployment)
-        pool = self._find_pool(request)
-        if in_force is None or pool is None or not pool.replicas:
-            detail = f"no replica of {request.model!r}"
-            return BerylpostError(ErrorKind.NO_BACKEND, detail, retry_after_s=2)
-        customers = {c.name: c for c in in_force.deployment.customers}
-        customer = customers[request.customer]
-        place = (request.deployment, request.customer)
-        usage = self._usage.get(place, Usage())
-        active = {
-            name
-            for (deployment, name), used in self._usage.items()
-            if deployment == request.deployment and used.running + used.queued
-        }
-        weights = {c: customers[c].weight for c in active if c in customers}
-        load = pool.describe_load(self._settings.max_streams, self._settings.max_queue)
-        patience_s = self._allow_wait(request)
-        decision = decide_admission(
-            customer=customer,
-            usage=usage,
-            weights={**weights, customer.name: customer.weight},
-            load=load,
-            patience_s=patience_s,
-            now=now,
-        )
-        self._recorder.record(
-            "admission",
-            now=now,
-            inputs={
-                "customer": customer,
-                "usage": usage,
-                "weights": {**weights, customer.name: customer.weight},
-                "load": load,
-                "patience_s": patience_s,
-            },
-            outcome=decision,
-        )
-        if isinstance(decision, Refused):
-            return BerylpostError(
-                decision.kind, decision.detail, retry_after_s=decision.retry_after_s
-            )
-        self._usage[place] = decision.usage
-        return None
+            self._connections.add(stream, message.socket, 0, whole)
 
     def _refuse(self, message: Submit, error: BerylpostError) -> None:
         REFUSALS.labels(error.kind).inc()
@@ -394,22 +262,15 @@
             stream.state, stream.error = StreamState.FAILED, error
             message.on_end(stream)
         if message.socket is not None:
-            self._answer_once(message.socket, render_error(error))
-
-    def _answer_once(self, sock: socket.socket, data: bytes) -> None:
-        sock.setblocking(False)
-        caller = Caller(socket=sock, stream_id="", closing=True)
-        caller.buffer += data
-        self._selector.register(sock, selectors.EVENT_READ, caller)
-        self._flush(caller)
+            self._connections.answer_once(message.socket, render_error(error))
 
     def _attach(self, message: Attach) -> None:
         stream = self._streams.get(message.stream_id)
         if stream is None:
             error = BerylpostError(ErrorKind.EXPIRED, "no longer kept here")
-            self._answer_once(message.socket, render_error(error))
+            self._connections.answer_once(message.socket, render_error(error))
             return
-        self._add_caller(stream, message.socket, message.after, message.whole)
+        self._connections.add(stream, message.socket, message.after, message.whole)
 
     def _query(self, message: Query) -> None:
         stream = self._streams.get(message.stream_id)
@@ -418,330 +279,37 @@
             stream = None
         message.result.set_result(describe_status(stream) if stream else None)
 
-    # Callers.
-
-    def _add_caller(
-        self, stream: Stream, sock: socket.socket, after: int, whole: bool
-    ) -> None:
-        sock.setblocking(False)
-        caller = Caller(
-            socket=sock,
-            stream_id=stream.request.id,
-            next_event=after + 1,
-            whole=whole,
-        )
-        self._callers.setdefault(stream.request.id, []).append(caller)
-        self._orphans.pop(stream.request.id, None)
-        self._selector.register(sock, selectors.EVENT_READ, caller)
-        self._serve_caller(caller, stream)
-
-    def _serve_callers(self, stream: Stream) -> None:
-        callers = self._callers.get(stream.request.id)
-        if callers is None:
-            return
-        for caller in tuple(callers):
-            self._serve_caller(caller, stream)
-
-    def _serve_caller(self, caller: Caller, stream: Stream) -> None:
-        caller.fill(stream, self._settings.caller_buffer_bytes, stream.moved_to)
-        self._flush(caller)
-
-    def _flush(self, caller: Caller) -> None:
-        if not caller.flush():
-            self._drop_caller(caller)
-            return
-        if caller.closing and not caller.buffer:
-            stream = self._streams.get(caller.stream_id)
-            if stream is not None and stream.state is StreamState.DONE:
-                stream.delivered = True
-            self._drop_caller(caller)
-            return
-        wants_write = bool(caller.buffer)
-        if wants_write != caller.wants_write:
-            caller.wants_write = wants_write
-            mask = selectors.EVENT_READ | selectors.EVENT_WRITE * wants_write
-            self._selector.modify(caller.socket, mask, caller)
+    def _admit(self, request: StreamRequest, now: float) -> BerylpostError | None:
+        if self._leaving:
+            return BerylpostError(ErrorKind.LEAVING, "use another address")
+        return self._waiting.admit(request, now)
 
-    def _handle_caller(self, caller: Caller, mask: int) -> None:
-        if mask & selectors.EVENT_READ and caller.is_gone():
-            self._drop_caller(caller)
-            return
-        stream = self._streams.get(caller.stream_id)
-        if stream is not None and not caller.closing:
-            caller.fill(stream, self._settings.caller_buffer_bytes, stream.moved_to)
-        self._flush(caller)
+    def _start_waiting(self) -> None:
+        self._waiting.start_waiting(time.monotonic(), self._attempts.start)
 
-    def _drop_caller(self, caller: Caller) -> None:
-        try:
-            self._selector.unregister(caller.socket)
-        except (KeyError, ValueError):
-            return  # dropped already
-        caller.socket.close()
-        callers = self._callers.get(caller.stream_id)
-        if callers is None:
-            return
-        callers.remove(caller)
-        if callers:
-            return
-        del self._callers[caller.stream_id]
-        stream = self._streams.get(caller.stream_id)
-        if stream is not None and not stream.is_final():
-            self._orphans[caller.stream_id] = time.monotonic()
-            self._limit_orphans()
+    def _hear_backends(self, _: BackendsHeard) -> None:
+        self._reclaims.renew_pools()
+        self._start_waiting()
 
-    def _limit_orphans(self) -> None:
-        """Ends the requests that have gone longest without a caller."""
-        while len(self._orphans) > self._settings.max_orphans:
-            self._end_orphan(next(iter(self._orphans)))
+    # Requests end.
 
     def _end_orphan(self, stream_id: str) -> None:
-        self._orphans.pop(stream_id, None)
+        self._connections.orphans.pop(stream_id, None)
         stream = self._streams.get(stream_id)
         if stream is not None and not stream.is_final():
             error = BerylpostError(ErrorKind.ANSWER_CUT, "the caller left")
             self._fail(stream, error)
 
-    # The queue.
-
-    def _enqueue(self, stream: Stream) -> None:
-        stream.state = StreamState.QUEUED
-        self._queue[stream.request.id] = stream
-        self._change_usage(stream, queued=1)
-        pool = self._find_pool(stream.request)
-        if pool is not None:
-            pool.n_queued += 1
-
-    def _dequeue(self, stream: Stream) -> None:
-        if self._queue.pop(stream.request.id, None) is None:
-            return
-        self._change_usage(stream, queued=-1)
-        pool = self._find_pool(stream.request)
-        if pool is not None:
-            pool.n_queued -= 1
-
-    def _change_usage(self, stream: Stream, running: int = 0, queued: int = 0) -> None:
-        place = (stream.request.deployment, stream.request.customer)
-        usage = self._usage.get(place, Usage())
-        changed = Usage(
-            running=usage.running + running,
-            queued=usage.queued + queued,
-            bucket=usage.bucket,
-            filled_at=usage.filled_at,
-        )
-        check_invariant(
-            "usage_not_negative", changed.running >= 0 and changed.queued >= 0
-        )
-        self._usage[place] = changed
-
-    def _find_pool(self, request: StreamRequest) -> Pool | None:
-        return self._pools.get((request.deployment, request.model))
-
-    def _start_waiting(self, now: float) -> None:
-        """Starts as many waiting requests as there is room for."""
-        ready = [s for s in self._queue.values() if s.not_before <= now]
-        rooms = {
-            key: pool for key, pool in self._pools.items() if ready and pool.has_room()
-        }
-        if not rooms:
-            return
-        waiting = [self._describe_waiting(s) for s in ready]
-        running = {c: u.running for (_, c), u in self._usage.items()}
-        for item in order_queue(waiting, running):
-            stream = self._queue[item.id]
-            pool = rooms.get((stream.request.deployment, stream.request.model))
-            if pool is None:
-                continue
-            if not self._start_attempt(stream, pool, now):
-                if not pool.has_room():
-                    del rooms[stream.request.deployment, stream.request.model]
-                if not rooms:
-                    return
-
-    def _describe_waiting(self, stream: Stream) -> Waiting:
-        request = stream.request
-        return Waiting(
-            id=request.id,
-            customer=request.customer,
-            weight=request.weight,
-            # What has begun goes first: its caller already waits for the next token.
-            priority=-1 if stream.n_tokens else request.priority,
-            start_by=stream.start_by,
-            queued_at=stream.accepted_at,
-        )
-
-    # Attempts.
-
-    def _start_attempt(self, stream: Stream, pool: Pool, now: float) -> bool:
-        choice = pool.choose(stream, now)
-        if choice is None:
-            return False
-        self._recorder.record_choice(stream.request, choice, now)
-        self._dequeue(stream)
-        replica = choice.replica
-        if stream.n_attempts:
-            moved = replica.id != stream.prefer
-            n_chars = len(stream.request.prompt) + len(stream.text)
-            RECOMPUTED_TOKENS.inc(n_chars // CHARS_PER_TOKEN if moved else 0)
-        stream.n_attempts += 1
-        stream.state = StreamState.RUNNING
-        stream.backend = replica.id
-        stream.prefer = ""
-        stream.base_tokens = stream.n_tokens
-        stream.started_at = now
-        stream.last_token_at = 0.0
-        pool.start(stream, replica.id)
-        self._change_usage(stream, running=1)
-        ATTEMPTS.labels("first" if stream.n_attempts == 1 else "again").inc()
-        upstream = Upstream(
-            address=replica.address,
-            path=PATHS[stream.request.chat],
-            body=build_body(stream),
-            request_id=stream.request.id,
-            now=now,
-        )
-        self._upstreams[stream.request.id] = upstream
-        mask = selectors.EVENT_READ | selectors.EVENT_WRITE
-        self._selector.register(upstream.socket, mask, (stream, upstream))
-        return True
-
-    def _handle_upstream(self, data: tuple[Stream, Upstream], mask: int) -> None:
-        stream, upstream = data
-        if self._upstreams.get(stream.request.id) is not upstream:
-            LATE_ANSWERS.inc()
-            return
-        events: list[UpstreamEvent] = []
-        if mask & selectors.EVENT_WRITE:
-            events += upstream.write_ready()
-            if not upstream.wants_write():
-                self._selector.modify(upstream.socket, selectors.EVENT_READ, data)
-        if mask & selectors.EVENT_READ and not events:
-            events += upstream.read_ready(time.monotonic())
-        for event in events:
-            if self._upstreams.get(stream.request.id) is not upstream:
-                break
-            self._take_event(stream, event)
-        self._serve_callers(stream)
-
-    def _take_event(self, stream: Stream, event: UpstreamEvent) -> None:
-        now = time.monotonic()
-        match event:
-            case Token():
-                self._take_token(stream, event, now)
-            case LoadReport():
-                self._take_load(stream, event, now)
-            case Refusal():
-                self._observe(stream, None, now)
-                full = event.status in FULL_STATUSES
-                self._fail_attempt(stream, Failure.REFUSED if full else Failure.CUT)
-            case Ended():
-                if not event.whole or not stream.finish_reason:
-                    failure = Failure.CUT if event.sent else Failure.UNSENT
-                    self._fail_attempt(stream, failure)
-
-    def _take_token(self, stream: Stream, token: Token, now: float) -> None:
-        if not stream.first_token_at:
-            stream.first_token_at = now
-            FIRST_TOKEN.observe(now - stream.accepted_at)
-        if not stream.last_token_at:
-            self._observe(stream, now - stream.started_at, now)
-        elif not token.n_tokens % GAP_SAMPLE:
-            TOKEN_GAP.observe(now - stream.last_token_at)
-        stream.last_token_at = now
-        stream.n_tokens = stream.base_tokens + token.n_tokens
-        if stream.n_tokens > stream.max_tokens:
-            check_invariant(
-                "answer_within_max_tokens", False, request=stream.request.id
-            )
-        if token.text or token.finish_reason:
-            stream.add(token.text)
-        if token.finish_reason:
-            self._finish(stream, token.finish_reason, now)
-
-    def _take_load(self, stream: Stream, report: LoadReport, now: float) -> None:
-        pool = self._find_pool(stream.request)
-        if pool is not None:
-            pool.report(stream.backend, report, now)
-
-    def _observe(self, stream: Stream, first_s: float | None, now: float) -> None:
-        pool = self._find_pool(stream.request)
-        in_force = self._in_force.read().get(stream.request.deployment)
-        if pool is not None and in_force is not None:
-            target_s = in_force.deployment.target.first_token_ms / 1_000
-            pool.observe(stream.backend, first_s, target_s, now)
-
-    def _close_attempt(self, stream: Stream, service_s: float | None = None) -> None:
-        upstream = self._upstreams.pop(stream.request.id, None)
-        if upstream is None:
-            return
-        self._selector.unregister(upstream.socket)
-        upstream.close()
-        self._change_usage(stream, running=-1)
-        pool = self._find_pool(stream.request)
-        if pool is not None:
-            pool.end(stream.backend, service_s)
-
-    def _fail_attempt(self, stream: Stream, failure: Failure) -> None:
-        """Ends an attempt that did not finish and decides how to go on."""
-        now = time.monotonic()
-        backend = stream.backend
-        self._close_attempt(stream)
-        if stream.n_tokens >= stream.max_tokens:
-            # All tokens came; only the engine's closing word was cut.
-            stream.add("")
-            self._finish(stream, "length", now)
-            return
-        if failure is not Failure.LEAVING:
-            stream.n_failures += 1
-            stream.avoid.add(backend)
-        decision = decide_retry(
-            failure=failure,
-            idempotent=True,
-            n_attempts=stream.n_failures,
-            max_attempts=self._settings.max_attempts,
-            n_tokens=stream.n_tokens,
-            left_s=stream.deadline - now,
-            budget=self._budget,
-            random_state=self._random,
-        )
-        log_event(
-            LOGGER,
-            "attempt_ended",
-            request=stream.request.id,
-            backend=backend,
-            failure=failure,
-            tokens=stream.n_tokens,
-            decision=type(decision).__name__,
-        )
-        match decision:
-            case Retry():
-                self._budget = decision.budget
-                stream.not_before = now + decision.pause_s
-                stream.start_by = stream.deadline
-                self._enqueue(stream)
-                restart = time.monotonic
-                self._call_at(stream.not_before, lambda: self._start_waiting(restart()))
-            case GiveUp():
-                kind = (
-                    ErrorKind.ANSWER_CUT
-                    if stream.n_tokens
-                    else ErrorKind.NO_BACKEND
-                    if failure in (Failure.UNSENT, Failure.REFUSED)
-                    else ErrorKind.BACKEND_FAILED
-                )
-                self._fail(stream, BerylpostError(kind, decision.reason))
-
-    # Ends.
-
     def _finish(self, stream: Stream, reason: str, now: float) -> None:
         stream.finish_reason = reason
-        self._close_attempt(stream, now - stream.started_at)
+        self._attempts.close_attempt(stream, now - stream.started_at)
         self._end(stream, StreamState.DONE, "done")
 
     def _fail(self, stream: Stream, error: BerylpostError) -> None:
         stream.error = error
         REFUSALS.labels(error.kind).inc()
-        self._dequeue(stream)
-        self._close_attempt(stream)
+        self._waiting.remove(stream)
+        self._attempts.close_attempt(stream)
         self._end(stream, StreamState.FAILED, "failed")
 
     def _end(self, stream: Stream, state: StreamState, outcome: str) -> None:
@@ -750,107 +318,12 @@
         stream.ended_at = time.monotonic()
         REQUESTS.labels(stream.request.customer, outcome).inc()
         self._retained_bytes += len(stream.text)
-        self._orphans.pop(stream.request.id, None)
+        self._connections.orphans.pop(stream.request.id, None)
         on_end = self._on_end.pop(stream.request.id, None)
         if on_end is not None and state is not StreamState.MOVED:
             on_end(stream)
-        self._serve_callers(stream)
-        self._start_waiting(time.monotonic())
-
-    # Backend servers.
-
-    def _hear_backends(self, _: BackendsHeard) -> None:
-        table = self._backends.read()
-        n_daemons = len(list_active(self._members.read()))
-        groups = group_backends(table.values(), "engine")
-        for key in groups.keys() - self._pools.keys():
-            self._pools[key] = Pool(deployment=key[0], model=key[1])
-        for key, pool in self._pools.items():
-            before = pool.leaving
-            pool.set_backends(groups.get(key, ()), n_daemons)
-            for backend_id in pool.leaving - before:
-                self._reclaim_backend(table[backend_id])
-        self._start_waiting(time.monotonic())
-
-    def _reclaim_backend(self, backend: Backend) -> None:
-        """Plans for the streams on a backend server that got notice."""
-        now = time.monotonic()
-        on_it = {
-            s.request.id: s
-            for s in self._streams.values()
-            if s.state is StreamState.RUNNING and s.backend == backend.id
-        }
-        left_s = backend.deadline - time.time()
-        open_streams = [self._describe_open(s, now) for s in on_it.values()]
-        plans = plan_reclaim(
-            open_streams, left_s=left_s, can_move=self._mover is not None
-        )
-        self._recorder.record(
-            "reclaim",
-            now=now,
-            inputs={
-                "streams": open_streams,
-                "left_s": left_s,
-                "can_move": self._mover is not None,
-            },
-            outcome=plans,
-        )
-        for plan in plans:
-            self._carry_out(plan, on_it[plan.id], backend)
-
-    def _describe_open(self, stream: Stream, now: float) -> OpenStream:
-        n_attempt = stream.n_tokens - stream.base_tokens
-        pace = (now - stream.started_at) / n_attempt if n_attempt else DEFAULT_TOKEN_S
-        n_prompt = len(stream.request.prompt) // CHARS_PER_TOKEN
-        return OpenStream(
-            id=stream.request.id,
-            n_context=n_prompt + stream.n_tokens,
-            n_left=stream.max_tokens - stream.n_tokens,
-            token_s=pace,
-        )
-
-    def _carry_out(self, plan: Plan, stream: Stream, backend: Backend) -> None:
-        log_event(
-            LOGGER,
-            "stream_planned",
-            request=plan.id,
-            backend=backend.id,
-            way=plan.way,
-            reason=plan.reason,
-        )
-        if plan.way is Way.FINISH:
-            return
-        pool = self._find_pool(stream.request)
-        choice = pool.choose(stream, time.monotonic()) if pool else None
-        if plan.way is Way.RESTART or choice is None or self._mover is None:
-            self._fail_attempt(stream, Failure.LEAVING)
-            return
-        target = choice.replica
-        text = stream.request.prompt + stream.text.decode()
-
-        def go_on(moved: bool) -> None:
-            self.post(
-                CacheMoved(
-                    stream_id=plan.id, source=backend.id, target=target.id, moved=moved
-                )
-            )
-
-        self._handlers.setdefault(CacheMoved, self._go_on)
-        self._mover(text, backend.address, target.address, go_on)
-
-    def _go_on(self, message: "CacheMoved") -> None:
-        stream = self._streams.get(message.stream_id)
-        if (
-            stream is None
-            or stream.state is not StreamState.RUNNING
-            or stream.backend != message.source
-        ):
-            return  # finished or failed over while the cache moved
-        if message.moved:
-            stream.prefer = message.target
-        prefer = stream.prefer
-        self._fail_attempt(stream, Failure.LEAVING)
-        stream.prefer = prefer
+        self._connections.serve(stream)
+        self._start_waiting()
 
     # This daemon leaves, or takes over from one that does.
 
@@ -867,13 +340,13 @@
                 if stream.state is not StreamState.MOVED and not stream.delivered:
                     held.append(hold_stream(stream, now))
                 continue
-            described = self._describe_open(stream, now)
+            described = self._reclaims.describe_open(stream, now)
             running = stream.state is StreamState.RUNNING
             if running and described.n_left * described.token_s < message.left_s:
                 continue
             record = hold_stream(stream, now)
-            self._dequeue(stream)
-            self._close_attempt(stream)
+            self._waiting.remove(stream)
+            self._attempts.close_attempt(stream)
             stream.state = StreamState.HELD
             held.append(record)
         message.result.set_result(held)
@@ -886,8 +359,8 @@
             if stream is None or stream.is_final():
                 continue
             held.append(hold_stream(stream, now))
-            self._dequeue(stream)
-            self._close_attempt(stream)
+            self._waiting.remove(stream)
+            self._attempts.close_attempt(stream)
             self._on_end.pop(stream_id, None)
             del self._streams[stream_id]
         message.result.set_result(held)
@@ -918,7 +391,7 @@
             if present is not None and present.state is not StreamState.HELD:
                 continue  # the batch came twice
             if present is not None:
-                self._enqueue(present)
+                self._waiting.add(present)
                 continue
             stream = self._revive(held, now)
             self._streams[held.id] = stream
@@ -926,9 +399,9 @@
                 self._retained_bytes += len(stream.text)
             else:
                 if message.on_end is None:
-                    self._orphans[held.id] = now
-                self._enqueue(stream)
-        self._start_waiting(now)
+                    self._connections.orphans[held.id] = now
+                self._waiting.add(stream)
+        self._start_waiting()
 
     def _revive(self, held: HeldRequest, now: float) -> Stream:
         weight, priority = 1.0, 5
@@ -941,28 +414,27 @@
 
     def _count_open(self) -> int:
         return sum(not s.is_final() for s in self._streams.values()) + len(
-            self._callers
+            self._connections.by_stream
         )
 
     # Time.
 
     def _tick(self, now: float) -> None:
         self._end_overdue(now)
-        self._end_stalled(now)
+        self._attempts.end_stalled(now, self._streams)
         grace = self._settings.orphan_grace_s
-        for stream_id, since in list(self._orphans.items()):
+        for stream_id, since in list(self._connections.orphans.items()):
             if now - since >= grace:
                 self._end_orphan(stream_id)
         self._forget_ended(now)
-        if not self._pools and self._backends.read():
-            self._hear_backends(BackendsHeard(backends=()))
-        self._start_waiting(now)
-        OPEN_STREAMS.set(len(self._upstreams))
-        QUEUED_STREAMS.set(len(self._queue))
+        if not self._waiting.pools and self._backends.read():
+            self._reclaims.renew_pools()
+        self._start_waiting()
+        OPEN_STREAMS.set(len(self._attempts.open))
+        QUEUED_STREAMS.set(len(self._waiting.queued))
 
     def _end_overdue(self, now: float) -> None:
-        waiting = [self._describe_waiting(s) for s in self._queue.values()]
-        for stream_id in list_overdue(waiting, now):
+        for stream_id in self._waiting.list_overdue(now):
             stream = self._streams[stream_id]
             if stream.n_attempts:
                 kind = ErrorKind.ANSWER_CUT
@@ -975,21 +447,11 @@
                 error = BerylpostError(ErrorKind.ANSWER_CUT, "deadline passed")
                 self._fail(stream, error)
 
-    def _end_stalled(self, now: float) -> None:
-        for stream_id, upstream in list(self._upstreams.items()):
-            silent_s = now - upstream.last_data_at
-            stream = self._streams[stream_id]
-            if not upstream.connected and silent_s > self._settings.connect_timeout_s:
-                self._fail_attempt(stream, Failure.UNSENT)
-            elif silent_s > self._settings.stall_timeout_s:
-                self._observe(stream, None, now)
-                self._fail_attempt(stream, Failure.STALLED)
-
     def _forget_ended(self, now: float) -> None:
         """Forgets ended requests after their retention, or earlier when many."""
         settings = self._settings
         for stream_id, stream in list(self._streams.items()):
-            if not stream.is_final() or stream_id in self._callers:
+            if not stream.is_final() or stream_id in self._connections.by_stream:
                 continue
             kept_s = now - stream.ended_at
             over = self._retained_bytes > settings.retained_bytes
@@ -1001,19 +463,7 @@
                 self._keys.pop((stream.request.customer, stream.request.key), None)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CacheMoved:
-    """The mover's word on one stream."""
-
-    stream_id: str
-    source: str
-    target: str
-    moved: bool
-
-
 def _build(context: Context) -> RelayTask:
-    from .movers import make_mover
-
     seed = f"{context.settings.daemon.id}/{time.time_ns()}"
     return RelayTask(
         context=context,
