Share the mailbox of tasks that wait on sockets; keep the test log whole

Cause: peers and relay each had the same wake-up socket and guard; the runner opened its console as a file, which truncates a log it is redirected to. Change: Inbox and guard_step in the kernel; the console is behave's default output. Conclusion: behaviour unchanged.

--- a/berylpost/kernel.py
+++ b/berylpost/kernel.py
@@ -8,6 +8,7 @@
 import logging
 import queue
 import secrets
+import socket
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -53,6 +54,53 @@
         """Puts a message into the mailbox; callable from any thread."""
 
 
+class Inbox:
+    """A mailbox for a task that waits on sockets: posting wakes its selector."""
+
+    def __init__(self) -> None:
+        self._messages: list[Any] = []
+        self.wake_socket, self._write = socket.socketpair()
+        self.wake_socket.setblocking(False)
+        self._write.setblocking(False)
+
+    def post(self, message: Any) -> None:
+        """Puts a message in; callable from any thread."""
+        self._messages.append(message)
+        self.wake()
+
+    def wake(self) -> None:
+        """Wakes the task."""
+        try:
+            self._write.send(b"x")
+        except OSError:
+            pass  # awake already, or closed
+
+    def drain_wakes(self) -> None:
+        """Reads what woke the task."""
+        try:
+            self.wake_socket.recv(4_096)
+        except BlockingIOError:
+            pass  # another wake read it
+
+    def take(self) -> list[Any]:
+        """Takes all messages out, oldest first."""
+        messages, self._messages = self._messages, []
+        return messages
+
+    def close(self) -> None:
+        """Closes the sockets."""
+        self.wake_socket.close()
+        self._write.close()
+
+
+def guard_step(task: str, step: Callable[..., None], *arguments: Any) -> None:
+    """Runs one step of a task; a failure is logged and ends no more than the step."""
+    try:
+        step(*arguments)
+    except Exception:
+        LOGGER.exception("event=task_error task=%s", task)
+
+
 class MailboxTask:
     """A task without sockets of its own to wait on: a mailbox and a tick.
 
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -7,7 +7,6 @@
 
 import logging
 import random
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -20,7 +19,15 @@
 
 from .errors import SettingsError
 from .hashing import hash_bytes
-from .kernel import STOP_TIMEOUT_S, Context, Plugin, Slot, register_plugin
+from .kernel import (
+    STOP_TIMEOUT_S,
+    Context,
+    Inbox,
+    Plugin,
+    Slot,
+    guard_step,
+    register_plugin,
+)
 from .logs import log_event
 from .messages import (
     Backend,
@@ -194,10 +201,7 @@
         self._zmq = zmq_context or zmq.Context()
         self._owns_zmq = zmq_context is None
         self._dealers: dict[tuple[str, str], zmq.Socket[bytes]] = {}
-        self._inbox: list[Any] = []
-        self._wake_read, self._wake_write = socket.socketpair()
-        self._wake_read.setblocking(False)
-        self._wake_write.setblocking(False)
+        self._inbox = Inbox()
         self._authenticator: ThreadAuthenticator | None = None
         self._stopping = False
         self._thread: threading.Thread | None = None
@@ -276,7 +280,7 @@
     def stop(self) -> None:
         """Stops the thread and closes all sockets."""
         self._stopping = True
-        self._wake()
+        self._inbox.wake()
         if self._thread is not None:
             self._thread.join(STOP_TIMEOUT_S)
             for dealer in self._dealers.values():
@@ -286,47 +290,30 @@
             self._authenticator.stop()
         if self._owns_zmq:
             self._zmq.destroy(linger=200)
-        self._wake_read.close()
-        self._wake_write.close()
+        self._inbox.close()
 
     def post(self, message: Any) -> None:
         """Puts a message into the mailbox."""
-        self._inbox.append(message)
-        self._wake()
+        self._inbox.post(message)
 
     def send(self, to: str, message: Message) -> None:
         """Sends to a member; shorthand for posting `Send`."""
         self.post(Send(to=to, message=message))
 
-    def _wake(self) -> None:
-        try:
-            self._wake_write.send(b"x")
-        except BlockingIOError:
-            pass  # already awake
-        except OSError:
-            pass  # stopped; nothing left to wake
-
     def _run(self) -> None:
         poller = zmq.Poller()
+        wake = self._inbox.wake_socket.fileno()
         poller.register(self._router, zmq.POLLIN)
-        poller.register(self._wake_read.fileno(), zmq.POLLIN)
+        poller.register(wake, zmq.POLLIN)
         while not self._stopping:
             events = dict(poller.poll(SPREAD_POLL_MS if self._to_spread else TICK_MS))
-            if self._wake_read.fileno() in events:
-                self._wake_read.recv(4_096)
-            inbox, self._inbox = self._inbox, []
-            for message in inbox:
-                self._guard(self._dispatch, message)
+            if wake in events:
+                self._inbox.drain_wakes()
+            for message in self._inbox.take():
+                guard_step("peers", self._dispatch, message)
             if self._router in events:
                 self._receive()
-            self._guard(self._tick)
-
-    def _guard(self, step: Callable[..., None], *arguments: Any) -> None:
-        try:
-            step(*arguments)
-        except Exception:
-            # One bad message must not end membership for the whole daemon.
-            LOGGER.exception("event=task_error task=peers")
+            guard_step("peers", self._tick)
 
     def _receive(self) -> None:
         for _ in range(SEND_QUEUE):
@@ -340,7 +327,7 @@
             except msgspec.MsgspecError:
                 PEER_REFUSED.labels("malformed").inc()
                 continue
-            self._guard(self._dispatch, message)
+            guard_step("peers", self._dispatch, message)
 
     def _dispatch(self, message: Any) -> None:
         handler = self._handlers.get(type(message))
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -12,7 +12,6 @@
 import logging
 import random
 import selectors
-import socket
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -24,7 +23,7 @@
 from .connections import Connections
 from .errors import ANSWERS, BerylpostError, ErrorKind
 from .invariants import check_invariant
-from .kernel import Context, Plugin, Slot, register_plugin
+from .kernel import Context, Inbox, Plugin, Slot, guard_step, register_plugin
 from .messages import Backend, HeldRequest
 from .metrics import OPEN_STREAMS, QUEUED_STREAMS, REFUSALS, REQUESTS
 from .movers import Mover, make_mover
@@ -78,11 +77,8 @@
     ) -> None:
         self._settings = context.settings.relay
         self._selector = selectors.DefaultSelector()
-        self._wake_read, self._wake_write = socket.socketpair()
-        self._wake_read.setblocking(False)
-        self._wake_write.setblocking(False)
-        self._selector.register(self._wake_read, selectors.EVENT_READ, None)
-        self._inbox: list[Any] = []
+        self._inbox = Inbox()
+        self._selector.register(self._inbox.wake_socket, selectors.EVENT_READ, None)
         self._streams: dict[str, Stream] = {}
         self._on_end: dict[str, Callable[[Stream], None]] = {}
         self._keys: dict[tuple[str, str], str] = {}
@@ -152,41 +148,25 @@
     def stop(self) -> None:
         """Stops the thread and closes every socket."""
         self._stopping = True
-        self._wake()
+        self._inbox.wake()
         if self._thread is not None:
             self._thread.join(5)
         self._attempts.close()
         self._connections.close()
         self._selector.close()
-        self._wake_read.close()
-        self._wake_write.close()
+        self._inbox.close()
 
     def post(self, message: Any) -> None:
         """Puts a message into the mailbox."""
-        self._inbox.append(message)
-        self._wake()
-
-    def _wake(self) -> None:
-        try:
-            self._wake_write.send(b"x")
-        except OSError:
-            pass  # awake already, or stopped
+        self._inbox.post(message)
 
     def _run(self) -> None:
         while not self._stopping:
             for key, mask in self._selector.select(self._next_wait()):
-                self._guard(self._handle_ready, key, mask)
-            inbox, self._inbox = self._inbox, []
-            for message in inbox:
-                self._guard(self._handlers[type(message)], message)
-            self._guard(self._run_timers)
-
-    def _guard(self, step: Callable[..., None], *arguments: Any) -> None:
-        try:
-            step(*arguments)
-        except Exception:
-            # One stream's failure must not end the others'.
-            LOGGER.exception("event=task_error task=relay")
+                guard_step("relay", self._handle_ready, key, mask)
+            for message in self._inbox.take():
+                guard_step("relay", self._handlers[type(message)], message)
+            guard_step("relay", self._run_timers)
 
     def _next_wait(self) -> float:
         due = self._timers[0][0] if self._timers else self._next_tick_at
@@ -206,7 +186,7 @@
 
     def _handle_ready(self, key: selectors.SelectorKey, mask: int) -> None:
         if key.data is None:
-            self._wake_read.recv(4_096)
+            self._inbox.drain_wakes()
         elif isinstance(key.data, Caller):
             self._connections.handle(key.data, mask)
         else:
--- a/features/run.py
+++ b/features/run.py
@@ -28,19 +28,20 @@
 def main() -> int:
     """Runs the features named on the command line, or all."""
     if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
-        print(f"passed over as known red:\n{KNOWN_RED.read_text()}")
+        print(f"passed over as known red:\n{KNOWN_RED.read_text()}", flush=True)
     wanted = sys.argv[1:] or [str(FEATURES)]
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = [sys.executable, "-m", "behave", "--no-color", "--no-summary"]
         command += ["--no-skipped", "--tags", "not @known_red", "--no-capture"]
-        command += ["--format", "progress2", "--outfile", "/dev/stdout"]
+        # The first has the file; a second one without a file writes to the console.
         command += ["--format", "json", "--outfile", report.name]
+        command += ["--format", "progress2"]
         status = subprocess.run([*command, *wanted], cwd=FEATURES.parent).returncode
         counts = count_scenarios(Path(report.name).read_text())
     n_passed = counts.pop("passed", 0)
     counts.pop("skipped", 0)
     n_failed = sum(counts.values())
-    print(f"\n{n_passed} passed, {n_failed} failed")
+    print(f"\n{n_passed} passed, {n_failed} failed", flush=True)
     return 0 if n_passed and not n_failed and status == 0 else 1
 
 
