Keep callers on TLS when they are sent on; replace engines that died silently

Cause: redirects named http:// whatever the caller used, so a move over TLS would have been lost; an engine that died while its VM stayed listed was never replaced. Change: locations without a scheme; TLS scenario with an authority made for the run; the planner gives back an engine that answered once and is silent for 8 s.

--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -74,6 +74,7 @@
         customers: names; the token of each is `NAME-token`.
         separate_world: run the stand-ins in a process of their own, for timings;
             they are then reached over HTTP alone.
+        tls: callers talk HTTPS, with certificates made for this run.
         overrides: settings merged over the defaults of each daemon, by section.
     """
 
@@ -92,6 +93,7 @@
     shape: EngineShape = field(default_factory=EngineShape)
     overrides: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     separate_world: bool = False
+    tls: bool = False
 
 
 def make_document(spec: FleetSpec) -> dict[str, Any]:
@@ -211,7 +213,29 @@
         self.objects = HttpObjects(
             url=f"http://{self.world_spec.objects}", timeout_s=2.0
         )
-        self._http = urllib3.PoolManager(retries=False, timeout=2.0)
+        self.ca_file = ""
+        self._tls: dict[str, str] = {}
+        if spec.tls:
+            self._tls = self._make_certificates()
+        self._scheme = "https" if spec.tls else "http"
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=2.0, ca_certs=self.ca_file or None
+        )
+
+    def _make_certificates(self) -> dict[str, str]:
+        """Makes an authority and one certificate for the loopback address."""
+        import trustme
+
+        directory = Path(self._directory.name)
+        authority = trustme.CA()
+        issued = authority.issue_cert(HOST)
+        self.ca_file = str(directory / "ca.pem")
+        authority.cert_pem.write_to_path(self.ca_file)
+        certificate, key = directory / "cert.pem", directory / "key.pem"
+        issued.private_key_pem.write_to_path(str(key))
+        for blob in issued.cert_chain_pems:
+            blob.write_to_path(str(certificate), append=True)
+        return {"tls_certificate": str(certificate), "tls_key": str(key)}
 
     def __enter__(self) -> "Fleet":
         try:
@@ -301,7 +325,7 @@
                 "vm": daemon.vm,
                 "deployments": [self.spec.deployment],
             },
-            "listen": {"http": daemon.http, "peers": daemon.peers},
+            "listen": {"http": daemon.http, "peers": daemon.peers, **self._tls},
             "platform": {
                 "objects": f"http://{world.objects}",
                 "cloud": f"http://{world.cloud}",
@@ -325,7 +349,7 @@
             if not daemon.is_running():
                 raise TimeoutError(f"{daemon.id} ended:\n{self.read_log(daemon)}")
             with contextlib.suppress(urllib3.exceptions.HTTPError):
-                url = f"http://{daemon.http}/readyz"
+                url = f"{self._scheme}://{daemon.http}/readyz"
                 return self._http.request("GET", url).status == 200
             return False
 
@@ -359,7 +383,8 @@
 
     def read_metric(self, daemon: Daemon, name: str) -> float:
         """Sums a metric over its labels."""
-        text = self._http.request("GET", f"http://{daemon.http}/metrics").data.decode()
+        url = f"{self._scheme}://{daemon.http}/metrics"
+        text = self._http.request("GET", url).data.decode()
         return sum(
             float(line.rpartition(" ")[2])
             for line in text.splitlines()
@@ -375,12 +400,14 @@
     def client(self, customer: str = "weighbridge") -> Client:
         """Makes a caller's client."""
         addresses = [d.http for d in self.daemons]
-        return Client(addresses=addresses, token=f"{customer}-token")
+        token = f"{customer}-token"
+        return Client(addresses=addresses, token=token, ca_file=self.ca_file)
 
     def operator(self, daemon: Daemon | None = None) -> Client:
         """Makes an operator's client."""
         daemons = [daemon] if daemon else self.daemons
-        return Client(addresses=[d.http for d in daemons], token=OPERATOR_TOKEN)
+        addresses = [d.http for d in daemons]
+        return Client(addresses=addresses, token=OPERATOR_TOKEN, ca_file=self.ca_file)
 
     def kill(self, daemon: Daemon) -> None:
         """Kills a daemon at once."""
--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -237,7 +237,7 @@
         raise BerylpostError(
             ErrorKind.STORE_UNAVAILABLE, "its shard is changing hands", retry_after_s=1
         )
-    location = f"http://{members[owner].http}{request.path}"
+    location = f"//{members[owner].http}{request.path}"
     return HttpResponse(status=307, headers=(("Location", location),))
 
 
@@ -299,7 +299,7 @@
     holder = find_successor(members, stream_id.partition(".")[0])
     if not holder or holder == table.self_id:
         raise BerylpostError(ErrorKind.NOT_FOUND, f"no request {stream_id!r}")
-    location = f"http://{members[holder].http}{request.path}"
+    location = f"//{members[holder].http}{request.path}"
     return HttpResponse(status=307, headers=(("Location", location),))
 
 
@@ -337,7 +337,7 @@
             raise
         return redirect_request(site, request, stream_id)
     if found["state"] == "moved" and found["moved_to"]:
-        location = f"http://{found['moved_to']}{request.path}"
+        location = f"//{found['moved_to']}{request.path}"
         return HttpResponse(status=307, headers=(("Location", location),))
 
     def hand_over(sock: socket.socket) -> None:
--- a/berylpost/client.py
+++ b/berylpost/client.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any, Final
+from urllib.parse import urljoin
 
 import msgspec
 import urllib3
@@ -96,16 +97,24 @@
         addresses: IP-NUMBER:PORT of daemons to ask first.
         token: bearer token.
         timeout_s: longest silence of a server.
+        ca_file: PEM file of the authority to trust; empty means plain HTTP.
     """
 
     def __init__(
-        self, *, addresses: list[str], token: str, timeout_s: float = 30.0
+        self,
+        *,
+        addresses: list[str],
+        token: str,
+        timeout_s: float = 30.0,
+        ca_file: str = "",
     ) -> None:
         self._seeds = list(addresses)
         self._kept: list[str] = []
         self._kept_until = 0.0
         self._headers = {"Authorization": f"Bearer {token}"}
+        self._scheme = "https" if ca_file else "http"
         self._pool = urllib3.PoolManager(
+            ca_certs=ca_file or None,
             maxsize=8,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
@@ -156,7 +165,7 @@
         Raises:
             Problem: a problem answer, or none; `ran` tells what is known.
         """
-        url = f"http://{address}{path}"
+        url = f"{self._scheme}://{address}{path}"
         sent = {**self._headers, **(headers or {})}
         for _ in range(MAX_REDIRECTS):
             response = self._send(method, url, body, sent, stream)
@@ -164,7 +173,7 @@
                 break
             # By hand, since the token must go along to the other daemon.
             response.drain_conn()
-            url = response.headers["Location"]
+            url = urljoin(url, response.headers["Location"])
             if response.status == 303:
                 method, body = "GET", None
         if response.status >= 400:
--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -52,6 +52,7 @@
 ORDER_TIMEOUT_S: Final = 10.0
 UNLISTED_S: Final = 60.0  # a started VM may be missing from the list for so long
 DRAIN_S: Final = 600.0
+SILENT_S: Final = 8.0  # an engine that answered before is replaced after
 MAX_REASONS: Final = 50
 
 
@@ -102,6 +103,7 @@
     refused_at: dict[str, float] = field(default_factory=dict)
     reclaims: dict[str, int] = field(default_factory=dict)
     noticed: set[str] = field(default_factory=set)
+    silent_since: dict[str, float] = field(default_factory=dict)
 
 
 class PlannerTask(MailboxTask):
@@ -192,6 +194,7 @@
             if start.vm not in listed
         ]
         self._note_reclaims(plan, engines)
+        self._end_silent(name, plan, states)
         self._plan_models(name, plan, in_force, states)
         self._plan_versions(name, plan, in_force, states, engines)
 
@@ -222,6 +225,11 @@
 
     def _describe(self, vm: Vm, plan: _Plan) -> EngineVm:
         load = self._read_load(vm)
+        if load.model:
+            plan.silent_since[vm.id] = 0.0
+        elif not plan.silent_since.get(vm.id, -1.0):
+            # It has answered before; one that starts has longer.
+            plan.silent_since[vm.id] = time.monotonic()
         leaving = bool(vm.notice_at) or vm.id in plan.record.ends
         return EngineVm(
             id=vm.id,
@@ -336,6 +344,16 @@
         record = msgspec.structs.replace(plan.record, ends=ends)
         self._write(name, plan, self._explain(plan, record, "give_back", action.reason))
 
+    def _end_silent(self, name: str, plan: _Plan, states: list[EngineVm]) -> None:
+        """Gives back engines that answered once and have been silent for long."""
+        now = time.monotonic()
+        for vm in states:
+            since = plan.silent_since.get(vm.id, 0.0)
+            if vm.leaving or since <= 0 or now - since < SILENT_S:
+                continue
+            reason = f"silent for {now - since:.0f} s"
+            self._give_back(name, plan, GiveBackVm(vm=vm.id, reason=reason))
+
     def _finish_ends(self, plan: _Plan, engines: list[Vm]) -> None:
         """Tells daemons to send no new work, ends VMs that are idle."""
         by_id = {vm.id: vm for vm in engines}
--- a/berylpost/streams.py
+++ b/berylpost/streams.py
@@ -255,7 +255,8 @@
 
 def render_moved_whole(stream: Stream, address: str) -> bytes:
     """Sends a caller that waits for a whole answer to where it will be."""
-    location = f"http://{address}/v1/requests/{stream.request.id}/answer"
+    # Without a scheme, so that a caller over TLS stays on it (RFC 3986, 4.2).
+    location = f"//{address}/v1/requests/{stream.request.id}/answer"
     return render_response(303, [("Location", location)], b"")
 
 
--- a/features/environment.py
+++ b/features/environment.py
@@ -48,6 +48,10 @@
     if "fresh_fleet" in scenario.effective_tags:
         context.own = Fleet(spec=FleetSpec(shape=SHAPE, overrides=OVERRIDES))
         context.own.__enter__()
+    if "tls_fleet" in scenario.effective_tags:
+        spec = FleetSpec(shape=SHAPE, overrides=OVERRIDES, tls=True)
+        context.own = Fleet(spec=spec)
+        context.own.__enter__()
     context.fleet = context.own or context.shared
 
 
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -78,3 +78,9 @@
     Then within 15 s the cloud runs 2 engines of version 5
     When an order of an old holder for version 3 reaches the first engine
     Then within 5 s the cloud runs 2 engines of version 5
+
+  @fresh_fleet
+  Scenario: An engine that died without a word is replaced
+    When the model is patched to version 1 with 2 replicas
+    And the first engine dies while its VM stays listed
+    Then within 25 s the cloud runs 2 engines that answer
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -67,3 +67,12 @@
     When 250 generated requests are sent raw to one daemon
     Then each got a problem answer, an answer or a closed connection
     And that daemon still serves a whole summary and holds no open stream
+
+  @tls_fleet
+  Scenario: Over TLS, streams, sent-on callers and a reclaim keep their promises
+    When 12 summaries of 30 tokens are asked for over TLS by clients of all daemons
+    Then each caller has the whole answer to its own prompt
+    And a request is found from every daemon over TLS
+    And a plain HTTP request to that port gets no answer of ours
+    When 6 summaries of 500 tokens are asked for over TLS while a daemon is reclaimed
+    Then each caller has the whole answer to its own prompt
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -221,3 +221,20 @@
     )
     assert response.status == 200
     assert engine.version == str(version)
+
+
+@when("the first engine dies while its VM stays listed")
+def kill_engine(context: Context) -> None:
+    time.sleep(3.0)  # the planner has seen it answer
+    world = context.fleet.world.world
+    context.dead = "vm-engine-1"
+    context.fleet.world.call(world.engines[context.dead].server.stop())
+
+
+@then("within {bound:d} s the cloud runs {n:d} engines that answer")
+def check_replaced(context: Context, bound: int, n: int) -> None:
+    def is_so() -> bool:
+        engines = [vm for vm, _ in list_engines(context)]
+        return len(engines) == n and context.dead not in engines
+
+    wait_until(is_so, timeout_s=bound, what="the dead engine replaced")
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -384,3 +384,57 @@
 
     wait_until(holds_none, timeout_s=10, what="no open stream")
     assert context.fleet.read_metric(daemon, "berylpost_invariant_failures_total") == 0
+
+
+def ask_over_tls(context: Context, n: int, n_tokens: int, disturb) -> None:
+    context.n_tokens = n_tokens
+    prompts = [f"over tls {i} of {n}" for i in range(n)]
+    jobs = [lambda p=p: ask(context.fleet.client(), p, n_tokens) for p in prompts]
+    *answers, _ = run_all([*jobs, disturb])
+    context.answers = list(zip(prompts, answers, strict=True))
+
+
+@when(
+    "{n:d} summaries of {n_tokens:d} tokens are asked for over TLS "
+    "by clients of all daemons"
+)
+def ask_tls(context: Context, n: int, n_tokens: int) -> None:
+    ask_over_tls(context, n, n_tokens, lambda: None)
+
+
+@then("a request is found from every daemon over TLS")
+def find_tls(context: Context) -> None:
+    answer = context.answers[0][1]
+    for daemon in context.fleet.daemons:
+        response = context.fleet.client().request(
+            "GET", f"/v1/requests/{answer.request}/answer", address=daemon.http
+        )
+        assert json.loads(response.data)["choices"][0]["text"] == answer.text
+
+
+@then("a plain HTTP request to that port gets no answer of ours")
+def ask_plain(context: Context) -> None:
+    host, port = context.fleet.daemons[0].http.split(":")
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(b"GET /v1/addresses HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            answer = sock.recv(4_096)
+        except ConnectionResetError:
+            answer = b""
+    assert b"addresses" not in answer, answer
+
+
+@when(
+    "{n:d} summaries of {n_tokens:d} tokens are asked for over TLS "
+    "while a daemon is reclaimed"
+)
+def ask_tls_reclaimed(context: Context, n: int, n_tokens: int) -> None:
+    def reclaim() -> None:
+        time.sleep(0.5)
+        daemon = context.fleet.daemons[0]
+        context.fleet.reclaim(daemon.vm, 4.0)
+        time.sleep(4.0)
+        if daemon.is_running():
+            context.fleet.kill(daemon)
+
+    ask_over_tls(context, n, n_tokens, reclaim)
