--- a/berylpost/bench/catalogue.py
+++ b/berylpost/bench/catalogue.py
@@ -25,8 +25,10 @@
     """Imports the experiments; only then are their libraries needed."""
     from .bookings import run_bookings
     from .chaos import run_chaos
+    from .cost import run_cost
     from .decisions import run_decisions
     from .gossip import run_gossip
+    from .handover import run_handover
     from .limits import run_limits
     from .relay import run_relay
     from .routing import run_routing
@@ -35,8 +37,10 @@
     return {
         "bookings": run_bookings,
         "chaos": run_chaos,
+        "cost": run_cost,
         "decisions": run_decisions,
         "gossip": run_gossip,
+        "handover": run_handover,
         "limits": run_limits,
         "relay": run_relay,
         "routing": run_routing,
--- /dev/null
+++ b/berylpost/bench/handover.py
@@ -0,0 +1,106 @@
+"""A daemon with many open streams is reclaimed: what is lost, and for how long.
+
+The streams are those of one daemon; with `whole zone` set every daemon of its zone
+gets notice at once. Every answer is compared word by word.
+"""
+
+import random
+import threading
+import time
+from typing import Any, Final
+
+from ..client import Client, Problem
+from ..demo import MODEL, expect_text
+from ..fakes.engine import EngineShape
+from .catalogue import Result
+from .fleet import Daemon, Fleet, FleetSpec
+from .gossip import percentile
+
+N_STREAMS: Final = 200
+N_TOKENS: Final = 211
+TOKEN_S: Final = 0.042
+NOTICE_S: Final = 5.0
+BEGUN_S: Final = 2.0
+
+
+class _Watcher:
+    """Streams one answer and notes its longest gap."""
+
+    def __init__(self, *, fleet: Fleet, daemon: Daemon, place: int) -> None:
+        self.prompt = f"handover {place}"
+        self.gaps: list[float] = []
+        self.outcome = "open"
+        self.n_resumes = 0
+        others = [d.http for d in fleet.daemons if d is not daemon]
+        random.Random(place).shuffle(others)
+        addresses = [daemon.http, *others]
+        self._client = Client(addresses=addresses, token="weighbridge-token")
+        self._client.use_addresses(addresses, ttl_s=60.0)
+
+    def run(self) -> None:
+        """Streams to the end."""
+        document = {"model": MODEL, "prompt": self.prompt, "max_tokens": N_TOKENS}
+        last_at, text = 0.0, ""
+        try:
+            headers = {"Prefer": "wait=60"}
+            for answer in self._client.stream("/v1/completions", document, headers):
+                now = time.monotonic()
+                if last_at:
+                    self.gaps.append(now - last_at)
+                last_at, text, self.n_resumes = now, answer.text, answer.n_resumes
+        except Problem as problem:
+            self.outcome = f"lost: {problem.kind}"
+            return
+        whole = text == expect_text(self.prompt, N_TOKENS)
+        self.outcome = "whole" if whole else "wrong"
+
+
+def measure_reclaim(*, whole_zone: bool) -> dict[str, Any]:
+    """Reclaims one daemon, or all of its zone, under its open streams."""
+    spec = FleetSpec(
+        n_daemons=6,
+        zones=("toowoomba", "dalby", "gatton"),
+        n_engines=24,
+        shape=EngineShape(slots=64, token_s=TOKEN_S),
+        customers=({"name": "weighbridge", "rate": 5_000, "concurrency": 5_000},),
+        overrides={"relay": {"max_streams": 2_000, "max_queue": 2_000}},
+    )
+    with Fleet(spec=spec) as fleet:
+        first = fleet.daemons[0]
+        zone = [d for d in fleet.daemons if d.zone == first.zone]
+        leaving = zone if whole_zone else [first]
+        watchers = [
+            _Watcher(fleet=fleet, daemon=leaving[i % len(leaving)], place=i)
+            for i in range(N_STREAMS * len(leaving))
+        ]
+        threads = [threading.Thread(target=w.run) for w in watchers]
+        for thread in threads:
+            thread.start()
+        time.sleep(BEGUN_S)
+        for daemon in leaving:
+            fleet.reclaim(daemon.vm, NOTICE_S)
+        time.sleep(NOTICE_S)
+        for daemon in leaving:
+            if daemon.is_running():
+                fleet.kill(daemon)
+        for thread in threads:
+            thread.join()
+    outcomes = [w.outcome for w in watchers]
+    longest = [max(w.gaps) for w in watchers if w.gaps and w.n_resumes]
+    return {
+        "streams": len(watchers),
+        "outcomes": {name: outcomes.count(name) for name in sorted(set(outcomes))},
+        "resumed": len(longest),
+        "longest_gap_p50_s": percentile(longest, 0.5) if longest else 0.0,
+        "longest_gap_p95_s": percentile(longest, 0.95) if longest else 0.0,
+    }
+
+
+def run_handover(_seed: int, _minutes: float) -> Result:
+    """Measures one daemon's reclaim and a whole zone's."""
+    figures = {
+        "one daemon": measure_reclaim(whole_zone=False),
+        "a whole zone": measure_reclaim(whole_zone=True),
+    }
+    passed = all(set(found["outcomes"]) == {"whole"} for found in figures.values())
+    return Result(figures=figures, passed=passed)
