--- /dev/null
+++ b/berylpost/application.py
@@ -0,0 +1,181 @@
+"""The command line's table: each command's name, words and options.
+
+What a command does is a function in `commands`.
+"""
+
+from cleo.application import Application
+from cleo.helpers import argument, option
+from cleo.io.inputs.argv_input import ArgvInput
+
+from . import VERSION
+from .commands import (
+    CONNECTION,
+    JSON,
+    ask_model,
+    book,
+    check_settings,
+    drain_daemon,
+    get_configuration,
+    init_configuration,
+    make_command,
+    make_keys,
+    make_token_hash,
+    patch_configuration,
+    print_addresses,
+    print_audit,
+    print_status,
+    print_vms,
+    replay_trace,
+    run_bench,
+    run_fakes,
+    serve_help,
+    show_request,
+    wait_configuration,
+)
+
+
+def make_application() -> Application:
+    """Makes the command line with all its commands."""
+    deployment = argument("deployment", "Name of the deployment")
+    commands = [
+        make_command("serve", "Run a daemon: serve -c FILE.yaml", serve_help),
+        make_command(
+            "check",
+            "Check a settings file",
+            check_settings,
+            [argument("file", "Settings, YAML")],
+            [JSON],
+        ),
+        make_command("keys new", "Make a CURVE key pair", make_keys, [], [JSON]),
+        make_command(
+            "keys hash",
+            "Hash a bearer token for the configuration",
+            make_token_hash,
+            [argument("token", "The token")],
+        ),
+        make_command(
+            "config init",
+            "Write a deployment's first configuration",
+            init_configuration,
+            [deployment, argument("file", "Configuration, YAML or JSON")],
+            [option("objects", "o", "Object API, http://IP-NUMBER:PORT", flag=False)],
+        ),
+        make_command(
+            "config get",
+            "Print the configuration in force",
+            get_configuration,
+            [deployment],
+            CONNECTION,
+        ),
+        make_command(
+            "config patch",
+            "Submit a merge patch (object) or JSON patch (list)",
+            patch_configuration,
+            [deployment, argument("file", "Patch, YAML or JSON, - for standard input")],
+            [
+                *CONNECTION,
+                option("number", "N", "Number it was made against", flag=False),
+                option("id", None, "Patch id, to repeat it safely", flag=False),
+            ],
+        ),
+        make_command(
+            "config wait",
+            "Wait until a number is in force everywhere",
+            wait_configuration,
+            [deployment, argument("number", "The number")],
+            [
+                *CONNECTION,
+                option("timeout", None, "Seconds", flag=False, default="15"),
+            ],
+        ),
+        make_command(
+            "config history",
+            "Print accepted patches",
+            print_audit,
+            [deployment],
+            [*CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
+        ),
+        make_command(
+            "audit",
+            "Print accepted patches",
+            print_audit,
+            [deployment],
+            [*CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
+        ),
+        make_command(
+            "ask",
+            "Stream a completion",
+            ask_model,
+            [argument("prompt", "The prompt", multiple=True)],
+            [
+                *CONNECTION,
+                option("model", "m", "Model", flag=False, default="summary-7b"),
+                option("max-tokens", None, "Tokens", flag=False, default="64"),
+            ],
+        ),
+        make_command(
+            "book",
+            "Call a service once under a key",
+            book,
+            [
+                argument("service", "Name of the service"),
+                argument("file", "Body, YAML or JSON, - for standard input"),
+            ],
+            [
+                *CONNECTION,
+                option("key", "k", "Idempotency key", flag=False),
+                option("path", "p", "Path", flag=False, default="/bookings"),
+            ],
+        ),
+        make_command(
+            "addresses", "Print addresses to use", print_addresses, [], CONNECTION
+        ),
+        make_command("status", "Print a daemon's view", print_status, [], CONNECTION),
+        make_command("vms", "Print the VMs", print_vms, [], CONNECTION),
+        make_command("drain", "Stop a daemon gently", drain_daemon, [], CONNECTION),
+        make_command(
+            "requests show",
+            "Print where a request stands",
+            show_request,
+            [argument("id", "Id of the request")],
+            CONNECTION,
+        ),
+        make_command(
+            "fakes", "Run the stand-ins", run_fakes, [argument("file", "World, YAML")]
+        ),
+        make_command(
+            "replay",
+            "Replay recorded decisions",
+            replay_trace,
+            [argument("trace", "Trace, JSON Lines")],
+            [option("limit", "l", "Differences to print", flag=False, default="10")],
+        ),
+        make_command(
+            "bench",
+            "Run an experiment",
+            run_bench,
+            [argument("experiment", "Its name")],
+            [
+                option("seed", "s", "Seed", flag=False, default="1"),
+                option("minutes", None, "How long", flag=False, default="1"),
+            ],
+        ),
+    ]
+    application = Application("berylpost", VERSION)
+    for command in commands:
+        application.add(command)
+    return application
+
+
+def run_commands(arguments: list[str]) -> int:
+    """Runs the command line.
+
+    Args:
+        arguments: without the program's name.
+
+    Returns:
+        The exit status.
+    """
+    application = make_application()
+    application.auto_exits(False)
+    return int(application.run(ArgvInput(["berylpost", *arguments])))
--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -16,12 +16,13 @@
 from .deferred import DEADLINE_S, DeferQuery, make_request_id, read_shard
 from .drain import DrainState
 from .errors import BerylpostError, ErrorKind, Ran
+from .forwarding import ServiceCall
 from .messages import DeferAnswer, DeferRequest, HeldRequest
 from .policy.addresses import N_ADDRESSES, choose_addresses
 from .policy.ledger import choose_owner, choose_shard
 from .policy.membership import Table, find_successor, list_active
 from .relay_messages import Attach, Query, Submit
-from .services import Defer, ServiceCall
+from .services import Defer
 from .streams import StreamRequest, parse_event_id
 from .web import HttpRequest, HttpResponse, Site, TakeSocket, register_route
 
@@ -375,7 +376,7 @@
         deadline_s=read_wait(request) or site.context.settings.ledger.call_timeout_s,
     )
     idempotent = is_idempotent(service, request.method, path)
-    outcome = site.service_caller.call(call, idempotent=idempotent)
+    outcome = site.forwarder.call(call, idempotent=idempotent)
     return HttpResponse(
         status=outcome.status, headers=outcome.headers, body=outcome.body
     )
--- a/berylpost/commands.py
+++ b/berylpost/commands.py
@@ -1,7 +1,8 @@
-"""The command line (cleo): parses, asks through `client`, reports.
+"""What the commands of the command line do: ask through `client` and report.
 
-Every bad input ends with one message and status 1; usage errors are cleo's own.
-Decisions and wire formats live elsewhere; nothing here is imported by the daemon.
+Their table is in `application`. Every bad input ends with one message and status 1;
+usage errors are cleo's own. Decisions and wire formats live elsewhere; nothing here
+is imported by the daemon.
 """
 
 import json
@@ -16,13 +17,11 @@
 import msgspec
 import yaml
 import zmq
-from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
+from cleo.helpers import option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from . import VERSION
 from .client import Client, Problem
 from .configuration import JSON_PATCH, MERGE_PATCH, hash_token
 from .configurations import create_configuration
@@ -67,8 +66,8 @@
 _TOKEN: Final = option(
     "token", "t", "Bearer token, or @FILE to read it from", flag=False, default=""
 )
-_JSON: Final = option("json", None, "Print JSON")
-_CONNECTION: Final = [_ADDRESS, _TOKEN, _JSON]
+JSON: Final = option("json", None, "Print JSON")
+CONNECTION: Final = [_ADDRESS, _TOKEN, JSON]
 
 
 def make_command(
@@ -424,152 +423,3 @@
     """Unreached in practice: `serve` is taken before the command line loads."""
     command.line_error("use: berylpost serve -c FILE.yaml")
     return 1
-
-
-def make_application() -> Application:
-    """Makes the command line with all its commands."""
-    deployment = argument("deployment", "Name of the deployment")
-    commands = [
-        make_command("serve", "Run a daemon: serve -c FILE.yaml", serve_help),
-        make_command(
-            "check",
-            "Check a settings file",
-            check_settings,
-            [argument("file", "Settings, YAML")],
-            [_JSON],
-        ),
-        make_command("keys new", "Make a CURVE key pair", make_keys, [], [_JSON]),
-        make_command(
-            "keys hash",
-            "Hash a bearer token for the configuration",
-            make_token_hash,
-            [argument("token", "The token")],
-        ),
-        make_command(
-            "config init",
-            "Write a deployment's first configuration",
-            init_configuration,
-            [deployment, argument("file", "Configuration, YAML or JSON")],
-            [option("objects", "o", "Object API, http://IP-NUMBER:PORT", flag=False)],
-        ),
-        make_command(
-            "config get",
-            "Print the configuration in force",
-            get_configuration,
-            [deployment],
-            _CONNECTION,
-        ),
-        make_command(
-            "config patch",
-            "Submit a merge patch (object) or JSON patch (list)",
-            patch_configuration,
-            [deployment, argument("file", "Patch, YAML or JSON, - for standard input")],
-            [
-                *_CONNECTION,
-                option("number", "N", "Number it was made against", flag=False),
-                option("id", None, "Patch id, to repeat it safely", flag=False),
-            ],
-        ),
-        make_command(
-            "config wait",
-            "Wait until a number is in force everywhere",
-            wait_configuration,
-            [deployment, argument("number", "The number")],
-            [
-                *_CONNECTION,
-                option("timeout", None, "Seconds", flag=False, default="15"),
-            ],
-        ),
-        make_command(
-            "config history",
-            "Print accepted patches",
-            print_audit,
-            [deployment],
-            [*_CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
-        ),
-        make_command(
-            "audit",
-            "Print accepted patches",
-            print_audit,
-            [deployment],
-            [*_CONNECTION, option("limit", "l", "How many", flag=False, default="20")],
-        ),
-        make_command(
-            "ask",
-            "Stream a completion",
-            ask_model,
-            [argument("prompt", "The prompt", multiple=True)],
-            [
-                *_CONNECTION,
-                option("model", "m", "Model", flag=False, default="summary-7b"),
-                option("max-tokens", None, "Tokens", flag=False, default="64"),
-            ],
-        ),
-        make_command(
-            "book",
-            "Call a service once under a key",
-            book,
-            [
-                argument("service", "Name of the service"),
-                argument("file", "Body, YAML or JSON, - for standard input"),
-            ],
-            [
-                *_CONNECTION,
-                option("key", "k", "Idempotency key", flag=False),
-                option("path", "p", "Path", flag=False, default="/bookings"),
-            ],
-        ),
-        make_command(
-            "addresses", "Print addresses to use", print_addresses, [], _CONNECTION
-        ),
-        make_command("status", "Print a daemon's view", print_status, [], _CONNECTION),
-        make_command("vms", "Print the VMs", print_vms, [], _CONNECTION),
-        make_command("drain", "Stop a daemon gently", drain_daemon, [], _CONNECTION),
-        make_command(
-            "requests show",
-            "Print where a request stands",
-            show_request,
-            [argument("id", "Id of the request")],
-            _CONNECTION,
-        ),
-        make_command(
-            "fakes", "Run the stand-ins", run_fakes, [argument("file", "World, YAML")]
-        ),
-        make_command(
-            "replay",
-            "Replay recorded decisions",
-            replay_trace,
-            [argument("trace", "Trace, JSON Lines")],
-            [option("limit", "l", "Differences to print", flag=False, default="10")],
-        ),
-        make_command(
-            "bench",
-            "Run an experiment",
-            run_bench,
-            [argument("experiment", "Its name")],
-            [
-                option("seed", "s", "Seed", flag=False, default="1"),
-                option("minutes", None, "How long", flag=False, default="1"),
-            ],
-        ),
-    ]
-    application = Application("berylpost", VERSION)
-    for command in commands:
-        application.add(command)
-    return application
-
-
-def run_commands(arguments: list[str]) -> int:
-    """Runs the command line.
-
-    Args:
-        arguments: without the program's name.
-
-    Returns:
-        The exit status.
-    """
-    from cleo.io.inputs.argv_input import ArgvInput
-
-    application = make_application()
-    application.auto_exits(False)
-    return int(application.run(ArgvInput(["berylpost", *arguments])))
--- a/berylpost/main.py
+++ b/berylpost/main.py
@@ -14,7 +14,7 @@
         from .daemon import main as run_daemon
 
         return run_daemon(arguments[1:])
-    from .commands import run_commands
+    from .application import run_commands
 
     return run_commands(arguments)
 
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -25,10 +25,10 @@
 from .configuration import Identity, hash_token
 from .configurations import InForce
 from .errors import BerylpostError, ErrorKind, SettingsError, render_problem
+from .forwarding import Forwarder
 from .kernel import Context, Plugin, Slot, register_plugin
 from .logs import log_event
 from .metrics import REFUSALS
-from .services import Caller as ServiceCaller
 from .settings import split_endpoint
 from .streams import render_response
 
@@ -89,7 +89,7 @@
     """What handlers use; made once for each daemon."""
 
     context: Context
-    service_caller: ServiceCaller
+    forwarder: Forwarder
     random_state: random.Random
 
     def slot(self, name: str) -> Any:
@@ -346,7 +346,7 @@
         random_state = random.Random(f"{context.process_id}/{time.time_ns()}")
         site = Site(
             context=context,
-            service_caller=ServiceCaller(context=context, random_state=random_state),
+            forwarder=Forwarder(context=context, random_state=random_state),
             random_state=random_state,
         )
         application = cherrypy.Application(
