Leave token hashes out of decision records; replay a daemon's own recording

Cause: an admission record held the customer's token hashes. Change: the record has the limits only; a scenario records 20 summaries and a reclaim from a running daemon, replays them and looks for prompts and hashes.

--- a/berylpost/waiting.py
+++ b/berylpost/waiting.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from .configurations import InForce
 from .errors import BerylpostError, ErrorKind
 from .invariants import check_invariant
@@ -88,7 +90,8 @@
             "admission",
             now=now,
             inputs={
-                "customer": customer,
+                # A record needs the limits, not the token hashes.
+                "customer": msgspec.structs.replace(customer, tokens=()),
                 "usage": usage,
                 "weights": {**weights, customer.name: customer.weight},
                 "load": load,
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -76,3 +76,8 @@
   Scenario: Recorded decisions replay to their stated outcomes
     Then the traces in features/traces replay without a difference
     And a trace with one changed outcome is reported with its line and path
+
+  Scenario: What a daemon records replays, and holds no prompt and no token
+    When a daemon that records serves 20 summaries and loses an engine
+    Then its recording has admissions, routings and reclaims and replays without a difference
+    And neither a prompt nor a token's hash stands in it
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -4,13 +4,16 @@
 import re
 import subprocess
 import sys
+import tempfile
 import textwrap
+from pathlib import Path
 from typing import Any
 
 import yaml
 from behave import given, then, when
 from behave.runner import Context
 
+from berylpost.bench.fleet import Fleet, FleetSpec, wait_until
 from berylpost.configuration import apply_patch, hash_token, parse_deployment
 from berylpost.errors import BerylpostError, SettingsError
 from berylpost.kernel import list_plugins, order_plugins
@@ -156,3 +159,44 @@
     differences = replay_lines(iter(lines))
     assert len(differences) == 1, differences
     assert differences[0].startswith(f"line {place + 1}: admission: $.retry_after_s")
+
+
+@when("a daemon that records serves {n:d} summaries and loses an engine")
+def record_decisions(context: Context, n: int) -> None:
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.trace = Path(directory.name) / "trace.jsonl"
+    overrides = {
+        "recording": {"path": str(context.trace)},
+        "platform": {"vm_poll_s": 0.3},
+    }
+    with Fleet(spec=FleetSpec(n_daemons=1, overrides=overrides)) as fleet:
+        client = fleet.client()
+        for place in range(n):
+            prompt = f"a prompt that is nobody's business {place}"
+            document = {"model": "summary-7b", "prompt": prompt, "max_tokens": 5}
+            client.complete("/v1/completions", document)
+        fleet.reclaim("vm-engine-1", 1.0)
+        wait_until(
+            lambda: b'"decision":"reclaim"' in context.trace.read_bytes(),
+            timeout_s=10,
+            what="the reclaim recorded",
+        )
+
+
+@then(
+    "its recording has admissions, routings and reclaims "
+    "and replays without a difference"
+)
+def check_recording(context: Context) -> None:
+    lines = context.trace.read_bytes().splitlines()
+    decisions = {json.loads(line)["decision"] for line in lines}
+    assert decisions == {"admission", "routing", "reclaim"}, decisions
+    assert not replay_file(context.trace)
+
+
+@then("neither a prompt nor a token's hash stands in it")
+def check_no_payload(context: Context) -> None:
+    text = context.trace.read_text()
+    assert "business" not in text
+    assert hash_token("weighbridge-token") not in text
