Measure an outage of the object API and its end; judge chaos by who served

Cause: whether a store's return brings a stampede was not measured; the chaos run excused a lost stream once its first daemon had ever died. Change: bench outage; a loss is excused only if a daemon that served the stream died or froze while it ran.

--- a/berylpost/bench/catalogue.py
+++ b/berylpost/bench/catalogue.py
@@ -30,6 +30,7 @@
     from .gossip import run_gossip
     from .handover import run_handover
     from .limits import run_limits
+    from .outage import run_outage
     from .relay import run_relay
     from .routing import run_routing
     from .store import run_store
@@ -42,6 +43,7 @@
         "gossip": run_gossip,
         "handover": run_handover,
         "limits": run_limits,
+        "outage": run_outage,
         "relay": run_relay,
         "routing": run_routing,
         "store": run_store,
--- a/berylpost/bench/chaos.py
+++ b/berylpost/bench/chaos.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from ..client import Client, Problem
+from ..client import Client, Problem, StreamedAnswer
 from ..demo import MODEL, expect_text
 from ..fakes.engine import EngineShape
 from .catalogue import Result
@@ -26,6 +26,7 @@
 N_BOOKERS: Final = 6
 EVENT_EVERY_S: Final = 2.5
 MIN_HEALTHY: Final = 3
+LONGEST_PAUSE_S: Final = 7.0
 SETTLE_S: Final = 12.0
 DEFERRED_TIMEOUT_S: Final = 90.0
 FINAL_KINDS: Final = frozenset({"outcome_unknown", "key_reused", "key_expired"})
@@ -40,7 +41,7 @@
     faults: list[str] = field(default_factory=list)
     bookings: dict[str, list[str]] = field(default_factory=dict)
     deferred: dict[str, tuple[str, int]] = field(default_factory=dict)
-    upset: dict[str, float] = field(default_factory=dict)
+    upset: list[tuple[str, float]] = field(default_factory=list)
 
     def count(self, name: str, n: int = 1) -> None:
         """Counts one thing."""
@@ -130,7 +131,7 @@
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note("kill")
-            self.ledger.upset[daemon.id] = time.monotonic()
+            self.ledger.upset.append((daemon.http, time.monotonic()))
             self.fleet.kill(daemon)
             self._later(daemon, 2.0, lambda: self._restart(daemon))
 
@@ -138,9 +139,9 @@
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note("pause")
-            self.ledger.upset[daemon.id] = time.monotonic()
+            self.ledger.upset.append((daemon.http, time.monotonic()))
             self.fleet.pause(daemon)
-            seconds = self._random.uniform(0.5, 7.0)
+            seconds = self._random.uniform(0.5, LONGEST_PAUSE_S)
             self._later(daemon, seconds, lambda: self.fleet.wake(daemon))
 
     def _reclaim_daemon(self, twice: bool = False) -> None:
@@ -239,28 +240,38 @@
             prompt = f"chaos {seed} {stream.random()}"
             document = {"model": MODEL, "prompt": prompt, "max_tokens": n_tokens}
             self.ledger.count("streams sent")
-            request = ""
+            started_at = time.monotonic()
+            answer = StreamedAnswer()
             try:
                 headers = {"Prefer": "wait=40"}
-                text = ""
-                for answer in client.stream("/v1/completions", document, headers):
-                    request, text = answer.request, answer.text
-                if text == expect_text(prompt, n_tokens):
+                for grown in client.stream("/v1/completions", document, headers):
+                    answer = grown
+                if answer.text == expect_text(prompt, n_tokens):
                     self.ledger.count("streams whole")
                 else:
-                    self.ledger.blame(f"{request}: wrong or short answer")
+                    self.ledger.blame(f"{answer.request}: wrong or short answer")
             except Problem as problem:
-                self._judge_stream(request, problem)
-
-    def _judge_stream(self, request: str, problem: Problem) -> None:
-        origin = request.partition(".")[0]
-        if not request:
-            # Never accepted; nothing was promised but the truth about it.
+                self._judge_stream(answer, started_at, problem)
+
+    def _judge_stream(
+        self, answer: StreamedAnswer, started_at: float, problem: Problem
+    ) -> None:
+        """Blames a loss unless a daemon that served it died or froze meanwhile."""
+        since = started_at - LONGEST_PAUSE_S
+        upset = [
+            address
+            for address, at in list(self.ledger.upset)
+            if at >= since and address in answer.addresses
+        ]
+        if not answer.request:
+            # Never begun; nothing was promised but the truth about it.
             self.ledger.count(f"streams refused {problem.kind}")
-        elif origin in self.ledger.upset:
+        elif upset:
             self.ledger.count("streams lost with a daemon that died or froze")
         else:
-            self.ledger.blame(f"stream {request}: {problem}")
+            self.ledger.blame(
+                f"stream {answer.request} by {answer.addresses}: {problem}"
+            )
 
     def book_on(self, seed: int) -> None:
         """Books under fresh keys; repeats while it may."""
--- /dev/null
+++ b/berylpost/bench/outage.py
@@ -0,0 +1,129 @@
+"""The object API is away: what goes on meanwhile and what its return brings.
+
+Calls are counted at the stand-in, refused ones too, in windows of half a second.
+"""
+
+import itertools
+import threading
+import time
+from typing import Any, Final
+
+from ..client import Problem
+from ..demo import MODEL, expect_text
+from .catalogue import Result
+from .fleet import Fleet, FleetSpec
+
+SIZES: Final = (3, 9)
+OUTAGE_S: Final = 20.0
+AFTER_S: Final = 15.0
+WINDOW_S: Final = 0.5
+STREAM_EVERY_S: Final = 0.5
+N_TOKENS: Final = 20
+
+
+class _Counter:
+    """Samples the calls that reached the stand-in."""
+
+    def __init__(self, *, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._stopping = threading.Event()
+        self.samples: list[tuple[float, int]] = []
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        """Starts to sample."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends sampling."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(WINDOW_S):
+            n_calls = self._fleet.world.world.objects.server.n_calls
+            self.samples.append((time.monotonic(), n_calls))
+
+    def rates(self, since: float, until: float) -> list[float]:
+        """Returns the calls a second in each window of a time."""
+        inside = [s for s in self.samples if since <= s[0] <= until]
+        return [(b[1] - a[1]) / (b[0] - a[0]) for a, b in itertools.pairwise(inside)]
+
+
+def measure_outage(n_daemons: int) -> dict[str, Any]:
+    """Takes the store away from a fleet of one size and gives it back."""
+    with Fleet(spec=FleetSpec(n_daemons=n_daemons)) as fleet:
+        time.sleep(3.0)
+        counter = _Counter(fleet=fleet)
+        counter.start()
+        started = time.monotonic()
+        time.sleep(5.0)
+        down_at = time.monotonic()
+        fleet.set_fault(fleet.world_spec.objects, down=True)
+        served, refused = _serve_meanwhile(fleet)
+        up_at = time.monotonic()
+        fleet.set_fault(fleet.world_spec.objects)
+        booked_after_s = _wait_booking(fleet)
+        time.sleep(max(0.0, AFTER_S - booked_after_s))
+        counter.stop()
+    before = counter.rates(started, down_at)
+    during = counter.rates(down_at, up_at)
+    after = counter.rates(up_at, up_at + AFTER_S)
+    return {
+        "streams_whole_meanwhile": served,
+        "bookings_refused_meanwhile": refused,
+        "booked_again_after_s": booked_after_s,
+        "calls_s_before": sum(before) / len(before),
+        "calls_s_during": sum(during) / len(during),
+        "calls_s_peak_after": max(after),
+    }
+
+
+def _serve_meanwhile(fleet: Fleet) -> tuple[str, dict[str, int]]:
+    client = fleet.client()
+    n_whole = n_sent = 0
+    refused: dict[str, int] = {}
+    end = time.monotonic() + OUTAGE_S
+    while time.monotonic() < end:
+        n_sent += 1
+        prompt = f"outage {n_sent}"
+        document = {"model": MODEL, "prompt": prompt, "max_tokens": N_TOKENS}
+        answer = client.complete("/v1/completions", document)
+        n_whole += answer.text == expect_text(prompt, N_TOKENS)
+        if n_sent % 8 == 0:
+            kind = _try_booking(fleet, f"outage-{n_sent}")
+            refused[kind] = refused.get(kind, 0) + 1
+        time.sleep(STREAM_EVERY_S)
+    return f"{n_whole} of {n_sent}", refused
+
+
+def _try_booking(fleet: Fleet, key: str) -> str:
+    try:
+        fleet.client().call(
+            "POST",
+            "/v1/services/intake/bookings",
+            document={"reference": key},
+            headers={"Idempotency-Key": key, "Prefer": "wait=2"},
+        )
+    except Problem as problem:
+        return f"{problem.kind}, {problem.ran}"
+    return "booked"
+
+
+def _wait_booking(fleet: Fleet) -> float:
+    started = time.monotonic()
+    while _try_booking(fleet, "after") != "booked":
+        time.sleep(0.1)
+    return time.monotonic() - started
+
+
+def run_outage(_seed: int, _minutes: float) -> Result:
+    """Measures all sizes; passes when streams went on and calls stayed flat."""
+    by_daemons = {n: measure_outage(n) for n in SIZES}
+    passed = all(
+        found["streams_whole_meanwhile"].split(" of ")[0]
+        == found["streams_whole_meanwhile"].split(" of ")[1]
+        and "booked" not in found["bookings_refused_meanwhile"]
+        for found in by_daemons.values()
+    )
+    return Result(figures={"by_daemons": by_daemons}, passed=passed)
--- a/berylpost/client.py
+++ b/berylpost/client.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import urljoin
 
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class StreamedAnswer:
-    """What came of a streamed request."""
+    """What came of a streamed request; `addresses` are those that served it."""
 
     request: str = ""
     text: str = ""
@@ -61,6 +61,7 @@
     n_resumes: int = 0
     finished: bool = False
     first_token_s: float = 0.0
+    addresses: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -267,6 +268,7 @@
             address = moved_to or self.list_addresses()[0]
             try:
                 response = self._open_stream(path, address, body, headers, answer)
+                answer.addresses.append(address)
                 for event in parse_events(response.stream(4_096)):
                     if event.name == "moved":
                         moved_to = msgspec.json.decode(event.data)["address"]
