Tell customers of two deployments apart; end redirects between two daemons

Cause: requests, keys and usage were kept by the customer's name alone, and names repeat between deployments: one could read the other's requests. A customer taken away by a patch between token and admission left its caller without any answer. Change: who owns a request is deployment and customer; a failure while accepting is answered; deferred work is sent on twice at the most, and the client names it.

--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -74,6 +74,7 @@
         customers: names; the token of each is `NAME-token`.
         separate_world: run the stand-ins in a process of their own, for timings;
             they are then reached over HTTP alone.
+        others: further deployments' documents that the daemons serve, by name.
         tls: callers talk HTTPS, with certificates made for this run.
         overrides: settings merged over the defaults of each daemon, by section.
     """
@@ -94,6 +95,7 @@
     overrides: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     separate_world: bool = False
     tls: bool = False
+    others: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
 
 
 def make_document(spec: FleetSpec) -> dict[str, Any]:
@@ -260,7 +262,9 @@
             self.world = WorldThread(spec=self.world_spec)
         writer = ConditionalWriter(objects=self.objects, writer="fleet")
         document = make_document(self.spec)
-        create_configuration(self.objects, writer, self.spec.deployment, document)
+        documents = {self.spec.deployment: document, **self.spec.others}
+        for name, first in documents.items():
+            create_configuration(self.objects, writer, name, dict(first))
         for daemon in self.daemons:
             self.start_daemon(daemon, wait=False)
         for daemon in self.daemons:
@@ -323,7 +327,7 @@
                 "region": self.spec.region,
                 "zone": daemon.zone,
                 "vm": daemon.vm,
-                "deployments": [self.spec.deployment],
+                "deployments": [self.spec.deployment, *self.spec.others],
             },
             "listen": {"http": daemon.http, "peers": daemon.peers, **self._tls},
             "platform": {
--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -31,6 +31,7 @@
 WAIT_PATTERN: Final = re.compile(r"wait=(\d{1,5})")
 MAX_WAIT_S: Final = 3_600.0
 QUERY_TIMEOUT_S: Final = 2.0
+MAX_HOPS: Final = 2
 FORWARDED_HEADERS: Final = frozenset({"content-type", "accept", "accept-language"})
 
 
@@ -217,11 +218,11 @@
 
 def get_deferred(site: Site, request: HttpRequest, shard: int) -> HttpResponse:
     """Answers for deferred work, or sends the caller to the shard's owner."""
-    customer = request.require_identity().customer
-    assert customer is not None
     stream_id = request.params["id"]
     result: Future[dict[str, Any] | None] = Future()
-    query = DeferQuery(request=stream_id, customer=customer.name, result=result)
+    query = DeferQuery(
+        request=stream_id, owner=request.require_identity().owner, result=result
+    )
     site.context.post("ledger", query)
     try:
         found = result.result(timeout=QUERY_TIMEOUT_S)
@@ -234,11 +235,14 @@
     table: Table = site.slot("members")
     members = {m.id: m for m in list_active(table)}
     owner = choose_owner(shard, list(members))
-    if not owner or owner == table.self_id:
+    hops = request.arguments.get("hops", "0")
+    n_hops = int(hops) if hops.isdecimal() and len(hops) < 3 else MAX_HOPS
+    if not owner or owner == table.self_id or n_hops >= MAX_HOPS:
+        # While a shard moves two daemons may each take the other for its owner.
         raise BerylpostError(
             ErrorKind.STORE_UNAVAILABLE, "its shard is changing hands", retry_after_s=1
         )
-    location = f"//{members[owner].http}{request.path}"
+    location = f"//{members[owner].http}{request.path}?hops={n_hops + 1}"
     return HttpResponse(status=307, headers=(("Location", location),))
 
 
@@ -275,10 +279,10 @@
     Raises:
         BerylpostError: `NOT_FOUND`, unknown here or another customer's.
     """
-    customer = request.require_identity().customer
-    assert customer is not None
     result: Future[dict[str, Any] | None] = Future()
-    query = Query(stream_id=stream_id, customer=customer.name, result=result)
+    query = Query(
+        stream_id=stream_id, owner=request.require_identity().owner, result=result
+    )
     site.context.post("relay", query)
     try:
         found = result.result(timeout=QUERY_TIMEOUT_S)
--- a/berylpost/client.py
+++ b/berylpost/client.py
@@ -177,6 +177,14 @@
             url = urljoin(url, response.headers["Location"])
             if response.status == 303:
                 method, body = "GET", None
+        if response.status in (303, 307):
+            # Daemons that do not yet agree on who has it; nothing was answered.
+            raise Problem(
+                status=response.status,
+                kind=ErrorKind.STORE_UNAVAILABLE,
+                ran=Ran.NOT_RUN,
+                detail="sent on too often",
+            )
         if response.status >= 400:
             raise _make_problem(response)
         return response
--- a/berylpost/configuration.py
+++ b/berylpost/configuration.py
@@ -239,6 +239,11 @@
     customer: Customer | None = None
     operator: Operator | None = None
 
+    @property
+    def owner(self) -> str:
+        """Names the customer within its deployment; empty for an operator."""
+        return f"{self.deployment}/{self.customer.name}" if self.customer else ""
+
 
 def index_tokens(name: str, deployment: Deployment) -> dict[str, Identity]:
     """Maps token hashes to identities."""
--- a/berylpost/deferred.py
+++ b/berylpost/deferred.py
@@ -43,7 +43,7 @@
     """Asks for deferred work; the result is None when it is not known here."""
 
     request: str
-    customer: str
+    owner: str
     result: "Future[dict[str, Any] | None]"
 
 
@@ -70,7 +70,7 @@
 class _Result:
     """One finished request."""
 
-    customer: str
+    owner: str
     answer: bytes
     time: float
 
@@ -85,7 +85,7 @@
 
 
 class _StoredResult(msgspec.Struct, frozen=True, array_like=True):
-    customer: str
+    owner: str
     answer: bytes
 
 
@@ -107,6 +107,10 @@
     return entry.kind in _KINDS
 
 
+def _name_owner(held: HeldRequest) -> str:
+    return f"{held.deployment}/{held.customer}"
+
+
 def _encode(held: HeldRequest) -> bytes:
     return msgspec.msgpack.encode(held)
 
@@ -149,7 +153,7 @@
         stored = msgspec.msgpack.decode(entry.payload, type=_StoredResult)
         work.open.pop(entry.key, None)
         work.results[entry.key] = _Result(
-            customer=stored.customer, answer=stored.answer, time=entry.time
+            owner=stored.owner, answer=stored.answer, time=entry.time
         )
 
     def drop(self, shard: Shard) -> None:
@@ -228,10 +232,10 @@
         work = self._work[self._keeper.find(number).number]
         result = work.results.get(query.request)
         item = work.open.get(query.request)
-        if result is not None and result.customer == query.customer:
+        if result is not None and result.owner == query.owner:
             answer = msgspec.json.decode(result.answer)
             query.result.set_result({"state": "done", **answer})
-        elif item is not None and item.held.customer == query.customer:
+        elif item is not None and _name_owner(item.held) == query.owner:
             query.result.set_result({"state": "accepted", "failures": item.n_failures})
         else:
             query.result.set_result({"state": "unknown"})
@@ -305,7 +309,7 @@
             )
             return
         stored = _StoredResult(
-            item.held.customer, msgspec.json.encode(describe_answer(stream))
+            _name_owner(item.held), msgspec.json.encode(describe_answer(stream))
         )
         entry = self._make_entry(
             EntryKind.RESULT, request_id, msgspec.msgpack.encode(stored)
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -195,9 +195,18 @@
     # Requests come in.
 
     def _submit(self, message: Submit) -> None:
+        try:
+            self._accept(message)
+        except Exception:
+            # The caller waits on this socket; it must hear of the failure.
+            LOGGER.exception("event=task_error task=relay")
+            error = BerylpostError(ErrorKind.INTERNAL, "see the log")
+            self._refuse(message, error)
+
+    def _accept(self, message: Submit) -> None:
         request = message.request
         now = time.monotonic()
-        same = self._keys.get((request.customer, request.key)) if request.key else None
+        same = self._keys.get((request.owner, request.key)) if request.key else None
         if same is not None and same in self._streams:
             self._attach_repeat(same, message)
             return
@@ -213,7 +222,7 @@
         )
         self._streams[request.id] = stream
         if request.key:
-            self._keys[request.customer, request.key] = request.id
+            self._keys[request.owner, request.key] = request.id
         if message.on_end is not None:
             self._on_end[request.id] = message.on_end
         self._attempts.earn_retries()
@@ -255,7 +264,7 @@
     def _query(self, message: Query) -> None:
         stream = self._streams.get(message.stream_id)
         # One customer never learns of another one's request, not even that it is.
-        if stream is not None and stream.request.customer != message.customer:
+        if stream is not None and stream.request.owner != message.owner:
             stream = None
         message.result.set_result(describe_status(stream) if stream else None)
 
@@ -440,7 +449,7 @@
             del self._streams[stream_id]
             self._retained_bytes -= len(stream.text)
             if stream.request.key:
-                self._keys.pop((stream.request.customer, stream.request.key), None)
+                self._keys.pop((stream.request.owner, stream.request.key), None)
 
 
 def _build(context: Context) -> RelayTask:
--- a/berylpost/relay_messages.py
+++ b/berylpost/relay_messages.py
@@ -31,10 +31,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Query:
-    """Asks for a request's status; the result is None when it is not known."""
+    """Asks for a request's status; the result is None when it is not known.
+
+    Attributes:
+        owner: the asking customer within its deployment.
+    """
 
     stream_id: str
-    customer: str
+    owner: str
     result: "Future[dict[str, Any] | None]"
 
 
--- a/berylpost/streams.py
+++ b/berylpost/streams.py
@@ -52,6 +52,11 @@
     deadline_s: float
     key: str = ""
 
+    @property
+    def owner(self) -> str:
+        """Names the customer within its deployment; names repeat between them."""
+        return f"{self.deployment}/{self.customer}"
+
     @property
     def model(self) -> str:
         """The model's name."""
--- a/berylpost/waiting.py
+++ b/berylpost/waiting.py
@@ -67,7 +67,10 @@
             detail = f"no replica of {request.model!r}"
             return BerylpostError(ErrorKind.NO_BACKEND, detail, retry_after_s=2)
         customers = {c.name: c for c in in_force.deployment.customers}
-        customer = customers[request.customer]
+        customer = customers.get(request.customer)
+        if customer is None:
+            # A patch took it away after its token was checked.
+            return BerylpostError(ErrorKind.FORBIDDEN, "no longer a customer")
         place = (request.deployment, request.customer)
         usage = self._usage.get(place, Usage())
         active = {
@@ -143,7 +146,7 @@
         request = stream.request
         return Waiting(
             id=request.id,
-            customer=request.customer,
+            customer=request.owner,
             weight=request.weight,
             # What has begun goes first: its caller already waits for the next token.
             priority=-1 if stream.n_tokens else request.priority,
@@ -162,7 +165,7 @@
         if not rooms:
             return
         waiting = [self._describe_waiting(s) for s in ready]
-        running = {c: u.running for (_, c), u in self._usage.items()}
+        running = {f"{d}/{c}": u.running for (d, c), u in self._usage.items()}
         for item in order_queue(waiting, running):
             stream = self.queued[item.id]
             pool = rooms.get((stream.request.deployment, stream.request.model))
--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from berylpost.bench.fleet import Fleet, FleetSpec
+from berylpost.configuration import hash_token
 from berylpost.fakes.engine import EngineShape
 from berylpost.invariants import set_fatal
 
@@ -52,6 +53,16 @@
         spec = FleetSpec(shape=SHAPE, overrides=OVERRIDES, tls=True)
         context.own = Fleet(spec=spec)
         context.own.__enter__()
+    if "two_deployments" in scenario.effective_tags:
+        other = {
+            "customers": [
+                {"name": "weighbridge", "tokens": [hash_token("other-token")]}
+            ],
+            "operators": [{"name": "o", "tokens": [hash_token("other-operator")]}],
+        }
+        spec = FleetSpec(shape=SHAPE, overrides=OVERRIDES, others={"other": other})
+        context.own = Fleet(spec=spec)
+        context.own.__enter__()
     context.fleet = context.own or context.shared
 
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -76,3 +76,10 @@
     And a plain HTTP request to that port gets no answer of ours
     When 6 summaries of 500 tokens are asked for over TLS while a daemon is reclaimed
     Then each caller has the whole answer to its own prompt
+
+  @two_deployments
+  Scenario: Customers of one name in two deployments are strangers
+    When weighbridge asks for a summary of 10 tokens and defers one of the same
+    Then weighbridge of another deployment is told not_found for both
+    And with the first one's key it does not get the first one's answer
+    And its operator cannot read the first deployment's configuration or audit
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -438,3 +438,75 @@
             context.fleet.kill(daemon)
 
     ask_over_tls(context, n, n_tokens, reclaim)
+
+
+@when("weighbridge asks for a summary of {n:d} tokens and defers one of the same")
+def ask_both(context: Context, n: int) -> None:
+    client = context.fleet.client()
+    context.address = context.fleet.daemons[0].http
+    answer = client.call(
+        "POST",
+        "/v1/completions",
+        address=context.address,
+        document=make_document("private", n),
+        headers={"Idempotency-Key": "shared-key"},
+    )
+    deferred = client.call(
+        "POST",
+        "/v1/completions",
+        address=context.address,
+        document=make_document("private", n),
+        headers={"Prefer": "respond-async", "Idempotency-Key": "deferred-key"},
+    )
+    parts = ("", "/events", "/answer")
+    context.paths = [f"/v1/requests/{answer['id']}{part}" for part in parts]
+    context.paths.append(f"/v1/requests/{deferred['id']}")
+
+
+def make_stranger(context: Context, token: str = "other-token") -> Client:
+    return Client(addresses=[context.address], token=token)
+
+
+@then("weighbridge of another deployment is told {kind} for both")
+def check_stranger(context: Context, kind: str) -> None:
+    for path in context.paths:
+        for daemon in context.fleet.daemons:
+            assert context.fleet.client().request("GET", path, address=daemon.http), (
+                path
+            )
+            try:
+                found = make_stranger(context).request("GET", path, address=daemon.http)
+            except Problem as problem:
+                assert problem.kind == kind, problem
+            else:
+                raise AssertionError((path, found.data))
+
+
+@then("with the first one's key it does not get the first one's answer")
+def check_stranger_key(context: Context) -> None:
+    try:
+        found = make_stranger(context).call(
+            "POST",
+            "/v1/completions",
+            address=context.address,
+            document=make_document("private", 10),
+            headers={"Idempotency-Key": "shared-key"},
+        )
+    except Problem as problem:
+        # Its deployment declares no model, so it cannot be served at all.
+        assert problem.kind == "no_backend", problem
+    else:
+        raise AssertionError(found)
+
+
+@then("its operator cannot read the first deployment's configuration or audit")
+def check_stranger_operator(context: Context) -> None:
+    client = make_stranger(context, "other-operator")
+    for part in ("configuration", "audit", "fleet"):
+        path = f"/v1/deployments/darling-downs/{part}"
+        try:
+            found = client.request("GET", path, address=context.address)
+        except Problem as problem:
+            assert problem.kind == "not_found", problem
+        else:
+            raise AssertionError((path, found.data))
