Show that a slow caller is bounded and misses nothing

Cause: the bound was by design only. Change: a scenario offers 20,000 events to a caller that does not read.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -83,3 +83,9 @@
     Then weighbridge of another deployment is told not_found for both
     And with the first one's key it does not get the first one's answer
     And its operator cannot read the first deployment's configuration or audit
+
+  Scenario: A slow caller is bounded in memory and misses nothing
+    Given an answer of 20000 tokens and a caller that reads nothing
+    When everything is offered to it
+    Then no more than 65536 bytes and one event wait for it
+    And once it reads it gets every event in order, to the last chunk
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import re
 import socket
 import time
 
@@ -13,10 +14,18 @@
 from steps.shared import FIXED, MODEL, is_whole, run_all
 
 from berylpost.bench.fleet import wait_until
+from berylpost.callers import Caller
 from berylpost.client import Client, Problem, parse_events
 from berylpost.demo import expect_text
 from berylpost.errors import ErrorKind
 from berylpost.fakes.engine import generate_words, render_prompt
+from berylpost.streams import (
+    Stream,
+    StreamRequest,
+    StreamState,
+    render_event,
+    render_stream_head,
+)
 
 
 def make_document(prompt: str, n_tokens: int, **more: object) -> dict[str, object]:
@@ -510,3 +519,69 @@
             assert problem.kind == "not_found", problem
         else:
             raise AssertionError((path, found.data))
+
+
+SLOW_BOUND = 65_536
+
+
+@given("an answer of {n:d} tokens and a caller that reads nothing")
+def make_slow_caller(context: Context, n: int) -> None:
+    request = StreamRequest(
+        id="dd-1.test.slow",
+        deployment="d",
+        customer="c",
+        weight=1.0,
+        priority=5,
+        chat=False,
+        stream=True,
+        body=make_document("slow", n, stream=True),
+        patience_s=1.0,
+        deadline_s=60.0,
+    )
+    context.stream = Stream(
+        request=request, accepted_at=0.0, deadline=60.0, start_by=1.0
+    )
+    for place in range(n):
+        context.stream.add(f" word{place}")
+    context.stream.finish_reason = "length"
+    context.stream.state = StreamState.DONE
+    ours, context.theirs = socket.socketpair()
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    ours.setblocking(False)
+    context.add_cleanup(ours.close)
+    context.add_cleanup(context.theirs.close)
+    context.caller = Caller(socket=ours, stream_id=request.id)
+
+
+@when("everything is offered to it")
+def offer_all(context: Context) -> None:
+    context.most = 0
+    for _ in range(200):
+        context.caller.fill(context.stream, SLOW_BOUND, "")
+        context.most = max(context.most, len(context.caller.buffer))
+        assert context.caller.flush()
+
+
+@then("no more than {bound:d} bytes and one event wait for it")
+def check_bound(context: Context, bound: int) -> None:
+    event = len(render_event(context.stream, len(context.stream.ends)))
+    head = len(render_stream_head(context.stream))
+    assert bound / 2 < context.most <= bound + event + head, context.most
+    assert not context.caller.closing
+
+
+@then("once it reads it gets every event in order, to the last chunk")
+def check_slow(context: Context) -> None:
+    received = b""
+    context.theirs.setblocking(False)
+    while not received.endswith(b"\r\n0\r\n\r\n"):
+        context.caller.fill(context.stream, SLOW_BOUND, "")
+        assert context.caller.flush()
+        try:
+            received += context.theirs.recv(1 << 20)
+        except BlockingIOError:
+            continue
+    numbers = re.findall(rb"id: dd-1\.test\.slow\.(\d+)\n", received)
+    n_events = len(context.stream.ends)
+    assert [int(n) for n in numbers] == list(range(1, n_events + 1))
+    assert context.caller.closing and not context.caller.buffer
