Name the relay's admission module by the field's term

Cause: waiting.py named the room and not its job, which is admission. Change: the module is admission.py; its class keeps its name. Conclusion: behaviour unchanged.

--- a/berylpost/waiting.py
+++ b/berylpost/admission.py
@@ -1,4 +1,4 @@
-"""The relay's waiting room: who is admitted, who waits and who starts next.
+"""Admission on the relay: who is admitted, who waits and who starts next.
 
 Owned by the relay's thread. Keeps the queue, what each customer uses and the pools;
 the decisions are in `policy.admission`.
--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from .admission import WaitingRoom
 from .configurations import InForce
 from .errors import BerylpostError, ErrorKind
 from .invariants import check_invariant
@@ -25,7 +26,6 @@
 from .settings import RelaySettings
 from .streams import Stream, StreamState, build_body
 from .upstream import Ended, LoadReport, Refusal, Token, Upstream, UpstreamEvent
-from .waiting import WaitingRoom
 
 LOGGER: Final = logging.getLogger(__name__)
 PATHS: Final = {False: "/v1/completions", True: "/v1/chat/completions"}
--- a/berylpost/reclaims.py
+++ b/berylpost/reclaims.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from .admission import WaitingRoom
 from .attempts import Attempts
 from .kernel import Slot
 from .logs import log_event
@@ -22,7 +23,6 @@
 from .pools import Pool, group_backends
 from .recording import Recorder
 from .streams import Stream, StreamState
-from .waiting import WaitingRoom
 
 LOGGER: Final = logging.getLogger(__name__)
 DEFAULT_TOKEN_S: Final = 0.042
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -4,7 +4,7 @@
 one selector admits, queues, routes, relays and, when an engine fails or leaves,
 goes on elsewhere. A thread a stream would cost twice the processor time and more;
 see docs/DESIGN.md. This module is the loop, the messages and the life of a request;
-its parts are `connections` (callers), `waiting` (the queue), `attempts` (engines)
+its parts are `connections` (callers), `admission` (the queue), `attempts` (engines)
 and `reclaims`. What to do is decided in `policy`.
 """
 
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
+from .admission import WaitingRoom
 from .attempts import AttemptEvents, Attempts
 from .callers import Caller
 from .configurations import InForce
@@ -50,7 +51,6 @@
     render_error,
     resume_stream,
 )
-from .waiting import WaitingRoom
 
 LOGGER: Final = logging.getLogger(__name__)
 TICK_S: Final = 0.25
