Wait for a task's answer in one place; drop constants nothing uses

Cause: two handlers waited on a task with the same lines; four constants and three export lists were left over and used by nothing. Change: caller_api.ask_task serves both; the left-overs are gone. Conclusion: behaviour unchanged.

--- a/berylpost/bench/capacity.py
+++ b/berylpost/bench/capacity.py
@@ -20,12 +20,10 @@
 
 # The users' letter, and what follows from it for one daemon and one region.
 N_DAEMONS: Final = 1_100
-N_REGIONS: Final = 9
 DAEMONS_A_REGION: Final = 122
 REPLICAS_A_REGION: Final = 1_111
 REQUESTS_S: Final = 57_000
 STREAMS_A_DAEMON: Final = 492
-N_ZONES: Final = 19
 
 
 def fit_slope(points: dict[float, float]) -> tuple[float, float]:
--- a/berylpost/bench/gossip.py
+++ b/berylpost/bench/gossip.py
@@ -15,7 +15,6 @@
 import zmq
 
 from ..kernel import Context
-from ..messages import Member
 from ..metrics import REGISTRY
 from ..peers import AnnounceNumbers, NumbersHeard, PeersTask
 from ..settings import parse_settings
@@ -256,6 +255,3 @@
         f"{SIZES[-1]}_members_10_percent_loss": lossy,
     }
     return Result(figures=figures, passed=passed)
-
-
-__all__ = ["Herd", "Member", "measure_herd", "run_gossip"]
--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -216,6 +216,19 @@
     return HttpResponse(status=202, headers=headers, body=body)
 
 
+def ask_task(site: Site, task: str, query: Query | DeferQuery) -> dict[str, Any] | None:
+    """Asks a task for a request and waits for its answer.
+
+    Raises:
+        BerylpostError: `OVERLOADED`, no answer in time.
+    """
+    site.context.post(task, query)
+    try:
+        return query.result.result(timeout=QUERY_TIMEOUT_S)
+    except FutureTimeoutError as error:
+        raise BerylpostError(ErrorKind.OVERLOADED, "try again") from error
+
+
 def get_deferred(site: Site, request: HttpRequest, shard: int) -> HttpResponse:
     """Answers for deferred work, or sends the caller to the shard's owner."""
     stream_id = request.params["id"]
@@ -223,11 +236,7 @@
     query = DeferQuery(
         request=stream_id, owner=request.require_identity().owner, result=result
     )
-    site.context.post("ledger", query)
-    try:
-        found = result.result(timeout=QUERY_TIMEOUT_S)
-    except FutureTimeoutError as error:
-        raise BerylpostError(ErrorKind.OVERLOADED, "try again") from error
+    found = ask_task(site, "ledger", query)
     if found is not None:
         if found["state"] == "unknown":
             raise BerylpostError(ErrorKind.NOT_FOUND, f"no request {stream_id!r}")
@@ -283,11 +292,7 @@
     query = Query(
         stream_id=stream_id, owner=request.require_identity().owner, result=result
     )
-    site.context.post("relay", query)
-    try:
-        found = result.result(timeout=QUERY_TIMEOUT_S)
-    except FutureTimeoutError as error:
-        raise BerylpostError(ErrorKind.OVERLOADED, "try again") from error
+    found = ask_task(site, "relay", query)
     if found is None:
         raise BerylpostError(ErrorKind.NOT_FOUND, f"no request {stream_id!r}")
     return found
--- a/berylpost/configuration.py
+++ b/berylpost/configuration.py
@@ -14,7 +14,7 @@
 from msgspec import Meta, Struct
 
 from .errors import BerylpostError, ErrorKind
-from .settings import Endpoint, Name
+from .settings import Name
 
 MERGE_PATCH: Final = "application/merge-patch+json"
 JSON_PATCH: Final = "application/json-patch+json"
@@ -131,8 +131,6 @@
     recent: tuple[AuditEntry, ...] = ()
 
 
-RECENT_ENTRIES: Final = 50
-
 _IDEMPOTENT_METHODS: Final = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
@@ -255,16 +253,3 @@
         identity = Identity(deployment=name, operator=operator)
         index.update(dict.fromkeys(operator.tokens, identity))
     return index
-
-
-__all__ = [
-    "AuditEntry",
-    "Customer",
-    "Deployment",
-    "Endpoint",
-    "Identity",
-    "Model",
-    "Operator",
-    "Service",
-    "Versioned",
-]
--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -13,7 +13,7 @@
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 import urllib3
@@ -464,6 +464,3 @@
     if value is None:
         return []
     return list(msgspec.json.decode(value, type=FleetRecord).reasons)
-
-
-__all__: Final[list[Any]] = ["FleetRecord", "PlannerTask", "StartRecord"]
--- a/berylpost/policy/fleet.py
+++ b/berylpost/policy/fleet.py
@@ -14,7 +14,6 @@
 from ..configuration import Model
 
 REFUSED_REST_S: Final = 30.0  # an offer that was refused is not asked again for
-RECLAIM_MEMORY_S: Final = 3_600.0
 RECLAIM_PENALTY: Final = 0.25  # each reclaim an hour makes an offer this much dearer
 MAX_STARTS: Final = 4  # at once, so that a wave of refusals is seen before more
 CHEAPER_SHARE: Final = 0.7  # an on-demand VM goes once a reclaimable one is this cheap
