--- /dev/null
+++ b/berylpost/edge/backend_table.py
@@ -0,0 +1,220 @@
+"""What this daemon knows of each backend server beyond its entry in the store.
+
+Own outstanding requests, what the other daemons report, recent failures, the prompt
+parts it was sent, and its connections. `policy.placement` decides on views of it.
+"""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final
+
+from ..logs import log_event
+from ..policy.placement import BackendLoad
+from .clock import read_age_clock
+from .model import Backend, BackendState, PromptPart, Service
+from .upstream import ConnectionPool
+
+LOGGER: Final = logging.getLogger(__name__)
+
+FAILURE_WEIGHT: Final = 0.15  # of one outcome in the moving failure rate
+FIRST_SUSPECT_S: Final = 0.8  # a connection that was reset is tried again after this
+MAX_SUSPECT_S: Final = 6.0  # below the outages of seconds that servers come back from
+REPORT_TTL_S: Final = 1.5  # six gossip rounds; older load reports are dropped
+CACHE_SHARE: Final = 0.8  # of an engine's memory is taken to hold prompt parts
+MIN_CONNECTIONS: Final = 4  # however many daemons share a server's limit
+CONNECTION_SHARE: Final = 0.9  # of a server's limit, for daemons not yet counted
+SPEED_WEIGHT: Final = 0.1  # of one answer in the moving speed
+
+
+class Slot:
+    """State of one backend server."""
+
+    def __init__(self, *, backend: Backend, n_connections: int) -> None:
+        self.backend = backend
+        self.pool = ConnectionPool(
+            backend=backend, n_max=n_connections, clock=read_age_clock
+        )
+        self.n_outstanding = 0
+        self.pending_tokens = 0.0
+        self.failure_rate = 0.0
+        self.n_failures_in_row = 0
+        self.suspect_until = 0.0
+        self.answer_s = 0.0
+        self.parts: OrderedDict[str, int] = OrderedDict()
+        self.n_part_tokens = 0
+        self.seen_at = read_age_clock()
+
+
+class BackendTable:
+    """All backend servers, by service.
+
+    Args:
+        zone: of this daemon.
+        count_fleet: how many daemons share the servers' connections.
+    """
+
+    def __init__(self, *, zone: str, count_fleet: Callable[[], int]) -> None:
+        self.slots: dict[str, Slot] = {}
+        self._zone = zone
+        self._count_fleet = count_fleet
+        self._by_service: dict[str, list[Slot]] = {}
+        self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
+        self._services: Mapping[str, Service] = {}
+
+    def update(
+        self, backends: Mapping[str, Backend], services: Mapping[str, Service]
+    ) -> None:
+        """Follows the catalogue."""
+        self._services = services
+        for name in self.slots.keys() - backends.keys():
+            self.slots.pop(name).pool.close()
+        by_service: dict[str, list[Slot]] = {}
+        for name, backend in backends.items():
+            service = services.get(backend.service)
+            if service is None:
+                continue
+            slot = self.slots.get(name)
+            if slot is None or slot.backend.address != backend.address:
+                n_connections = self._share_connections(service)
+                slot = Slot(backend=backend, n_connections=n_connections)
+                self.slots[name] = slot
+            elif slot.backend.born_ms != backend.born_ms:
+                # The server started again under its id; it holds nothing of before.
+                slot.parts.clear()
+                slot.n_part_tokens = 0
+            slot.backend = backend
+            by_service.setdefault(backend.service, []).append(slot)
+        self._by_service = by_service
+
+    def list_usable(self, service: str, tried: Iterable[str] = ()) -> list[Slot]:
+        """Lists the servers of a service that may be sent new requests."""
+        avoided = set(tried)
+        return [
+            slot
+            for slot in self._by_service.get(service, ())
+            if slot.backend.state is BackendState.READY
+            and slot.backend.id not in avoided
+        ]
+
+    def is_usable(self, slot: Slot) -> bool:
+        """Tells whether a server may still be sent to, right before sending."""
+        return (
+            self.slots.get(slot.backend.id) is slot
+            and slot.backend.state is BackendState.READY
+        )
+
+    def view_loads(self, slots: Iterable[Slot]) -> list[BackendLoad]:
+        """Makes the views that the placement decision takes."""
+        now = read_age_clock()
+        reports = [r for at, r in self._reports.values() if now - at < REPORT_TTL_S]
+        usual = self._find_usual_speed(slots)
+        views = []
+        for slot in slots:
+            backend = slot.backend
+            n_outstanding = slot.n_outstanding
+            pending = slot.pending_tokens
+            for report in reports:
+                entry = report.get(backend.id)
+                if entry is not None:
+                    n_outstanding += entry[0]
+                    pending += entry[1]
+            slow = slot.answer_s / usual if usual and slot.answer_s else 1.0
+            views.append(
+                BackendLoad(
+                    id=backend.id,
+                    slots=backend.slots,
+                    n_outstanding=n_outstanding,
+                    pending_tokens=pending,
+                    failure_rate=slot.failure_rate,
+                    slow_factor=min(8.0, max(0.5, slow)),
+                    suspect=now < slot.suspect_until,
+                    near=backend.zone == self._zone,
+                )
+            )
+        return views
+
+    def count_uncached(self, slot: Slot, parts: tuple[PromptPart, ...]) -> float:
+        """Counts prompt tokens that an engine would have to read.
+
+        A part counts as cached only if all parts before it are.
+        """
+        total = sum(part.n_tokens for part in parts)
+        for part in parts:
+            if part.id not in slot.parts:
+                break
+            total -= part.n_tokens
+        return float(total)
+
+    def remember_parts(self, slot: Slot, parts: tuple[PromptPart, ...]) -> None:
+        """Notes that an engine reads the parts; the oldest yield to its memory."""
+        service = self._services.get(slot.backend.service)
+        if service is None or service.engine is None:
+            return
+        for part in parts:
+            if part.id in slot.parts:
+                slot.parts.move_to_end(part.id)
+            else:
+                slot.parts[part.id] = part.n_tokens
+                slot.n_part_tokens += part.n_tokens
+        bound = service.engine.kv_tokens * CACHE_SHARE
+        while slot.n_part_tokens > bound and slot.parts:
+            _, n_tokens = slot.parts.popitem(last=False)
+            slot.n_part_tokens -= n_tokens
+
+    def note_success(self, slot: Slot, answer_s: float | None) -> None:
+        """Counts an answer; `answer_s` is the time it took, where comparable."""
+        slot.failure_rate *= 1 - FAILURE_WEIGHT
+        slot.n_failures_in_row = 0
+        slot.suspect_until = 0.0
+        if answer_s is not None:
+            known = slot.answer_s or answer_s
+            slot.answer_s = known + SPEED_WEIGHT * (answer_s - known)
+
+    def note_failure(self, slot: Slot, *, gone: bool) -> None:
+        """Counts a failure; `gone` if the server may not be there any more."""
+        slot.failure_rate += FAILURE_WEIGHT * (1 - slot.failure_rate)
+        slot.n_failures_in_row += 1
+        if gone:
+            rest_s = FIRST_SUSPECT_S * 2 ** min(4, slot.n_failures_in_row - 1)
+            slot.suspect_until = read_age_clock() + min(MAX_SUSPECT_S, rest_s)
+            log_event(
+                LOGGER,
+                "backend_suspect",
+                backend=slot.backend.id,
+                n_failures=slot.n_failures_in_row,
+                rest_s=min(MAX_SUSPECT_S, rest_s),
+            )
+
+    def export_loads(self) -> dict[str, list[float]]:
+        """Returns this daemon's load on each server, for the other daemons."""
+        return {
+            name: [slot.n_outstanding, round(slot.pending_tokens)]
+            for name, slot in self.slots.items()
+            if slot.n_outstanding
+        }
+
+    def import_loads(self, member: str, loads: Mapping[str, Any]) -> None:
+        """Takes another daemon's load."""
+        self._reports[member] = (read_age_clock(), loads)
+
+    def sweep(self) -> None:
+        """Closes idle connections and follows the number of daemons."""
+        now = read_age_clock()
+        for slot in self.slots.values():
+            slot.pool.sweep()
+            service = self._services.get(slot.backend.service)
+            if service is not None:
+                slot.pool.n_max = self._share_connections(service)
+        for member in [
+            m for m, (at, _) in self._reports.items() if now - at > REPORT_TTL_S
+        ]:
+            del self._reports[member]
+
+    def _share_connections(self, service: Service) -> int:
+        share = service.max_connections * CONNECTION_SHARE / self._count_fleet()
+        return max(MIN_CONNECTIONS, int(share))
+
+    def _find_usual_speed(self, slots: Iterable[Slot]) -> float:
+        speeds = sorted(slot.answer_s for slot in slots if slot.answer_s)
+        return speeds[len(speeds) // 2] if speeds else 0.0
--- /dev/null
+++ b/berylpost/edge/callers.py
@@ -0,0 +1,392 @@
+"""Callers' connections: parses requests, one at a time, and frames the answers.
+
+A caller that closes its connection cancels the request that waits or runs on it. More
+requests that arrive on the same connection wait for their turn.
+"""
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final, cast
+
+import httptools
+
+from ..errors import BerylpostError, ErrorKind, render_problem
+from ..logs import log_event
+from ..platform import names
+from ..platform.headers import Header
+from .clock import read_age_clock
+from .model import CallerLimits
+
+LOGGER: Final = logging.getLogger(__name__)
+
+BACKLOG: Final = 1_024  # a burst of new connections while the loop is busy
+MAX_PIPELINED: Final = 8  # whole requests kept behind the one that runs
+IDLE_MARGIN_S: Final = 2.0  # kept longer than callers may idle, so none crosses a close
+SWEEP_S: Final = 1.0
+DEFAULT_LIMITS: Final = CallerLimits(
+    header_bytes=16_384,
+    body_bytes=4 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)  # until a configuration says otherwise
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """A whole request; header names in lower case; `arrived_at` of the age clock."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    arrived_at: float
+    keep_alive: bool
+
+    def find(self, name: bytes) -> bytes:
+        """Returns the value of a header, empty when there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+
+Handler = Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
+
+
+class CallerServer:
+    """Listens for callers and hands each whole request to a handler.
+
+    Args:
+        handler: serves one request; it must end or abort the answer.
+        read_limits: what callers may send at present.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+    ) -> None:
+        self.handler = handler
+        self.read_limits = read_limits
+        self.leaving = False
+        self.connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: the address is taken.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(server=self),
+            ip,
+            port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+        self._sweeper = asyncio.create_task(self._sweep())
+
+    def stop_listening(self) -> None:
+        """Takes no new connections; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def count_busy(self) -> int:
+        """Counts connections with a request that is not answered."""
+        return sum(1 for connection in self.connections if connection.is_busy)
+
+    def close(self) -> None:
+        """Closes all that is open."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close_when_written()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            limits = self.read_limits()
+            horizon = read_age_clock() - limits.idle_timeout_s - IDLE_MARGIN_S
+            for connection in list(self.connections):
+                if not connection.is_busy and connection.active_at < horizon:
+                    connection.close_when_written()
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection.
+
+    Args:
+        server: that accepted it.
+    """
+
+    def __init__(self, *, server: CallerServer) -> None:
+        self.active_at = read_age_clock()
+        self.on_writable: Callable[[bool], None] | None = None
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[CallerRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._closing = False
+        self._refused = False
+        self._target = b""
+        self._headers: list[Header] = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._arrived_at = 0.0
+        self._chunked = False
+        self._request: CallerRequest | None = None
+        self.answer_started = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request waits for its answer or for its rest."""
+        return self._task is not None or bool(self._queue)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller can still be written to."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    # What the event loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the new connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self._refused:
+            return
+        self.active_at = read_age_clock()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(ErrorKind.BAD_REQUEST, "protocol upgrades are not offered")
+        except httptools.HttpParserError as error:
+            self._refuse(ErrorKind.BAD_REQUEST, str(error))
+
+    def eof_received(self) -> bool:
+        """Closes when the peer does."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells whoever waits on the connection."""
+        self._transport = None
+        self._queue.clear()
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+        if self.on_writable is not None:
+            self.on_writable(True)
+
+    def pause_writing(self) -> None:
+        """The peer reads too slowly."""
+        if self.on_writable is not None:
+            self.on_writable(False)
+
+    def resume_writing(self) -> None:
+        """The peer has caught up."""
+        if self.on_writable is not None:
+            self.on_writable(True)
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        """A message begins."""
+        self._target = b""
+        self._headers = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._arrived_at = read_age_clock()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._headers.append((name.lower(), value))
+        self._header_bytes += len(name) + len(value) + 4
+
+    def on_headers_complete(self) -> None:
+        """All headers have come."""
+        if self._header_bytes > 2 * self._server.read_limits().header_bytes:
+            self._refuse(ErrorKind.BAD_REQUEST, "headers are too large")
+        elif dict(self._headers).get(b"expect", b"").lower() == b"100-continue":
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        if self._refused:
+            return
+        self._body += body
+        limit = self._server.read_limits().body_bytes
+        if len(self._body) > limit:
+            self._refuse(ErrorKind.BODY_TOO_LARGE, f"more than {limit} bytes")
+
+    def on_message_complete(self) -> None:
+        """The message is whole."""
+        if self._refused:
+            return
+        request = CallerRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=tuple(self._headers),
+            body=bytes(self._body),
+            arrived_at=self._arrived_at,
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._body = bytearray()
+        self._queue.append(request)
+        if len(self._queue) > MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+        self._start_next()
+
+    # What handlers call.
+
+    def begin(
+        self,
+        status: int,
+        reason: bytes,
+        headers: Iterable[Header],
+        *,
+        length: int | None,
+    ) -> None:
+        """Sends the head of the answer.
+
+        Args:
+            status: of the answer.
+            reason: phrase; the usual one when empty.
+            headers: without those about framing and the connection.
+            length: of the body; None to send it in chunks.
+        """
+        request = self._request
+        if request is None or self.answer_started:
+            return
+        self.answer_started = True
+        self._chunked = length is None
+        if self._server.leaving or not request.keep_alive:
+            self._closing = True
+        phrase = reason or _find_phrase(status)
+        lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
+        lines += [name + b": " + value for name, value in headers]
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            lines.append(b"Content-Length: %d" % length)
+        if self._closing:
+            lines.append(b"Connection: close")
+        self._write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def send(self, data: bytes) -> None:
+        """Sends a piece of the body."""
+        if not data:
+            return
+        if self._chunked:
+            self._write(b"%x\r\n" % len(data) + data + b"\r\n")
+        else:
+            self._write(data)
+
+    def finish(self) -> None:
+        """Ends the answer as whole."""
+        if self._chunked:
+            self._write(b"0\r\n\r\n")
+
+    def answer(
+        self, status: int, reason: bytes, headers: Iterable[Header], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        self.begin(status, reason, headers, length=len(body))
+        request = self._request
+        if request is None or request.method != b"HEAD":
+            self._write(body)
+
+    def answer_error(self, error: BerylpostError) -> None:
+        """Sends an error of this program as the whole answer."""
+        status, headers, body = render_problem(error, whole_seconds=False)
+        pairs = [(n.lower().encode(), v.encode("latin-1")) for n, v in headers]
+        request_id = self._request and self._request.find(names.ATTEMPT_ID)
+        if request_id:
+            pairs.append((names.ATTEMPT_ID, request_id))
+        self.answer(status, b"", pairs, body)
+
+    def abort(self) -> None:
+        """Breaks the connection so that the answer cannot be taken as whole."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_when_written(self) -> None:
+        """Closes the connection after what is still to be written."""
+        self._closing = True
+        if self._transport is not None and self._task is None:
+            self._transport.close()
+
+    def _refuse(self, kind: ErrorKind, detail: str) -> None:
+        """Answers what cannot be read as a request, then closes."""
+        self._refused = True
+        log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
+        if self._task is None and not self._queue:
+            status, headers, body = render_problem(BerylpostError(kind, detail))
+            lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+            lines += [f"{name}: {value}" for name, value in headers]
+            lines += [f"Content-Length: {len(body)}", "Connection: close"]
+            self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.close_when_written()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def _start_next(self) -> None:
+        if self._task is not None or not self._queue or self._transport is None:
+            return
+        self._request = self._queue.popleft()
+        self.answer_started = False
+        self._task = asyncio.create_task(self._run(self._request))
+        if len(self._queue) == MAX_PIPELINED:
+            self._transport.resume_reading()
+
+    async def _run(self, request: CallerRequest) -> None:
+        try:
+            await self._server.handler(request, self)
+        except asyncio.CancelledError:
+            pass  # the caller has left; the handler has logged it
+        except Exception:
+            LOGGER.exception("event=handler_error")
+            if self.answer_started:
+                self.abort()
+            else:
+                kind = ErrorKind.INTERNAL
+                self.answer_error(BerylpostError(kind, "see this daemon's log"))
+        finally:
+            self._task = None
+            self.on_writable = None
+            self.active_at = read_age_clock()
+            if self._transport is not None:
+                if self._closing or self._refused:
+                    self._transport.close()
+                else:
+                    self._start_next()
+
+
+def _find_phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
--- /dev/null
+++ b/berylpost/edge/daemon.py
@@ -0,0 +1,352 @@
+"""The entry daemon: settings in, parts up, wait for SIGTERM, leave, exit."""
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any, Final
+
+import msgspec
+
+from ..errors import BerylpostError, ErrorKind, PlatformError, SettingsError
+from ..logs import log_event
+from ..platform import names
+from ..platform.boot import load_boot_settings
+from ..platform.headers import parse_directory_query
+from .backend_table import BackendTable
+from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
+from .catalogue import Catalogue
+from .clock import read_age_clock
+from .duties import Duties
+from .forwarding import Forwarder
+from .http_channel import HttpChannel
+from .log_stream import FLUSH_S, LogStream, install_log_stream
+from .members import Member, Members
+from .metrics import observe_request, render_metrics
+from .model import CallerLimits, EdgeSettings, Endpoint
+from .quotas import Quotas
+from .usage import Usage
+from .work_meter import WorkMeter
+
+LOGGER: Final = logging.getLogger(__name__)
+
+SWEEP_S: Final = 0.5
+STATE_PATH: Final = "/state"
+STATE_TIMEOUT_S: Final = 1.0  # a megabyte between neighbours at 10 Mbit/s
+BRIDGE_AFTER_S: Final = 0.6  # a watch that answers brings the change sooner
+DIRECTORY_TTL_S: Final = 2.0  # below the platform's longest; a leave is seen sooner
+MIN_LEAVE_S: Final = 4.5  # answers of the directory older than that are few
+EXIT_MARGIN_S: Final = 0.7  # before SIGKILL
+IDLE_CLOSE_S: Final = 2.5  # idle callers' connections stay open after a stop begins
+
+
+class EdgeDaemon:
+    """All parts of one entry daemon.
+
+    Args:
+        settings: of this daemon.
+        log_stream: flushed from the event loop.
+    """
+
+    def __init__(self, *, settings: EdgeSettings, log_stream: LogStream | None) -> None:
+        self.settings = settings
+        self._log_stream = log_stream
+        self._incarnation = int(time.time() * 1_000)
+        bounds = settings.bounds
+        self.catalogue = Catalogue(
+            store_address=settings.store, revoke_s=bounds.revoke_s
+        )
+        self.quotas = Quotas(bounds=bounds)
+        self.members = Members(
+            settings=settings,
+            incarnation=self._incarnation,
+            make_body=self._make_gossip,
+            take_body=self._take_gossip,
+            read_progress=self._read_progress,
+            on_progress=self._note_progress,
+        )
+        self.quotas.bind(self.members)
+        self.usage = Usage(
+            window_s=bounds.usage_window_s,
+            read_wall_clock=self.members.estimate_wall_clock,
+        )
+        self.work = WorkMeter()
+        self.table = BackendTable(
+            zone=settings.zone, count_fleet=self.members.count_fleet
+        )
+        self.forwarder = Forwarder(
+            catalogue=self.catalogue,
+            table=self.table,
+            quotas=self.quotas,
+            usage=self.usage,
+            work=self.work,
+            observe=observe_request,
+        )
+        self.duties: Duties | None = None
+        if settings.cloud is not None and settings.duties:
+            self.duties = Duties(
+                settings=settings,
+                incarnation=self._incarnation,
+                members=self.members,
+                catalogue=self.catalogue,
+                usage=self.usage,
+                read_work=self.work.total,
+            )
+        self.front = CallerServer(
+            handler=self.forwarder.serve, read_limits=self._read_limits
+        )
+        self._control: list[CallerServer] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._behind_since: float | None = None
+        self._bridge: asyncio.Task[None] | None = None
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM, then leaves."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_settings_changed)
+        await self._start()
+        await self._stop.wait()
+        await self._leave()
+
+    async def _start(self) -> None:
+        settings = self.settings
+        self.catalogue.add_listener(self._follow_catalogue)
+        await self.front.start(*settings.front)
+        await self._listen(
+            {names.READINESS_PATH: self._answer_ready}, settings.readiness
+        )
+        await self._listen(
+            {names.DIRECTORY_PATH: self._answer_directory}, settings.directory
+        )
+        await self._listen({STATE_PATH: self._answer_state}, settings.peer)
+        if settings.metrics is not None:
+            await self._listen({"/metrics": self._answer_metrics}, settings.metrics)
+        await self.members.start()
+        self.catalogue.start()
+        if self.duties is not None:
+            self.duties.start()
+        self._tasks.append(asyncio.create_task(self._sweep()))
+        self._tasks.append(asyncio.create_task(self._flush_logs()))
+        log_event(
+            LOGGER,
+            "daemon_started",
+            daemon=settings.name,
+            zone=settings.zone,
+            front=settings.front,
+            incarnation=self._incarnation,
+        )
+
+    async def _listen(self, paths: Mapping[str, Any], address: Endpoint) -> None:
+        async def answer(request: CallerRequest, caller: CallerConnection) -> None:
+            path = request.target.partition(b"?")[0].decode("latin-1")
+            handler = paths.get(path)
+            if handler is None:
+                kind = ErrorKind.NOT_FOUND
+                caller.answer_error(BerylpostError(kind, "no such call here"))
+            else:
+                handler(request, caller)
+
+        server = CallerServer(handler=answer)
+        await server.start(*address)
+        self._control.append(server)
+
+    async def _leave(self) -> None:
+        """Stops taking new callers, finishes what runs, and exits in time."""
+        began_at = read_age_clock()
+        ends_at = began_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        log_event(LOGGER, "daemon_leaving", n_busy=self.front.count_busy())
+        self.members.leaving = True
+        self.front.leaving = True
+        self.members.announce()
+        if self.duties is not None:
+            await self.duties.stop()
+        await self.members.deregister()
+        while read_age_clock() < ends_at:
+            elapsed_s = read_age_clock() - began_at
+            if elapsed_s > IDLE_CLOSE_S:
+                self._close_idle()
+            if elapsed_s > MIN_LEAVE_S and not self.front.count_busy():
+                break
+            await asyncio.sleep(0.1)
+        self.catalogue.stop()
+        self.members.announce()
+        self.members.stop()
+        for task in self._tasks:
+            task.cancel()
+        log_event(LOGGER, "daemon_stopped", n_busy=self.front.count_busy())
+        self.front.close()
+        if self._log_stream is not None:
+            self._log_stream.flush_lines()
+
+    def _close_idle(self) -> None:
+        horizon = read_age_clock() - IDLE_CLOSE_S
+        for connection in list(self.front.connections):
+            if not connection.is_busy and connection.active_at < horizon:
+                connection.close_when_written()
+
+    def _note_settings_changed(self) -> None:
+        """Tells of SIGHUP; addresses and identity change only with a restart."""
+        try:
+            fresh = load_boot_settings()
+        except SettingsError as error:
+            log_event(LOGGER, "reload_failed", logging.ERROR, error=error)
+            return
+        log_event(LOGGER, "settings_reloaded", changed=fresh != self.settings)
+
+    def _read_limits(self) -> CallerLimits:
+        held = self.catalogue.configuration
+        return held.limits if held is not None else DEFAULT_LIMITS
+
+    def _follow_catalogue(self) -> None:
+        held = self.catalogue.configuration
+        if held is not None:
+            self.table.update(self.catalogue.backends, held.services)
+            self.members.ready = True
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come."""
+        return (
+            self.catalogue.configuration is not None
+            and not self.members.leaving
+            and self.catalogue.is_confirmed()
+        )
+
+    # Calls on the control addresses.
+
+    def _answer_ready(self, request: CallerRequest, caller: CallerConnection) -> None:
+        status = 200 if self.is_ready else 503
+        caller.answer(status, b"", (), b"")
+
+    def _answer_directory(
+        self, request: CallerRequest, caller: CallerConnection
+    ) -> None:
+        query = parse_directory_query(request.target)
+        zone = query.get("zone", "")
+        port = self.settings.front.port
+        alive = [m for m in self.members.list_alive() if m.ready and not m.leaving]
+        entries = [(m.zone, Endpoint(m.ip, port)) for m in alive]
+        if self.is_ready or not entries:
+            entries.append((self.settings.zone, self.settings.front))
+        del zone  # every daemon is near: availability zones are a millisecond apart
+        document = {
+            "Addresses": [str(address) for _, address in entries[:64]],
+            "TtlS": min(DIRECTORY_TTL_S, self.settings.bounds.address_ttl_s),
+        }
+        self._answer_json(caller, document)
+
+    def _answer_state(self, request: CallerRequest, caller: CallerConnection) -> None:
+        self._answer_json(caller, self.catalogue.export_state())
+
+    def _answer_metrics(self, request: CallerRequest, caller: CallerConnection) -> None:
+        body = render_metrics(self)
+        caller.answer(200, b"", ((b"content-type", b"text/plain"),), body)
+
+    def _answer_json(self, caller: CallerConnection, document: Any) -> None:
+        body = msgspec.json.encode(document)
+        caller.answer(200, b"", ((b"content-type", b"application/json"),), body)
+
+    # What goes between daemons.
+
+    def _make_gossip(self) -> bytes:
+        hold = self.duties.export_hold() if self.duties is not None else 0
+        return msgspec.msgpack.encode(
+            [
+                self.table.export_loads(),
+                self.quotas.export_totals(),
+                self.usage.export_counts(),
+                self.work.export_rates(),
+                hold,
+            ]
+        )
+
+    def _take_gossip(self, member: Member, body: Any) -> None:
+        loads, totals, counts, rates, hold = body
+        self.table.import_loads(member.name, loads)
+        self.quotas.import_totals(member, totals)
+        self.usage.import_counts(member.name, member.incarnation, counts)
+        self.work.import_rates(member.name, rates)
+        if self.duties is not None:
+            self.duties.import_hold(hold)
+
+    def _read_progress(self) -> tuple[int, float, int]:
+        held = self.catalogue.configuration
+        return (
+            held.revision if held is not None else 0,
+            self.catalogue.read_confirmation_age(),
+            self.catalogue.backends_revision,
+        )
+
+    def _note_progress(
+        self,
+        member: Member,
+        configuration_revision: int,
+        confirmed_at: float | None,
+        backends_revision: int,
+    ) -> None:
+        catalogue = self.catalogue
+        if confirmed_at is not None:
+            catalogue.confirm(configuration_revision, confirmed_at)
+        catalogue.note_neighbour(configuration_revision, backends_revision)
+        held = catalogue.configuration
+        own = held.revision if held is not None else 0
+        behind = (
+            configuration_revision > own
+            or backends_revision > catalogue.backends_revision
+        )
+        now = read_age_clock()
+        if not behind:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > BRIDGE_AFTER_S and self._bridge is None:
+            self._bridge = asyncio.create_task(self._fetch_state(member))
+
+    async def _fetch_state(self, member: Member) -> None:
+        """Takes a neighbour's state while the store does not answer this VM."""
+        channel = HttpChannel(address=member.address, connect_timeout_s=STATE_TIMEOUT_S)
+        try:
+            answer = await channel.call("GET", STATE_PATH, timeout_s=STATE_TIMEOUT_S)
+            self.catalogue.import_state(msgspec.json.decode(answer.body))
+            log_event(LOGGER, "state_bridged", member=member.name)
+        except (PlatformError, msgspec.MsgspecError) as error:
+            log_event(LOGGER, "bridge_failed", member=member.name, error=error)
+        finally:
+            channel.close()
+            self._bridge = None
+            self._behind_since = None
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.table.sweep()
+
+    async def _flush_logs(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            if self._log_stream is not None:
+                self._log_stream.flush_lines()
+
+
+def main() -> int:
+    """Runs the entry daemon.
+
+    Returns:
+        0 after a planned stop, 2 for settings that cannot be used.
+    """
+    try:
+        settings = load_boot_settings()
+    except SettingsError as error:
+        print(f"berylpost edge: {error}", file=sys.stderr)
+        return 2
+    log_stream = install_log_stream(level=os.environ.get("BERYLPOST_LOG", "info"))
+    gc.freeze()
+    asyncio.run(EdgeDaemon(settings=settings, log_stream=log_stream).run())
+    return 0
--- /dev/null
+++ b/berylpost/edge/duties.py
@@ -0,0 +1,278 @@
+"""Carries out the duties while this daemon holds their lease.
+
+Usage: each window's sum is written down under the lease, then reported. Fleet: orders
+follow `policy.fleet_size`; an order that was refused makes its zone rest.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+from ..errors import PlatformError
+from ..logs import log_event
+from ..platform.object_store import ObjectStore
+from ..platform.orders import (
+    CALL_TIMEOUT_S,
+    DUTY_FLEET,
+    DUTY_USAGE,
+    CloudOrders,
+    OrderOutcome,
+)
+from ..policy.fleet_size import ZoneFleet, ZoneOrder, count_needed, plan_zones
+from .catalogue import Catalogue
+from .clock import read_age_clock
+from .duty_lease import DutyLease
+from .members import Members
+from .model import BackendState, EdgeSettings, Service
+from .usage import Usage
+
+LOGGER: Final = logging.getLogger(__name__)
+
+TICK_S: Final = 0.25
+REPORT_DELAY_S: Final = 4.0  # after a window's end: daemons cut off for 3 s are in
+N_CANDIDATES: Final = 2  # daemons that try for a free lease, so that few calls are made
+TRY_PAUSE_S: Final = 1.0  # between two looks at a lease that another daemon holds
+FLEET_PAUSE_S: Final = 1.0  # between two plans; a server boots for seconds
+SPOT_REST_S: Final = 10.0  # refused reclaimable servers come back after 10 to 20 s
+SWITCH_S: Final = 6.0  # fewer servers are ordered only after the load was low so long
+CALL_MARGIN_S: Final = 0.3  # of a hold that is too short to begin a call in
+
+
+class Duties:
+    """The duties of one daemon at a time.
+
+    Args:
+        settings: of this daemon.
+        incarnation: of this daemon.
+        members: who else may hold them.
+        catalogue: services and backend servers.
+        usage: counts to report.
+        read_work: server-seconds of work a second by service, over all daemons.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EdgeSettings,
+        incarnation: int,
+        members: Members,
+        catalogue: Catalogue,
+        usage: Usage,
+        read_work: Callable[[], Mapping[str, float]],
+    ) -> None:
+        assert settings.cloud is not None
+        self.store = ObjectStore(address=settings.store)
+        self.lease = DutyLease(
+            store=self.store,
+            holder=settings.name,
+            incarnation=incarnation,
+            shortest_s=settings.bounds.lease_s,
+        )
+        self._settings = settings
+        self._members = members
+        self._catalogue = catalogue
+        self._usage = usage
+        self._read_work = read_work
+        self._cloud = CloudOrders(address=settings.cloud, holder=settings.name)
+        self._started_at = read_age_clock()
+        self._sent: set[int] = set()
+        self._ordered: dict[tuple[str, str, bool], int] = {}
+        self._rests_until: dict[tuple[str, str], float] = {}
+        self._planned_at = 0.0
+        self._wanted: dict[str, int] = {}
+        self._low_since: dict[str, float] = {}
+        self._others_hold_until = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts trying for the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Gives the lease back and ends."""
+        if self._task is not None:
+            self._task.cancel()
+        self._cloud.close()
+        self.store.close()
+        try:
+            await self.lease.release()
+        except PlatformError as error:
+            log_event(LOGGER, "release_failed", logging.WARNING, error=error)
+
+    def export_hold(self) -> float:
+        """Returns how long this daemon still holds the lease, for gossip; 0 if not."""
+        return round(self.lease.read_left_s(), 2)
+
+    def import_hold(self, left_s: Any) -> None:
+        """Takes another daemon's word that it holds the lease."""
+        if isinstance(left_s, int | float) and left_s > 0:
+            until = read_age_clock() + left_s
+            self._others_hold_until = max(self._others_hold_until, until)
+
+    async def _run(self) -> None:
+        while True:
+            pause_s = TICK_S
+            try:
+                if self.lease.is_held():
+                    await self._act()
+                elif self._may_try():
+                    self._forget_orders()
+                    await self.lease.try_take()
+                    if not self.lease.is_held():
+                        pause_s = TRY_PAUSE_S
+            except PlatformError as error:
+                log_event(LOGGER, "duty_failed", logging.WARNING, error=error)
+                pause_s = TRY_PAUSE_S
+            except Exception:
+                LOGGER.exception("event=duty_error")
+                pause_s = TRY_PAUSE_S
+            await asyncio.sleep(pause_s * random.uniform(0.9, 1.1))
+
+    def _may_try(self) -> bool:
+        """Tells whether this daemon is among those that should try now."""
+        now = read_age_clock()
+        if self._members.leaving or now < self._others_hold_until:
+            return False
+        settled = now - self._started_at > self._settings.bounds.lease_s / 2
+        if not settled:
+            return False
+        names = [m.name for m in self._members.list_alive() if not m.leaving]
+        rank = sorted([*names, self._settings.name]).index(self._settings.name)
+        return rank < N_CANDIDATES
+
+    def _forget_orders(self) -> None:
+        self._ordered.clear()
+        self._sent.clear()
+
+    async def _act(self) -> None:
+        duties = self._settings.duties
+        if DUTY_USAGE in duties:
+            await self._report_usage()
+        if self.lease.needs_renewal() and not await self.lease.renew():
+            log_event(LOGGER, "duties_lost", logging.WARNING)
+            return
+        if DUTY_FLEET in duties and read_age_clock() - self._planned_at > FLEET_PAUSE_S:
+            self._planned_at = read_age_clock()
+            await self._order_fleet()
+            await self._members.remove_lost()
+
+    def _find_call_time(self) -> float:
+        """Returns the time-out for a duty call; 0 when the hold is too short."""
+        left_s = self.lease.read_left_s() - CALL_MARGIN_S
+        return min(CALL_TIMEOUT_S, left_s) if left_s > 0 else 0.0
+
+    async def _report_usage(self) -> None:
+        window_s = self._settings.bounds.usage_window_s
+        newest = int(self._usage.read_window() - REPORT_DELAY_S / window_s) - 1
+        oldest = int(
+            self._usage.read_window() - self._settings.bounds.usage_late_s / window_s
+        )
+        for window in range(max(oldest, newest - 2), newest + 1):
+            if window in self._sent:
+                continue
+            counts = self.lease.reports.get(window)
+            if counts is None:
+                if self.lease.reports and window < max(self.lease.reports):
+                    continue
+                counts = self._usage.total(window)
+                if not await self.lease.record_report(window, counts):
+                    return
+            timeout_s = self._find_call_time()
+            if not timeout_s or not self.lease.is_held():
+                return
+            await self._cloud.report_usage(
+                window, counts, fence=self.lease.fence, timeout_s=timeout_s
+            )
+            self._sent.add(window)
+            log_event(
+                LOGGER,
+                "usage_reported",
+                window=window,
+                n_requests=sum(counts.values()),
+                fence=self.lease.fence,
+            )
+
+    async def _order_fleet(self) -> None:
+        configuration = self._catalogue.configuration
+        if configuration is None:
+            return
+        work = self._read_work()
+        for service in configuration.services.values():
+            if service.fleet is None:
+                continue
+            for order in self._plan(service, work.get(service.name, 0.0)):
+                await self._place(service, order)
+
+    def _plan(self, service: Service, load: float) -> list[ZoneOrder]:
+        bounds = service.fleet
+        assert bounds is not None
+        now = read_age_clock()
+        zones = {}
+        for zone, price in bounds.zone_prices.items():
+            servers = [
+                b
+                for b in self._catalogue.backends.values()
+                if b.service == service.name and b.zone == zone
+            ]
+            ready = [b for b in servers if b.state is BackendState.READY]
+            if any(b.spot and b.leaves_in_s is not None for b in servers):
+                self._rests_until[service.name, zone] = now + SPOT_REST_S
+            zones[zone] = ZoneFleet(
+                zone=zone,
+                price=price,
+                n_spot=sum(1 for b in ready if b.spot),
+                n_on_demand=sum(1 for b in ready if not b.spot),
+                spot_rests=now < self._rests_until.get((service.name, zone), 0.0),
+            )
+        n_needed = self._smooth(service.name, load, now)
+        return plan_zones(
+            zones, n_needed=n_needed, n_min=bounds.n_min, n_max=bounds.n_max
+        )
+
+    def _smooth(self, service: str, load: float, now: float) -> int:
+        """Follows a load up at once and down only after it stayed low."""
+        wanted = self._wanted.get(service, 0)
+        needed = count_needed(load, wanted)
+        if needed >= wanted:
+            self._low_since.pop(service, None)
+            self._wanted[service] = needed
+        elif now - self._low_since.setdefault(service, now) > SWITCH_S:
+            self._low_since.pop(service, None)
+            self._wanted[service] = needed
+        return self._wanted[service]
+
+    async def _place(self, service: Service, order: ZoneOrder) -> None:
+        """Sends what differs from the last order; reclaimable servers first."""
+        for spot, n_servers in ((True, order.n_spot), (False, order.n_on_demand)):
+            key = (service.name, order.zone, spot)
+            if self._ordered.get(key) == n_servers:
+                continue
+            timeout_s = self._find_call_time()
+            if not timeout_s or not self.lease.is_held():
+                return
+            outcome = await self._cloud.order_servers(
+                service.name,
+                order.zone,
+                n_servers,
+                spot=spot,
+                fence=self.lease.fence,
+                timeout_s=timeout_s,
+            )
+            log_event(
+                LOGGER,
+                "servers_ordered",
+                service=service.name,
+                zone=order.zone,
+                spot=spot,
+                n_servers=n_servers,
+                outcome=outcome,
+                fence=self.lease.fence,
+            )
+            if outcome is OrderOutcome.ACCEPTED:
+                self._ordered[key] = n_servers
+            elif spot:
+                self._rests_until[service.name, order.zone] = (
+                    read_age_clock() + SPOT_REST_S
+                )
--- /dev/null
+++ b/berylpost/edge/duty_lease.py
@@ -0,0 +1,191 @@
+"""The lease under which one daemon at a time carries out the duties.
+
+The lease is one object in the store, replaced only under the condition of its
+revision. Its spec also holds the last usage reports, written before they are sent, so
+that a successor repeats them word for word and never contradicts one. The fencing
+number is the revision at which the holder took it, so it only grows.
+"""
+
+import logging
+from typing import Any, Final
+
+from ..errors import LostAnswerError, PlatformError
+from ..logs import log_event
+from ..platform import names
+from ..platform.object_store import ConflictError, ObjectStore, StoredObject
+from .clock import read_age_clock
+
+LOGGER: Final = logging.getLogger(__name__)
+
+LEASE_NAME: Final = "duties"
+TERM_EXTRA_S: Final = 1.5  # beyond the platform's bound, so that renewals are rarer
+HOLD_SHARE: Final = 0.75  # of the term in which the holder acts; the rest is margin
+RENEW_SHARE: Final = 0.35  # of the term after which it renews; two tries fit
+N_KEPT_REPORTS: Final = 3
+
+
+class DutyLease:
+    """One daemon's view of the lease.
+
+    Args:
+        store: used for nothing else meanwhile.
+        holder: this daemon's name.
+        incarnation: of this daemon.
+        shortest_s: the platform's shortest time between two holders.
+    """
+
+    def __init__(
+        self, *, store: ObjectStore, holder: str, incarnation: int, shortest_s: float
+    ) -> None:
+        self.fence = 0
+        self.held_until = float("-inf")
+        self.reports: dict[int, dict[str, int]] = {}
+        self._store = store
+        self._holder = holder
+        self._incarnation = incarnation
+        self._term_s = shortest_s + TERM_EXTRA_S
+        self._sequence = 0
+        self._seen: StoredObject | None = None
+        self._seen_at = 0.0
+        self._renew_at = 0.0
+
+    def is_held(self) -> bool:
+        """Tells whether this daemon may act now."""
+        return read_age_clock() < self.held_until
+
+    def read_left_s(self) -> float:
+        """Returns for how long this daemon may act, seconds."""
+        return max(0.0, self.held_until - read_age_clock())
+
+    def needs_renewal(self) -> bool:
+        """Tells whether it is time to renew."""
+        return read_age_clock() >= self._renew_at
+
+    async def try_take(self) -> bool:
+        """Takes the lease if it is free or its term has run out.
+
+        Raises:
+            PlatformError: the store did not answer or refused.
+        """
+        stored = await self._store.read(names.KIND_LEASES, LEASE_NAME)
+        now = read_age_clock()
+        if stored is None:
+            return await self._write(None)
+        if self._seen is None or stored.revision != self._seen.revision:
+            self._seen, self._seen_at = stored, now
+        holder = _read_holder(stored)
+        lapsed = now - self._seen_at > self._term_s
+        if holder not in ("", self._holder) and not lapsed:
+            return False
+        return await self._write(stored)
+
+    async def renew(self) -> bool:
+        """Renews the held lease, with the reports as they are.
+
+        Raises:
+            PlatformError: the store did not answer or refused; the hold runs out.
+        """
+        if self._seen is None:
+            return False
+        return await self._write(self._seen)
+
+    async def record_report(self, window: int, counts: dict[str, int]) -> bool:
+        """Writes a report down before it is sent.
+
+        Returns:
+            Whether it is in the store under this daemon's hold.
+
+        Raises:
+            PlatformError: the store did not answer or refused.
+        """
+        before = self.reports
+        kept = sorted({*before, window})[-N_KEPT_REPORTS:]
+        self.reports = {w: before.get(w, counts) for w in kept}
+        try:
+            if await self._write(self._seen):
+                return True
+        except LostAnswerError:
+            # It may be stored; the next holder, even this one, will find out.
+            self.drop()
+            raise
+        except PlatformError:
+            self.reports = before
+            raise
+        self.reports = before
+        return False
+
+    async def release(self) -> None:
+        """Gives the lease back so that a successor need not wait.
+
+        Raises:
+            PlatformError: the store did not answer; the term has to run out.
+        """
+        if not self.is_held() or self._seen is None:
+            return
+        self.held_until = float("-inf")
+        spec = dict(self._make_spec(), holder="")
+        revision = self._seen.revision
+        await self._store.replace(
+            names.KIND_LEASES, LEASE_NAME, spec, revision=revision
+        )
+
+    def drop(self) -> None:
+        """Stops acting without a word to the store."""
+        self.held_until = float("-inf")
+
+    async def _write(self, over: StoredObject | None) -> bool:
+        """Writes the lease for this daemon over what was seen."""
+        asked_at = read_age_clock()
+        taking = not self.is_held()
+        if taking and over is not None:
+            self.reports = _read_reports(over)
+        self._sequence += 1
+        spec = self._make_spec()
+        try:
+            stored = await self._send(over, spec)
+        except ConflictError as conflict:
+            self.drop()
+            if conflict.current is not None:
+                self._seen, self._seen_at = conflict.current, read_age_clock()
+            return False
+        except LostAnswerError:
+            found = await self._store.read(names.KIND_LEASES, LEASE_NAME)
+            if found is None or found.spec != spec:
+                self.drop()
+                raise
+            stored = found
+        self._seen, self._seen_at = stored, read_age_clock()
+        if taking:
+            self.fence = stored.revision
+            log_event(LOGGER, "duties_taken", fence=self.fence, term_s=self._term_s)
+        self.held_until = asked_at + self._term_s * HOLD_SHARE
+        self._renew_at = asked_at + self._term_s * RENEW_SHARE
+        return self.is_held()
+
+    async def _send(self, over: StoredObject | None, spec: Any) -> StoredObject:
+        if over is None:
+            return await self._store.create(names.KIND_LEASES, LEASE_NAME, spec)
+        return await self._store.replace(
+            names.KIND_LEASES, LEASE_NAME, spec, revision=over.revision
+        )
+
+    def _make_spec(self) -> dict[str, Any]:
+        reports = [[window, counts] for window, counts in sorted(self.reports.items())]
+        return {
+            "holder": self._holder,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "reports": reports,
+        }
+
+
+def _read_holder(stored: StoredObject) -> str:
+    spec = stored.spec
+    holder = spec.get("holder") if isinstance(spec, dict) else None
+    return holder if isinstance(holder, str) else ""
+
+
+def _read_reports(stored: StoredObject) -> dict[int, dict[str, int]]:
+    spec = stored.spec
+    reports = spec.get("reports") if isinstance(spec, dict) else None
+    return {int(window): counts for window, counts in reports or ()}
--- /dev/null
+++ b/berylpost/edge/http_channel.py
@@ -0,0 +1,173 @@
+"""One kept HTTP connection to a service of the platform, for one call at a time.
+
+Tells failures that certainly had no effect from those whose effect is unknown, as
+`berylpost.platform.web` does for threads.
+"""
+
+import asyncio
+import socket
+from typing import Final, NamedTuple, cast
+
+import httptools
+
+from ..errors import LostAnswerError, PlatformError
+from .model import Endpoint
+
+MAX_ANSWER_BYTES: Final = 16 << 20  # a page of the store is 1 MB; leaves room
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class _AnswerProtocol(asyncio.Protocol):
+    """Parses one answer at a time from the connection that it owns."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[HttpAnswer] | None = None
+        self.keep_alive = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the new connection."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not an answer: {error}")
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells whoever waits on the connection."""
+        self.transport = None
+        self._fail(f"connection lost: {exc}")
+
+    def on_message_begin(self) -> None:
+        """A message begins."""
+        self._body.clear()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        self._body += body
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self._fail("answer too large")
+            self.abort()
+
+    def on_message_complete(self) -> None:
+        """The message is whole."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self.keep_alive = self._parser.should_keep_alive()
+        if self.answer is None or self.answer.done():
+            # Nobody asked; whatever follows cannot be matched to a call.
+            self.abort()
+            return
+        self.answer.set_result(HttpAnswer(status, bytes(self._body)))
+
+    def abort(self) -> None:
+        """Drops the connection with what was not yet sent."""
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+
+    def _fail(self, reason: str) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(LostAnswerError(reason))
+
+
+def set_socket_options(transport: asyncio.Transport, timeout_s: float) -> None:
+    """Sends small writes at once and gives up on a silent peer."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1_000)
+        )
+
+
+class HttpChannel:
+    """Calls one address over one kept connection; a failed call closes it.
+
+    Args:
+        address: of the service.
+        connect_timeout_s: how long to wait for a connection.
+    """
+
+    def __init__(self, *, address: Endpoint, connect_timeout_s: float) -> None:
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._protocol: _AnswerProtocol | None = None
+        self._lock = asyncio.Lock()
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        *,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Makes one call; concurrent calls wait for their turn.
+
+        Raises:
+            PlatformError: not connected; the call had no effect.
+            LostAnswerError: sent, but no answer came; the effect is unknown.
+        """
+        async with self._lock:
+            protocol = await self._connect()
+            answer = asyncio.get_running_loop().create_future()
+            protocol.answer = answer
+            lines = [
+                f"{method} {target} HTTP/1.1",
+                f"Host: {self._address}",
+                *(f"{name}: {value}" for name, value in (headers or {}).items()),
+            ]
+            if body:
+                lines.append("Content-Type: application/json")
+            if body or method in ("POST", "PUT"):
+                lines.append(f"Content-Length: {len(body)}")
+            assert protocol.transport is not None
+            protocol.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            try:
+                result: HttpAnswer = await asyncio.wait_for(answer, timeout_s)
+            except TimeoutError as error:
+                self.close()
+                raise LostAnswerError(f"{method} {target}: no answer") from error
+            except BaseException:
+                self.close()
+                raise
+            protocol.answer = None
+            if not protocol.keep_alive:
+                self.close()
+            return result
+
+    def close(self) -> None:
+        """Drops the connection."""
+        if self._protocol is not None:
+            self._protocol.abort()
+            self._protocol = None
+
+    async def _connect(self) -> _AnswerProtocol:
+        if self._protocol is not None and self._protocol.transport is not None:
+            return self._protocol
+        loop = asyncio.get_running_loop()
+        try:
+            transport, protocol = await asyncio.wait_for(
+                loop.create_connection(_AnswerProtocol, *self._address),
+                self._connect_timeout_s,
+            )
+        except (OSError, TimeoutError) as error:
+            raise PlatformError(f"{self._address}: not connected: {error}") from error
+        set_socket_options(transport, self._connect_timeout_s)
+        self._protocol = protocol
+        return protocol
--- /dev/null
+++ b/berylpost/edge/log_stream.py
@@ -0,0 +1,72 @@
+"""A log handler that never blocks and whose volume is bounded.
+
+Lines wait in memory and go out from the event loop; those beyond the bound are
+dropped and counted in a line of their own.
+"""
+
+import logging
+import os
+from collections import deque
+from typing import Final
+
+from ..logs import LOG_FORMAT, format_pairs
+
+MAX_WAITING_LINES: Final = 4_000  # under a megabyte
+MAX_LINES_PER_S: Final = 600  # above five lines a request at a daemon's peak of 52/s
+FLUSH_S: Final = 0.2
+
+
+class LogStream(logging.Handler):
+    """Keeps lines until `flush_lines` can write them.
+
+    Args:
+        descriptor: to write to.
+    """
+
+    def __init__(self, *, descriptor: int) -> None:
+        super().__init__()
+        self.n_dropped = 0
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._n_in_round = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Takes one line, or counts it as dropped."""
+        over = self._n_in_round >= MAX_LINES_PER_S * FLUSH_S
+        urgent = record.levelno >= logging.WARNING
+        if len(self._lines) >= MAX_WAITING_LINES or (over and not urgent):
+            self.n_dropped += 1
+            return
+        self._n_in_round += 1
+        self._lines.append(self.format(record).encode("utf-8", "replace") + b"\n")
+
+    def flush_lines(self) -> None:
+        """Writes what the descriptor takes without blocking."""
+        self._n_in_round = 0
+        if self.n_dropped:
+            line = format_pairs({"event": "lines_dropped", "n_lines": self.n_dropped})
+            self._lines.append(line.encode() + b"\n")
+            self.n_dropped = 0
+        data = self._rest + b"".join(self._lines)
+        self._lines.clear()
+        self._rest = b""
+        try:
+            while data:
+                data = data[os.write(self._descriptor, data) :]
+        except BlockingIOError:
+            self._rest = data
+        except OSError:
+            # Nobody reads any more; there is no other place to say so.
+            self._rest = b""
+
+
+def install_log_stream(*, level: str) -> LogStream:
+    """Sends all log lines through a `LogStream` on standard output."""
+    stream = LogStream(descriptor=1)
+    stream.setFormatter(logging.Formatter(LOG_FORMAT))
+    root = logging.getLogger()
+    root.handlers[:] = [stream]
+    root.setLevel(level.upper())
+    return stream
--- /dev/null
+++ b/berylpost/edge/quotas.py
@@ -0,0 +1,154 @@
+"""Customers' quotas and services' repeat budgets, kept over all daemons by gossip."""
+
+import logging
+from collections.abc import Mapping
+from typing import Any, Final
+
+from ..logs import log_event
+from ..policy.sharing import (
+    QuotaState,
+    RepeatBudget,
+    admit_units,
+    earn_repeats,
+    refill_quota,
+    take_repeat,
+    wait_for_units,
+)
+from .clock import read_age_clock
+from .members import Member, Members
+from .model import Bounds, Customer
+
+LOGGER: Final = logging.getLogger(__name__)
+
+SLACK_SHARE: Final = 0.4  # of the platform's extra; the rest is for reports not heard
+RESTART_SHARE: Final = 0.5  # of the burst that a daemon starts with, before it hears
+
+
+class Quotas:
+    """This daemon's view of all customers' quotas.
+
+    Args:
+        bounds: that the platform declares.
+    """
+
+    def __init__(self, *, bounds: Bounds) -> None:
+        self._bounds = bounds
+        self._states: dict[str, QuotaState] = {}
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._seen: dict[tuple[str, int], dict[str, float]] = {}
+        self._heard_level: dict[str, float] = {}
+        self._members: Members | None = None
+
+    def bind(self, members: Members) -> None:
+        """Gives the membership, which is made after this."""
+        self._members = members
+
+    def take(self, customer: Customer, units: float) -> float | None:
+        """Takes units for a request.
+
+        Returns:
+            None if they were taken, else seconds after which to ask again.
+        """
+        if customer.rate <= 0:
+            return None
+        state = self._refresh(customer)
+        heard_share = 1.0 - self._measure_silence(state.updated_at)
+        slack = self._bounds.quota_extra * SLACK_SHARE * heard_share
+        if admit_units(state, units, slack):
+            return None
+        log_event(
+            LOGGER,
+            "quota_refused",
+            customer=customer.name,
+            units=units,
+            held=state.level,
+            slack=slack,
+            rate=customer.rate,
+            heard_share=heard_share,
+        )
+        return wait_for_units(state, units, slack, customer.rate)
+
+    def give_back(self, customer: Customer, units: float) -> None:
+        """Returns units of a request that did not run."""
+        if customer.rate <= 0:
+            return
+        state = self._refresh(customer)
+        state.level += units
+        state.used -= units
+
+    def note_request(self, service: str) -> None:
+        """Counts a request for a service toward its repeat budget."""
+        earn_repeats(self._find_budget(service), ratio=self._bounds.retry_ratio)
+
+    def take_repeat(self, service: str) -> bool:
+        """Takes one repeat from a service's budget; False when it is spent."""
+        assert self._members is not None
+        return take_repeat(
+            self._find_budget(service),
+            now=read_age_clock(),
+            extra=self._bounds.retry_extra,
+            window_s=self._bounds.retry_window_s,
+            n_members=self._members.count_fleet(),
+        )
+
+    def export_totals(self) -> dict[str, list[float]]:
+        """Returns units used since the start and the level seen, by customer."""
+        return {
+            name: [round(state.used), round(state.level)]
+            for name, state in self._states.items()
+        }
+
+    def import_totals(self, member: Member, totals: Mapping[str, Any]) -> None:
+        """Takes what another daemon used since it was last heard."""
+        key = (member.name, member.incarnation)
+        known = self._seen.get(key)
+        if known is None:
+            # Its use before this daemon knew it is in its level already.
+            for stale in [k for k in self._seen if k[0] == member.name]:
+                del self._seen[stale]
+            known = self._seen[key] = {name: used for name, (used, _) in totals.items()}
+            for name, (_, level) in totals.items():
+                heard = self._heard_level.get(name, level)
+                self._heard_level[name] = min(heard, level)
+                state = self._states.get(name)
+                if state is not None:
+                    state.level = min(state.level, level)
+            return
+        for name, (used, _) in totals.items():
+            delta = used - known.get(name, 0.0)
+            known[name] = used
+            state = self._states.get(name)
+            if state is not None:
+                state.level -= delta
+
+    def _find_budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            now = read_age_clock()
+            budget = self._budgets[service] = RepeatBudget(tokens=1.0, updated_at=now)
+        return budget
+
+    def _refresh(self, customer: Customer) -> QuotaState:
+        now = read_age_clock()
+        state = self._states.get(customer.name)
+        if state is None:
+            level = customer.burst * RESTART_SHARE
+            level = min(level, self._heard_level.get(customer.name, level))
+            state = QuotaState(level=level, updated_at=now)
+            self._states[customer.name] = state
+            log_event(LOGGER, "quota_opened", customer=customer.name, units=level)
+        refill_quota(
+            state,
+            now=now,
+            rate=customer.rate,
+            burst=customer.burst,
+            silent_share=self._measure_silence(now),
+        )
+        return state
+
+    def _measure_silence(self, now: float) -> float:
+        """Returns the share of all daemons that may serve unheard."""
+        assert self._members is not None
+        n_fleet = self._members.count_fleet()
+        n_heard = len(self._members.list_alive()) + 1
+        return max(0.0, 1.0 - n_heard / n_fleet)
--- /dev/null
+++ b/berylpost/edge/usage.py
@@ -0,0 +1,68 @@
+"""Counts of requests that began to run, by report window and customer.
+
+Each daemon counts its own and keeps what the others gossip, so that whoever holds the
+reporting duty can sum all of it, also for a daemon that has died since.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+KEPT_WINDOWS: Final = 4  # a report is due two windows after its own has ended
+
+
+class Usage:
+    """Running counts of the last windows.
+
+    Args:
+        window_s: length of a window.
+        read_wall_clock: time of day that most daemons agree on, Unix seconds.
+    """
+
+    def __init__(
+        self, *, window_s: float, read_wall_clock: Callable[[], float]
+    ) -> None:
+        self._window_s = window_s
+        self._read_wall_clock = read_wall_clock
+        self._own: dict[int, dict[str, int]] = {}
+        self._others: dict[tuple[str, int], dict[int, dict[str, int]]] = {}
+
+    def read_window(self) -> float:
+        """Returns the present window's number with the elapsed fraction."""
+        return self._read_wall_clock() / self._window_s
+
+    def count(self, customer: str) -> None:
+        """Counts a request that begins to run now."""
+        window = int(self.read_window())
+        counts = self._own.get(window)
+        if counts is None:
+            counts = self._own[window] = {}
+            for old in [w for w in self._own if w <= window - KEPT_WINDOWS]:
+                del self._own[old]
+        counts[customer] = counts.get(customer, 0) + 1
+
+    def export_counts(self) -> dict[int, dict[str, int]]:
+        """Returns this daemon's counts for gossip."""
+        return self._own
+
+    def import_counts(
+        self, member: str, incarnation: int, counts: Mapping[Any, Mapping[str, int]]
+    ) -> None:
+        """Takes another daemon's counts; those of its earlier incarnations stay."""
+        newest = int(self.read_window())
+        kept = self._others.setdefault((member, incarnation), {})
+        for window, by_customer in counts.items():
+            kept[int(window)] = dict(by_customer)
+        for windows in self._others.values():
+            for old in [w for w in windows if w <= newest - 2 * KEPT_WINDOWS]:
+                del windows[old]
+        for key in [k for k, windows in self._others.items() if not windows]:
+            if key != (member, incarnation):
+                del self._others[key]
+
+    def total(self, window: int) -> dict[str, int]:
+        """Sums a window over all daemons."""
+        sums = dict(self._own.get(window, {}))
+        for windows in self._others.values():
+            for customer, n_requests in windows.get(window, {}).items():
+                sums[customer] = sums.get(customer, 0) + n_requests
+        return sums
--- a/berylpost/errors.py
+++ b/berylpost/errors.py
@@ -163,11 +163,14 @@
 Headers: TypeAlias = list[tuple[str, str]]
 
 
-def render_problem(error: BerylpostError) -> tuple[int, Headers, bytes]:
+def render_problem(
+    error: BerylpostError, *, whole_seconds: bool = True
+) -> tuple[int, Headers, bytes]:
     """Renders an error as an RFC 9457 problem document.
 
     Args:
         error: the error to tell.
+        whole_seconds: False for callers that take fractions in Retry-After.
 
     Returns:
         Status code, header fields and body.
@@ -185,7 +188,10 @@
     headers = [("Content-Type", PROBLEM_TYPE)]
     if error.retry_after_s is not None:
         # Whole seconds by RFC 9110; rounding up keeps callers from coming too soon.
-        headers.append(("Retry-After", str(max(1, -int(-error.retry_after_s // 1)))))
+        seconds = str(max(1, -int(-error.retry_after_s // 1)))
+        if not whole_seconds:
+            seconds = f"{error.retry_after_s:.2f}"
+        headers.append(("Retry-After", seconds))
     if answer.status == 401:
         headers.append(("WWW-Authenticate", "Bearer"))
     return answer.status, headers, msgspec.json.encode(document)
--- /dev/null
+++ b/berylpost/platform/boot.py
@@ -0,0 +1,139 @@
+"""The platform's settings file, decoded into the entry daemon's settings.
+
+The file is JSON at the path in the environment; unknown fields are ignored and a
+missing one is named with its path.
+"""
+
+import os
+from pathlib import Path
+from typing import Annotated, Any, Final
+
+import msgspec
+
+from ..edge.model import Bounds, EdgeSettings, Endpoint
+from ..errors import SettingsError
+from .names import SETTINGS_VARIABLE
+
+METRICS_PORT: Final = 9464  # also in deploy/system.toml; the exporters' usual port
+_MS: Final = 1_000.0
+
+_Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class _Listen(msgspec.Struct, frozen=True, rename="pascal"):
+    front: _Address
+    readiness: _Address
+    directory: _Address
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
+    memory_mb: float = 300
+    max_fds: int = 1_024
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename="pascal"):
+    """Defaults are the strictest figures of today's deployments."""
+
+    lease_ms: float = 3_000
+    grace_s: float = 8
+    revoke_ms: float = 5_000
+    ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
+    report_window_s: float = 5
+    usage_late_s: float = 10
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_extra: float = 50
+    quota_window_s: float = 8
+    quota_extra: float = 0
+    quota_overshoot: float = 0.1
+
+
+class _Remote(msgspec.Struct, frozen=True, rename="pascal"):
+    address: _Address
+    duties: tuple[str, ...] = ()
+
+
+class _Boot(msgspec.Struct, frozen=True, rename="pascal"):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Remote
+    port_range: tuple[int, int]
+    region: str = ""
+    heartbeat_ms: float = 1_200
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+    cloud: _Remote | None = None
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Parses `IP:PORT`.
+
+    Raises:
+        ValueError: it is not one.
+    """
+    ip, _, port = text.rpartition(":")
+    if not ip:
+        raise ValueError(f"no port in {text!r}")
+    return Endpoint(ip, int(port))
+
+
+def load_boot_settings(environment: dict[str, str] | None = None) -> EdgeSettings:
+    """Loads the settings file that the environment names.
+
+    Raises:
+        SettingsError: no file is named, it cannot be read, or a field is wrong.
+    """
+    variables: Any = os.environ if environment is None else environment
+    path = variables.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"the variable {SETTINGS_VARIABLE} names no settings file")
+    try:
+        return decode_boot_settings(Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(f"settings file {path}: {error}") from error
+
+
+def decode_boot_settings(data: bytes) -> EdgeSettings:
+    """Decodes the settings file.
+
+    Raises:
+        SettingsError: it is not JSON, or a field is missing or of the wrong type.
+    """
+    try:
+        boot = msgspec.json.decode(data, type=_Boot)
+    except msgspec.MsgspecError as error:
+        raise SettingsError(f"settings file: {error}") from error
+    bounds = boot.bounds
+    return EdgeSettings(
+        name=boot.node,
+        ip=boot.ip,
+        zone=boot.zone,
+        region=boot.region,
+        front=parse_endpoint(boot.listen.front),
+        readiness=parse_endpoint(boot.listen.readiness),
+        directory=parse_endpoint(boot.listen.directory),
+        peer=Endpoint(boot.ip, boot.port_range[0]),
+        metrics=Endpoint(boot.ip, METRICS_PORT),
+        store=parse_endpoint(boot.platform.address),
+        cloud=parse_endpoint(boot.cloud.address) if boot.cloud else None,
+        duties=frozenset(boot.cloud.duties if boot.cloud else ()),
+        heartbeat_s=boot.heartbeat_ms / _MS,
+        max_descriptors=boot.limits.max_fds,
+        memory_mb=int(boot.limits.memory_mb),
+        bounds=Bounds(
+            lease_s=bounds.lease_ms / _MS,
+            grace_s=bounds.grace_s,
+            revoke_s=bounds.revoke_ms / _MS,
+            address_ttl_s=bounds.ttl_max_s,
+            usage_window_s=bounds.report_window_s,
+            usage_late_s=bounds.usage_late_s,
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_window_s=bounds.budget_window_s,
+            retry_extra=bounds.budget_extra,
+            quota_window_s=bounds.quota_window_s,
+            quota_extra=bounds.quota_extra,
+            quota_overshoot=bounds.quota_overshoot,
+        ),
+    )
--- /dev/null
+++ b/berylpost/platform/entries.py
@@ -0,0 +1,248 @@
+"""Configuration and backend servers' entries in the store, decoded into our types."""
+
+import math
+from typing import Any, Final
+
+import msgspec
+
+from ..edge.model import (
+    Backend,
+    BackendState,
+    CallerLimits,
+    Customer,
+    EngineShape,
+    FleetBounds,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    ServingConfiguration,
+)
+from .boot import parse_endpoint
+
+_MS: Final = 1_000.0
+_KINDS: Final = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.STREAM,
+}
+_STATES: Final = {"ready": BackendState.READY, "draining": BackendState.LEAVING}
+
+
+class EntryError(ValueError):
+    """An object in the store that cannot be used; the message names the fault."""
+
+
+class _Split(msgspec.Struct, frozen=True, rename="pascal"):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, frozen=True, rename="pascal"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1_000
+    gap_aim_ms: float = 0
+    priority: int = 5
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    can_resume: bool = False
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="pascal"):
+    slots: int
+    kv_capacity: int
+    stride: int = 1
+
+
+class _Scaling(msgspec.Struct, frozen=True, rename="pascal"):
+    min: int
+    max: int
+    boot_s: float = 0
+    spot_price: float = 1
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct, frozen=True, rename="pascal"):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
+    header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename="pascal"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Configuration(msgspec.Struct, frozen=True, rename="pascal"):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Backend(msgspec.Struct, frozen=True, rename="pascal"):
+    """A backend server's own entry.
+
+    `Version` is that of its software, not of model weights. `ColdLeftMs` is how
+    long it stays slow after its start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str
+    cold_left_ms: float
+    seq: int
+    spot: bool = False
+    leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+    born: float = msgspec.field(default=0, name="born")
+
+
+def decode_configuration(spec: Any, revision: int) -> ServingConfiguration:
+    """Decodes the newest configuration.
+
+    Args:
+        spec: the stored object's body.
+        revision: of the stored object.
+
+    Raises:
+        EntryError: it is not a configuration.
+    """
+    try:
+        wire = msgspec.convert(spec, _Configuration)
+    except msgspec.ValidationError as error:
+        raise EntryError(f"configuration: {error}") from error
+    routes: dict[str, list[Route]] = {}
+    for route in wire.routes:
+        if route.kind not in _KINDS:
+            raise EntryError(f"route {route.name}: unknown kind {route.kind!r}")
+        routes.setdefault(route.host.lower(), []).append(
+            _make_route(route, has_keys=bool(wire.tenants))
+        )
+    return ServingConfiguration(
+        number=wire.version,
+        revision=revision,
+        routes={
+            host: tuple(sorted(group, key=lambda r: -len(r.prefix)))
+            for host, group in routes.items()
+        },
+        services={service.name: _make_service(service) for service in wire.services},
+        customers={tenant.name: _make_customer(tenant) for tenant in wire.tenants},
+        keys={key: tenant.name for tenant in wire.tenants for key in tenant.api_keys},
+        limits=CallerLimits(
+            header_bytes=wire.limits.header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_timeout_s=wire.limits.header_timeout_ms / _MS,
+            idle_timeout_s=wire.limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def _make_route(wire: _Route, *, has_keys: bool) -> Route:
+    shares = tuple(
+        ServiceShare(part.service, part.weight) for part in wire.traffic_split
+    )
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.path_prefix,
+        kind=_KINDS[wire.kind],
+        timeout_s=wire.timeout_ms / _MS,
+        objective_s=wire.target_latency_ms / _MS,
+        gap_s=wire.gap_aim_ms / _MS,
+        priority=wire.priority,
+        shares=shares or (ServiceShare(wire.service, 1.0),),
+        max_attempts=max(1, wire.max_attempts),
+        needs_key=has_keys and not wire.public,
+        can_resume=wire.can_resume and wire.kind == "streaming",
+    )
+
+
+def _make_service(wire: _Service) -> Service:
+    return Service(
+        name=wire.name,
+        max_connections=wire.max_conns,
+        engine=_make_engine(wire.engine) if wire.engine else None,
+        fleet=_make_fleet(wire.scaling) if wire.scaling else None,
+    )
+
+
+def _make_engine(wire: _Engine) -> EngineShape:
+    return EngineShape(
+        slots=wire.slots, kv_tokens=wire.kv_capacity, event_tokens=wire.stride
+    )
+
+
+def _make_fleet(wire: _Scaling) -> FleetBounds:
+    return FleetBounds(
+        n_min=wire.min,
+        n_max=wire.max,
+        boot_s=wire.boot_s,
+        spot_price=wire.spot_price,
+        zone_prices=wire.zone_prices,
+    )
+
+
+def _make_customer(wire: _Tenant) -> Customer:
+    return Customer(
+        name=wire.name,
+        priority=wire.priority,
+        counts_tokens=wire.unit == "tokens",
+        plain_units=wire.plain_tokens if wire.unit == "tokens" else 1.0,
+        rate=wire.rate_per_s,
+        burst=wire.burst,
+    )
+
+
+def decode_backend(name: str, spec: Any) -> Backend:
+    """Decodes a backend server's entry.
+
+    Args:
+        name: of the stored object, which is the server's id.
+        spec: the stored object's body.
+
+    Raises:
+        EntryError: a field is missing or wrong; the entry names no usable server.
+    """
+    try:
+        wire = msgspec.convert(spec, _Backend)
+        address = parse_endpoint(wire.address)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise EntryError(f"backend server {name}: {error}") from error
+    if wire.state not in _STATES:
+        raise EntryError(f"backend server {name}: unknown state {wire.state!r}")
+    if wire.slots < 1 or not 0 < address.port < 65_536 or not math.isfinite(wire.born):
+        raise EntryError(f"backend server {name}: a figure is out of range")
+    return Backend(
+        id=name,
+        service=wire.service,
+        address=address,
+        zone=wire.zone,
+        slots=wire.slots,
+        state=_STATES[wire.state],
+        spot=wire.spot,
+        leaves_in_s=None if wire.leaves_ms is None else wire.leaves_ms / _MS,
+        born_ms=int(wire.born),
+    )
--- /dev/null
+++ b/berylpost/platform/headers.py
@@ -0,0 +1,162 @@
+"""Headers of requests and answers, between the wire and our types."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+from urllib.parse import unquote
+
+from ..edge.model import LoadReport, PromptPart, RequestHead
+from . import names
+
+Header = tuple[bytes, bytes]
+
+HOP_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        b"host",
+    }
+)
+MAX_DEADLINE_S: Final = 86_400.0  # larger figures are taken as a caller's error
+
+
+def decode_request(
+    method: bytes, target: bytes, headers: Sequence[Header]
+) -> RequestHead:
+    """Decodes a request's head; header names come in lower case.
+
+    Header values that cannot be read count as absent.
+    """
+    found = {name: value.strip() for name, value in headers}
+    named = {
+        token.strip().lower()
+        for token in found.get(b"connection", b"").split(b",")
+        if token.strip()
+    }
+    dropped = HOP_HEADERS | names.SYSTEM_HEADERS | named
+    prompt_tokens, output_tokens = _parse_counts(found.get(names.TOKEN_COUNTS, b""))
+    scheme, _, key = (
+        found.get(names.AUTHORIZATION, b"").decode("latin-1").partition(" ")
+    )
+    host = found.get(b"host", b"").decode("latin-1").lower()
+    return RequestHead(
+        method=method,
+        target=target,
+        host=host.partition(":")[0],
+        path=target.partition(b"?")[0].decode("latin-1"),
+        id=found.get(names.ATTEMPT_ID, b"").decode("latin-1"),
+        deadline_s=_parse_ms(found.get(names.DEADLINE, b"")),
+        key=key.strip() if scheme.lower() == "bearer" else "",
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        parts=_parse_parts(found.get(names.PROMPT_PARTS, b"")),
+        last_event_id=found.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
+        headers=tuple((n, v) for n, v in headers if n not in dropped),
+    )
+
+
+def render_request(
+    head: RequestHead,
+    *,
+    host: bytes,
+    body: bytes,
+    backend_id: str,
+    customer: str,
+    deadline_s: float,
+    last_event_id: str,
+    urgency: int | None,
+) -> bytes:
+    """Renders a request for one backend server.
+
+    Args:
+        head: the caller's request.
+        host: the caller's `Host`, as sent.
+        body: the whole body.
+        backend_id: the server that is expected to answer at the address.
+        customer: whose key the caller showed; empty for none.
+        deadline_s: time left for the server.
+        last_event_id: after which a stream goes on; empty for from the start.
+        urgency: 0 for first to 9, None for the server's default.
+    """
+    deadline = b"%d" % max(1, int(deadline_s * 1_000))
+    lines = [head.method + b" " + head.target + b" HTTP/1.1", b"Host: " + host]
+    lines += [name + b": " + value for name, value in head.headers]
+    lines.append(names.DEADLINE + b": " + deadline)
+    lines.append(names.EXPECTED_BACKEND + b": " + backend_id.encode("latin-1"))
+    if customer:
+        lines.append(names.CUSTOMER + b": " + customer.encode("latin-1"))
+    if last_event_id:
+        lines.append(names.LAST_EVENT_ID + b": " + last_event_id.encode("latin-1"))
+    if urgency is not None:
+        lines.append(names.URGENCY + b": %d" % urgency)
+    if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def keep_answer_headers(headers: Iterable[Header]) -> list[Header]:
+    """Returns the headers of an answer that go on to the caller."""
+    kept = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in kept
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [(n, v) for n, v in kept if n not in HOP_HEADERS and n not in named]
+
+
+def parse_load(value: bytes) -> LoadReport | None:
+    """Parses a backend server's load; None when it cannot be read."""
+    try:
+        running, waiting, slots = (int(part) for part in value.split(b","))
+    except ValueError:
+        return None
+    return LoadReport(running, waiting, slots)
+
+
+def parse_keep_alive(value: bytes) -> float | None:
+    """Parses how long the peer keeps an idle connection, seconds."""
+    for part in value.split(b","):
+        name, _, figure = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and figure.isdigit():
+            return float(figure)
+    return None
+
+
+def parse_directory_query(target: bytes) -> dict[str, str]:
+    """Parses the query of a directory call into lower-case names and values."""
+    query = target.partition(b"?")[2].decode("latin-1")
+    pairs = (pair.partition("=") for pair in query.split("&") if pair)
+    return {unquote(name).lower(): unquote(value) for name, _, value in pairs}
+
+
+def _parse_ms(value: bytes) -> float | None:
+    try:
+        seconds = float(value) / 1_000
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds <= MAX_DEADLINE_S else None
+
+
+def _parse_counts(value: bytes) -> tuple[int, int]:
+    first, _, second = value.partition(b",")
+    try:
+        return max(0, int(first)), max(0, int(second))
+    except ValueError:
+        return 0, 0
+
+
+def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in value.decode("latin-1").split(","):
+        part_id, _, count = entry.strip().partition(":")
+        if part_id and count.isdigit():
+            parts.append(PromptPart(part_id, int(count)))
+    return tuple(parts)
--- /dev/null
+++ b/berylpost/platform/names.py
@@ -0,0 +1,57 @@
+"""Names of headers and calls on the platform's wire, decoded nowhere else."""
+
+from typing import Final
+
+SETTINGS_VARIABLE: Final = "BERYLPOST_BOOT"
+
+# Headers of callers' requests, in lower case as they are compared.
+ATTEMPT_ID: Final = b"x-berylpost-attempt-id"
+DEADLINE: Final = b"x-berylpost-deadline-ms"
+TOKEN_COUNTS: Final = b"x-berylpost-token-counts"
+PROMPT_PARTS: Final = b"x-berylpost-prompt-prefix"
+LAST_EVENT_ID: Final = b"last-event-id"
+AUTHORIZATION: Final = b"authorization"
+
+# Headers that only this system sets on what it sends to backend servers.
+CUSTOMER: Final = b"x-berylpost-tenant"
+EXPECTED_BACKEND: Final = b"x-berylpost-expect-replica"
+URGENCY: Final = b"x-berylpost-urgency-class"
+SYSTEM_HEADERS: Final = frozenset(
+    {
+        CUSTOMER,
+        EXPECTED_BACKEND,
+        URGENCY,
+        DEADLINE,
+        LAST_EVENT_ID,
+        AUTHORIZATION,
+        b"x-berylpost-expect-version",
+        b"x-berylpost-hold",
+        b"x-berylpost-pin-ms",
+        b"x-berylpost-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+
+# Headers of backend servers' answers.
+SIGNATURE: Final = b"x-berylpost-replica-signature"
+LOAD: Final = b"x-berylpost-replica-load"
+NOT_EXECUTED: Final = b"x-berylpost-not-executed"
+
+# Headers of duty calls.
+DUTY_HOLDER: Final = "X-Berylpost-Duty-Holder"
+DUTY_FENCE: Final = "X-Berylpost-Fence-Token"
+
+# Calls that this system answers.
+READINESS_PATH: Final = "/v1/ready"
+DIRECTORY_PATH: Final = "/v1/resolve"
+
+# Calls that the platform answers.
+OBJECTS_PATH: Final = "/v1/objects"
+USAGE_PATH: Final = "/usage"
+FLEET_PATH: Final = "/scaling"
+KIND_CONFIGURATION: Final = "config"
+KIND_BACKENDS: Final = "servers"
+CONFIGURATION_NAME: Final = "main"
+KIND_LEASES: Final = "berylpost-leases"
+KIND_MEMBERS: Final = "berylpost-members"
--- /dev/null
+++ b/berylpost/platform/orders.py
@@ -0,0 +1,109 @@
+"""Duty calls to the platform's cloud API: usage reports and orders of servers."""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any, Final
+
+import msgspec
+
+from ..edge.http_channel import HttpChannel
+from ..edge.model import Endpoint
+from ..errors import PlatformError
+from . import names
+
+CALL_TIMEOUT_S: Final = 1.0  # below the shortest lease, so that a holder's call ends
+CONNECT_TIMEOUT_S: Final = 0.7  # a lost opening packet is sent again after a second
+DUTY_USAGE: Final = "usage_report"
+DUTY_FLEET: Final = "autoscale"
+
+
+class OrderOutcome(StrEnum):
+    """What became of an order of servers."""
+
+    ACCEPTED = "accepted"
+    NONE_AVAILABLE = "none_available"
+
+
+class CloudOrders:
+    """Makes duty calls over one kept connection.
+
+    Args:
+        address: of the cloud API.
+        holder: name of this daemon.
+    """
+
+    def __init__(self, *, address: Endpoint, holder: str) -> None:
+        self._holder = holder
+        self._channel = HttpChannel(
+            address=address, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
+
+    async def report_usage(
+        self,
+        window: int,
+        counts: Mapping[str, int],
+        *,
+        fence: int,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """Reports the requests of each customer that began in a window.
+
+        Raises:
+            PlatformError: refused, or not connected.
+            LostAnswerError: the effect is unknown.
+        """
+        document = {"WindowId": window, "RequestCounts": counts}
+        await self._post(names.USAGE_PATH, document, fence, timeout_s)
+
+    async def order_servers(
+        self,
+        service: str,
+        zone: str,
+        n_servers: int,
+        *,
+        spot: bool,
+        fence: int,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> OrderOutcome:
+        """Orders a number of servers of one kind in a zone.
+
+        Raises:
+            PlatformError: refused, or not connected.
+            LostAnswerError: the effect is unknown.
+        """
+        document: dict[str, Any] = {
+            "Service": service,
+            "Zone": zone,
+            "Desired": n_servers,
+        }
+        if spot:
+            document["Spot"] = True
+        status = await self._post(
+            names.FLEET_PATH, document, fence, timeout_s, accept=(409,)
+        )
+        if status == 409:
+            return OrderOutcome.NONE_AVAILABLE
+        return OrderOutcome.ACCEPTED
+
+    def close(self) -> None:
+        """Drops the connection together with what it has not sent yet."""
+        self._channel.close()
+
+    async def _post(
+        self,
+        path: str,
+        document: Mapping[str, Any],
+        fence: int,
+        timeout_s: float,
+        accept: tuple[int, ...] = (),
+    ) -> int:
+        answer = await self._channel.call(
+            "POST",
+            path,
+            timeout_s=timeout_s,
+            body=msgspec.json.encode(document),
+            headers={names.DUTY_HOLDER: self._holder, names.DUTY_FENCE: str(fence)},
+        )
+        if answer.status >= 300 and answer.status not in accept:
+            raise PlatformError(f"POST {path}: status {answer.status}")
+        return answer.status
