End the grace of vanished entries two seconds after the store's return

Ruled out: a silent watch (the removal came at once); the end of the drain itself. Change: the grace ends two seconds after the store's return; a neighbour's list has none, since what it still keeps is in it.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -52,7 +52,7 @@
         self._address = store_address
         self._trust_s = revoke_s * TRUST_SHARE
         self._entries: dict[str, tuple[int, Any]] = {}
-        self._vanished: dict[str, float] = {}
+        self._vanished: set[str] = set()
         self._listeners: list[Listener] = []
         self._watches: dict[str, asyncio.Task[None]] = {}
         self._kicked: dict[str, asyncio.Event] = {}
@@ -123,7 +123,8 @@
         if state.get("backends_revision", 0) > self.backends_revision:
             self.backends_revision = state["backends_revision"]
             present = {n: (r, spec) for n, r, spec in state["backends"]}
-            self._replace_backends(present, keep_vanished=True)
+            # What the neighbour still keeps over an outage is in its state too.
+            self._replace_backends(present, keep_vanished=False)
 
     def _kick(self, kind: str) -> None:
         event = self._kicked.get(kind)
@@ -284,14 +285,14 @@
 
     def _is_store_unsteady(self) -> bool:
         recent = read_age_clock() - self.store_back_at < RETURN_GRACE_S
-        return recent or any(self._failing.values())
+        return recent or self._failing[names.KIND_BACKENDS]
 
     def _set_backend(self, name: str, revision: int, spec: Any) -> None:
         known = self._entries.get(name)
         if known is not None and known[0] > revision:
             return
         self._entries[name] = (revision, spec)
-        self._vanished.pop(name, None)
+        self._vanished.discard(name)
         try:
             backend = decode_backend(name, spec)
         except EntryError as error:
@@ -318,22 +319,26 @@
         """Drops an entry, or does so once an unsteady store has had its time."""
         if keep and name in self.backends:
             if name not in self._vanished:
-                self._vanished[name] = read_age_clock()
-                delay_s = RETURN_GRACE_S + MAX_RETRY_PAUSE_S
-                loop = asyncio.get_running_loop()
-                loop.call_later(delay_s, self._end_vanished, name)
+                self._vanished.add(name)
+                self._schedule_end(name)
             return
         self._entries.pop(name, None)
-        self._vanished.pop(name, None)
+        self._vanished.discard(name)
         if self.backends.pop(name, None) is not None:
             log_event(LOGGER, "backend_gone", backend=name)
 
+    def _schedule_end(self, name: str) -> None:
+        """Looks again once the store has been back for its grace."""
+        passed_s = read_age_clock() - self.store_back_at
+        left_s = RETURN_GRACE_S - passed_s
+        delay_s = left_s if left_s > 0 else RETRY_PAUSE_S
+        asyncio.get_running_loop().call_later(delay_s, self._end_vanished, name)
+
     def _end_vanished(self, name: str) -> None:
         if name not in self._vanished:
             return
-        if any(self._failing.values()):
-            delay_s = RETURN_GRACE_S
-            asyncio.get_running_loop().call_later(delay_s, self._end_vanished, name)
+        if self._is_store_unsteady():
+            self._schedule_end(name)
             return
         self._vanish(name, keep=False)
         self._notify()
