Refuse prompts whose engine's queue is longer than their objective

A failure that came after a stream's head could have been written into the stream. Ruled out: dead servers (the same servers answered others), store and quota. Change: policy.prompt_admission bounds the queue at what still begins on time; policy.leaving refuses what cannot end; a whole answer never goes into a begun stream; a backend's own failure is told when no other server is left.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -21,13 +21,14 @@
     parse_load,
     render_request,
 )
+from ..policy.leaving import may_take_while_leaving
 from ..policy.placement import (
-    PREFILL_TOKENS_PER_S,
     Choice,
     choose_engine,
     choose_server,
     rank_homes,
 )
+from ..policy.prompt_admission import judge_queue
 from .backend_table import BackendTable, Slot
 from .callers import CallerConnection, CallerRequest
 from .catalogue import Catalogue
@@ -76,6 +77,8 @@
         maybe_run: an attempt may have run.
         n_sent: attempts that were sent.
         last_answer: a backend server's failure, told if nothing better comes.
+        counted: it is in the customer's usage.
+        metered: it is in the work that the fleet's size follows.
         started: the answer's head went to the caller.
     """
 
@@ -91,6 +94,7 @@
     n_sent: int = 0
     n_run: int = 0
     counted: bool = False
+    metered: bool = False
     tried: list[str] = field(default_factory=list)
     last_answer: tuple[AnswerHead, bytes] | None = None
     started: bool = False
@@ -148,6 +152,7 @@
         self._work = work
         self._observe = observe
         self._random = random.Random()
+        self.ends_at: float | None = None  # of the age clock, once leaving
 
     async def serve(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Serves one request; the answer is whole or the connection is broken."""
@@ -211,6 +216,13 @@
         limit_s = route.timeout_s
         if head.deadline_s is not None:
             limit_s = min(limit_s, head.deadline_s)
+        if self.ends_at is not None:
+            left_s = self.ends_at - read_age_clock()
+            is_stream = route.kind is RouteKind.STREAM
+            if not may_take_while_leaving(
+                is_stream=is_stream, timeout_s=limit_s, left_s=left_s
+            ):
+                raise _refuse(ErrorKind.LEAVING, "this daemon is leaving", 0.0)
         units = count_units(customer, head)
         if customer is not None:
             wait_s = self._quotas.take(customer, units)
@@ -236,7 +248,13 @@
             BerylpostError: given up; the kind says whether it may have run.
         """
         while True:
-            slot, connection = await self._connect(work)
+            try:
+                slot, connection = await self._connect(work)
+            except BerylpostError as error:
+                if work.last_answer is None:
+                    raise
+                self._give_up(work, caller, error.detail)
+                return
             if work.n_sent and not self._quotas.take_repeat(work.service):
                 slot.pool.release(connection)
                 self._give_up(work, caller, "repeat budget is spent")
@@ -293,8 +311,6 @@
             BerylpostError: there is none.
         """
         slots = self._table.list_usable(work.service, work.tried)
-        if not slots and not work.maybe_run and work.n_sent:
-            slots = []
         if not slots:
             if work.maybe_run:
                 kind = ErrorKind.BACKEND_FAILED
@@ -312,9 +328,31 @@
             tie = self._random.randrange(len(slots))
             choice = choose_server(loads, work_s=DEFAULT_WORK_S, tie=tie)
         assert choice is not None
+        if parts and not work.n_sent:
+            self._judge_queue(work, choice)
         chosen = next(slot for slot in slots if slot.backend.id == choice.id)
         return chosen, choice
 
+    def _judge_queue(self, work: Work, choice: Choice) -> None:
+        """Refuses a prompt whose engine's queue is too long.
+
+        Raises:
+            BerylpostError: refused; it has not run.
+        """
+        if not work.metered:
+            work.metered = True
+            self._work.add(work.service, choice.own_s)
+        retry_s = judge_queue(
+            queue_s=choice.queue_s,
+            own_s=choice.own_s,
+            objective_s=work.route.objective_s,
+            waited_s=read_age_clock() - work.request.arrived_at,
+        )
+        if retry_s is not None:
+            work.wait_s = choice.wait_s
+            detail = f"the queue is {choice.queue_s:.2f} s long"
+            raise _refuse(ErrorKind.OVERLOADED, detail, retry_s)
+
     def _count_uncached(self, work: Work, slot: Slot) -> float:
         return self._table.count_uncached(slot, work.head.parts)
 
@@ -395,8 +433,6 @@
         slot.n_outstanding += 1
         slot.pending_tokens += uncached
         pending = uncached
-        if not work.n_sent and work.head.parts:
-            self._work.add(work.service, uncached / PREFILL_TOKENS_PER_S)
         self._table.remember_parts(slot, work.head.parts)
         sent_at = read_age_clock()
         work.n_sent += 1
@@ -505,6 +541,9 @@
         Raises:
             AttemptFailed: another server may do better.
         """
+        if work.started:
+            detail = f"status {head.status} instead of the rest of a stream"
+            raise AttemptFailed(detail, ran=True, gone=False)
         signed = bool(head.find(names.SIGNATURE))
         if head.status < 300 and not signed:
             raise AttemptFailed("unsigned answer", ran=True, gone=False)
--- a/berylpost/policy/placement.py
+++ b/berylpost/policy/placement.py
@@ -45,10 +45,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
-    """A server with the predicted wait until the first token or the start, seconds."""
+    """A server with predicted times, seconds.
+
+    Attributes:
+        queue_s: until it begins with this request.
+        own_s: from then to the first token; 0 for a plain server.
+    """
 
     id: str
-    wait_s: float
+    queue_s: float
+    own_s: float
+
+    @property
+    def wait_s(self) -> float:
+        """Time until the first token, or until a plain server begins."""
+        return self.queue_s + self.own_s
 
 
 def rank_homes(key: str, ids: Iterable[str]) -> list[str]:
@@ -56,10 +67,9 @@
     return sorted(ids, key=lambda name: hash_text(f"{key}/{name}"), reverse=True)
 
 
-def predict_prompt_wait(load: BackendLoad, n_uncached: float) -> float:
-    """Predicts seconds to the first token of a prompt on a model engine."""
-    work_s = (load.pending_tokens + n_uncached) / PREFILL_TOKENS_PER_S
-    return BASE_FIRST_TOKEN_S + work_s * load.slow_factor
+def predict_reading(load: BackendLoad, n_tokens: float) -> float:
+    """Predicts seconds that an engine takes to read prompt tokens."""
+    return n_tokens / PREFILL_TOKENS_PER_S * load.slow_factor
 
 
 def choose_engine(
@@ -77,10 +87,12 @@
     best: Choice | None = None
     best_cost = 0.0
     for load, n_uncached in zip(loads, uncached, strict=True):
-        wait_s = predict_prompt_wait(load, n_uncached)
-        cost = wait_s + _penalty(load)
+        queue_s = predict_reading(load, load.pending_tokens)
+        own_s = predict_reading(load, n_uncached)
+        cost = queue_s + own_s + _penalty(load)
         if best is None or cost < best_cost:
-            best, best_cost = Choice(id=load.id, wait_s=wait_s), cost
+            best = Choice(id=load.id, queue_s=queue_s, own_s=own_s)
+            best_cost = cost
     return best
 
 
@@ -103,7 +115,7 @@
         busy_s = load.n_outstanding / load.slots * work_s
         cost = wait_s + busy_s * load.slow_factor + _penalty(load)
         if best is None or cost < best_cost:
-            best, best_cost = Choice(id=load.id, wait_s=wait_s), cost
+            best, best_cost = Choice(id=load.id, queue_s=wait_s, own_s=0.0), cost
     return best
 
 
