Keep usage counts over the loss of all daemons; trust a configuration longer

Ruled out: late reports (the windows were reported, with counts too low). Change: each renewal of the lease saves the counts by daemon and a successor takes those that it does not know; an empty watch confirms its whole wait; the limit is 0.95.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -22,12 +22,12 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
-CONFIGURATION_WAIT_S: Final = 1.5  # two waits stay under 0.9 of the shortest revoke_s
+CONFIGURATION_WAIT_S: Final = 1.5  # two waits stay well under the shortest revoke_s
 BACKENDS_WAIT_S: Final = 4.0  # gossip tells of missed changes sooner
 RETRY_PAUSE_S: Final = 0.25  # first pause after a failed call; doubles
 MAX_RETRY_PAUSE_S: Final = 1.0  # finds a returned store within its two seconds' grace
 RETURN_GRACE_S: Final = 2.0  # entries lapsed in an outage are written again by then
-TRUST_SHARE: Final = 0.85  # of revoke_s, leaves room for a request on its way
+TRUST_SHARE: Final = 0.95  # of revoke_s; the rest is for clocks that run apart
 
 Listener = Callable[[], None]
 
@@ -230,13 +230,15 @@
             item = change.item
             if item.name == names.CONFIGURATION_NAME and not change.removed:
                 self._set_configuration(item.revision, item.spec, "watch")
-        self._confirm_own(asked_at)
+        # The answer may have waited in a cut link. It proves that nothing newer was
+        # there when it was asked for, and a wait that ended empty so long after that.
+        waited_s = read_age_clock() - asked_at
+        empty = not changes.changes and waited_s >= CONFIGURATION_WAIT_S
+        self._confirm_own(asked_at + (CONFIGURATION_WAIT_S if empty else 0.0))
 
-    def _confirm_own(self, asked_at: float) -> None:
-        # The answer may have waited in a cut link, so it proves no more than that
-        # nothing newer was there when it was asked for.
+    def _confirm_own(self, proven_at: float) -> None:
         if self.configuration is not None:
-            self.confirmed_at = max(self.confirmed_at, asked_at)
+            self.confirmed_at = max(self.confirmed_at, proven_at)
 
     def _set_configuration(self, revision: int, spec: Any, source: str) -> None:
         if self.configuration is not None and revision <= self.configuration.revision:
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -69,6 +69,10 @@
             holder=settings.name,
             incarnation=incarnation,
             shortest_s=settings.bounds.lease_s,
+            export_counts=lambda: usage.export_all(settings.name, incarnation),
+            import_counts=lambda saved: usage.import_all(
+                saved, settings.name, incarnation
+            ),
         )
         self._settings = settings
         self._members = members
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 
 from ..errors import LostAnswerError, PlatformError
@@ -32,10 +33,19 @@
         holder: this daemon's name.
         incarnation: of this daemon.
         shortest_s: the platform's shortest time between two holders.
+        export_counts: usage counts, saved with each renewal.
+        import_counts: takes the counts that the holder before had saved.
     """
 
     def __init__(
-        self, *, store: ObjectStore, holder: str, incarnation: int, shortest_s: float
+        self,
+        *,
+        store: ObjectStore,
+        holder: str,
+        incarnation: int,
+        shortest_s: float,
+        export_counts: Callable[[], list[Any]],
+        import_counts: Callable[[list[Any]], None],
     ) -> None:
         self.fence = 0
         self.held_until = float("-inf")
@@ -43,6 +53,8 @@
         self._store = store
         self._holder = holder
         self._incarnation = incarnation
+        self._export_counts = export_counts
+        self._import_counts = import_counts
         self._term_s = shortest_s + TERM_EXTRA_S
         self._sequence = 0
         self._seen: StoredObject | None = None
@@ -139,6 +151,7 @@
         taking = not self.is_held()
         if taking and over is not None:
             self.reports = _read_reports(over)
+            self._import_counts(_read_list(over, "counts"))
         self._sequence += 1
         spec = self._make_spec()
         try:
@@ -150,7 +163,7 @@
             return False
         except LostAnswerError:
             found = await self._store.read(names.KIND_LEASES, LEASE_NAME)
-            if found is None or found.spec != spec:
+            if found is None or not _is_same_write(found.spec, spec):
                 self.drop()
                 raise
             stored = found
@@ -176,9 +189,19 @@
             "incarnation": self._incarnation,
             "sequence": self._sequence,
             "reports": reports,
+            "counts": self._export_counts(),
         }
 
 
+def _is_same_write(stored: Any, written: dict[str, Any]) -> bool:
+    """Tells whether a stored spec is the one that was written."""
+    if not isinstance(stored, dict):
+        return False
+    return all(
+        stored.get(f) == written[f] for f in ("holder", "incarnation", "sequence")
+    )
+
+
 def _read_holder(stored: StoredObject) -> str:
     spec = stored.spec
     holder = spec.get("holder") if isinstance(spec, dict) else None
@@ -186,6 +209,10 @@
 
 
 def _read_reports(stored: StoredObject) -> dict[int, dict[str, int]]:
+    return {int(window): counts for window, counts in _read_list(stored, "reports")}
+
+
+def _read_list(stored: StoredObject, field: str) -> list[Any]:
     spec = stored.spec
-    reports = spec.get("reports") if isinstance(spec, dict) else None
-    return {int(window): counts for window, counts in reports or ()}
+    value = spec.get(field) if isinstance(spec, dict) else None
+    return value if isinstance(value, list) else []
--- a/berylpost/edge/usage.py
+++ b/berylpost/edge/usage.py
@@ -4,7 +4,7 @@
 reporting duty can sum all of it, also for a daemon that has died since.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final
 
 KEPT_WINDOWS: Final = 4  # a report is due two windows after its own has ended
@@ -59,6 +59,26 @@
             if key != (member, incarnation):
                 del self._others[key]
 
+    def export_all(self, name: str, incarnation: int) -> list[Any]:
+        """Returns what is known of every daemon, to outlive them all in the store."""
+        everyone = {**self._others, (name, incarnation): self._own}
+        return [
+            [member, started, {str(w): counts for w, counts in windows.items()}]
+            for (member, started), windows in everyone.items()
+            if windows
+        ]
+
+    def import_all(self, saved: Iterable[Any], name: str, incarnation: int) -> None:
+        """Takes what an earlier holder saved of daemons not heard since."""
+        for member, started, windows in saved:
+            if (member, started) == (name, incarnation):
+                continue
+            kept = self._others.setdefault((member, started), {})
+            for window, counts in windows.items():
+                known = kept.setdefault(int(window), {})
+                for customer, n_requests in counts.items():
+                    known[customer] = max(known.get(customer, 0), n_requests)
+
     def total(self, window: int) -> dict[str, int]:
         """Sums a window over all daemons."""
         sums = dict(self._own.get(window, {}))
--- a/berylpost/policy/fleet_size.py
+++ b/berylpost/policy/fleet_size.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-TARGET_LOAD: Final = 0.55  # of a server's prefill time; queues grow fast beyond it
-SHRINK_LOAD: Final = 0.4  # below the target, so that a wave's trough changes nothing
+TARGET_LOAD: Final = 0.28  # of a server's prefill time; queues grow fast beyond it
+SHRINK_LOAD: Final = 0.2  # below the target, so that a wave's trough changes nothing
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
