Order reclaimed servers again; keep the found fleet until load is seen

Change: an accepted order that has brought nothing after the boot time is forgotten and given again; a refused zone rests 2 s, its share goes to the others; on-demand servers fill only what no zone gives; before any load the fleet keeps its size.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -35,7 +35,11 @@
 N_CANDIDATES: Final = 2  # daemons that try for a free lease, so that few calls are made
 TRY_PAUSE_S: Final = 1.0  # between two looks at a lease that another daemon holds
 FLEET_PAUSE_S: Final = 1.0  # between two plans; a server boots for seconds
-SPOT_REST_S: Final = 10.0  # refused reclaimable servers come back after 10 to 20 s
+SPOT_REST_S: Final = 2.0  # a zone that refused is asked again; the call is cheap
+BOOT_MARGIN_S: Final = (
+    1.5  # beyond the boot time until an ordered server counts as lost
+)
+IDLE_LOAD: Final = 0.01  # server-seconds a second; less is no traffic yet
 SWITCH_S: Final = 6.0  # fewer servers are ordered only after the load was low so long
 CALL_MARGIN_S: Final = 0.3  # of a hold that is too short to begin a call in
 
@@ -82,7 +86,7 @@
         self._cloud = CloudOrders(address=settings.cloud, holder=settings.name)
         self._started_at = read_age_clock()
         self._sent: set[int] = set()
-        self._ordered: dict[tuple[str, str, bool], int] = {}
+        self._ordered: dict[tuple[str, str, bool], tuple[int, float]] = {}
         self._rests_until: dict[tuple[str, str], float] = {}
         self._planned_at = 0.0
         self._wanted: dict[str, int] = {}
@@ -214,30 +218,57 @@
         assert bounds is not None
         now = read_age_clock()
         zones = {}
+        n_ready = 0
         for zone, price in bounds.zone_prices.items():
-            servers = [
+            ready = [
                 b
                 for b in self._catalogue.backends.values()
-                if b.service == service.name and b.zone == zone
+                if b.service == service.name
+                and b.zone == zone
+                and b.state is BackendState.READY
             ]
-            ready = [b for b in servers if b.state is BackendState.READY]
-            if any(b.spot and b.leaves_in_s is not None for b in servers):
-                self._rests_until[service.name, zone] = now + SPOT_REST_S
+            n_ready += len(ready)
+            n_spot_ready = sum(1 for b in ready if b.spot)
+            n_on_demand = len(ready) - n_spot_ready
+            refused_until = self._rests_until.get((service.name, zone), 0.0)
             zones[zone] = ZoneFleet(
                 zone=zone,
                 price=price,
-                n_spot=sum(1 for b in ready if b.spot),
-                n_on_demand=sum(1 for b in ready if not b.spot),
-                spot_rests=now < self._rests_until.get((service.name, zone), 0.0),
+                n_spot=self._count_coming(service, zone, True, n_spot_ready),
+                n_on_demand=self._count_coming(service, zone, False, n_on_demand),
+                n_spot_ready=n_spot_ready,
+                spot_refused=now < refused_until,
             )
-        n_needed = self._smooth(service.name, load, now)
+        n_needed = self._smooth(service.name, load, now, n_ready)
         return plan_zones(
             zones, n_needed=n_needed, n_min=bounds.n_min, n_max=bounds.n_max
         )
 
-    def _smooth(self, service: str, load: float, now: float) -> int:
-        """Follows a load up at once and down only after it stayed low."""
-        wanted = self._wanted.get(service, 0)
+    def _count_coming(
+        self, service: Service, zone: str, spot: bool, n_ready: int
+    ) -> int:
+        """Counts servers that serve or may still be booting; forgets lost orders."""
+        key = (service.name, zone, spot)
+        ordered = self._ordered.get(key)
+        if ordered is None or service.fleet is None:
+            return n_ready
+        n_ordered, at = ordered
+        if n_ordered > n_ready:
+            if read_age_clock() - at < service.fleet.boot_s + BOOT_MARGIN_S:
+                return n_ordered
+            # Taken away since, or never started: the order has to be given again.
+            del self._ordered[key]
+        return n_ready
+
+    def _smooth(self, service: str, load: float, now: float, n_ready: int) -> int:
+        """Follows a load up at once and down only after it stayed low.
+
+        Before any load is seen, the fleet keeps the size in which it was found.
+        """
+        wanted = self._wanted.setdefault(service, n_ready)
+        if load < IDLE_LOAD:
+            self._wanted[service] = max(wanted, n_ready)
+            return self._wanted[service]
         needed = count_needed(load, wanted)
         if needed >= wanted:
             self._low_since.pop(service, None)
@@ -251,7 +282,7 @@
         """Sends what differs from the last order; reclaimable servers first."""
         for spot, n_servers in ((True, order.n_spot), (False, order.n_on_demand)):
             key = (service.name, order.zone, spot)
-            if self._ordered.get(key) == n_servers:
+            if self._ordered.get(key, (None, 0.0))[0] == n_servers:
                 continue
             timeout_s = self._find_call_time()
             if not timeout_s or not self.lease.is_held():
@@ -275,7 +306,7 @@
                 fence=self.lease.fence,
             )
             if outcome is OrderOutcome.ACCEPTED:
-                self._ordered[key] = n_servers
+                self._ordered[key] = (n_servers, read_age_clock())
             elif spot:
                 self._rests_until[service.name, order.zone] = (
                     read_age_clock() + SPOT_REST_S
--- a/berylpost/policy/fleet_size.py
+++ b/berylpost/policy/fleet_size.py
@@ -2,8 +2,8 @@
 
 The load answered here: waves and bursts of prompts on reclaimable servers, of which a
 zone's worth goes at once and then cannot be had there for a while. Reclaimable
-servers in the cheapest zones first; on-demand ones only where nothing else holds the
-load or the zone's minimum.
+servers are spread over the zones that give any; on-demand ones fill only the gap that
+no zone's reclaimable ones can.
 """
 
 import math
@@ -11,8 +11,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-TARGET_LOAD: Final = 0.28  # of a server's prefill time; queues grow fast beyond it
+# Of a server's prefill time: half of the fleet may go with two availability zones, and
+# first tokens stay within their objective up to about 0.6.
+TARGET_LOAD: Final = 0.28
 SHRINK_LOAD: Final = 0.2  # below the target, so that a wave's trough changes nothing
+GAP_SHARE: Final = 0.6  # of the needed servers that must be there at any price
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,16 +24,18 @@
 
     Attributes:
         price: of an on-demand server-second.
-        n_spot: reclaimable servers that serve.
-        n_on_demand: on-demand servers that serve.
-        spot_rests: reclaimable ones were refused or taken away here lately.
+        n_spot: reclaimable servers that serve or boot.
+        n_on_demand: on-demand servers that serve or boot.
+        n_spot_ready: reclaimable servers that serve.
+        spot_refused: more reclaimable ones were refused here lately.
     """
 
     zone: str
     price: float
     n_spot: int
     n_on_demand: int
-    spot_rests: bool
+    n_spot_ready: int
+    spot_refused: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,30 +74,49 @@
     Returns:
         One order for each zone.
     """
-    totals = {name: n_min for name in zones}
-    resting = {name for name, fleet in zones.items() if fleet.spot_rests}
-    cheapest = sorted(zones, key=lambda name: zones[name].price)
-    n_left = n_needed - sum(n_min for name in zones if name not in resting)
-    # Even rounds keep the loss of one zone small.
-    while n_left > 0:
-        open_zones = [
-            name for name in cheapest if name not in resting and totals[name] < n_max
-        ]
-        if not open_zones:
-            break
-        for name in open_zones[:n_left]:
-            totals[name] += 1
-        n_left -= len(open_zones[:n_left])
+    n_spot = _spread_spot(zones, n_needed, n_min, n_max)
+    n_missing = math.ceil(n_needed * GAP_SHARE) - sum(n_spot.values())
+    # On-demand servers of the start stay until as many reclaimable ones serve.
+    n_kept = n_needed - sum(fleet.n_spot_ready for fleet in zones.values())
     orders = []
-    for name, fleet in zones.items():
-        if fleet.spot_rests:
-            n_spot, n_on_demand = fleet.n_spot, max(0, n_min - fleet.n_spot)
-        else:
-            n_spot = totals[name]
-            # On-demand servers stay until reclaimable ones serve in their place.
-            missing = max(0, n_spot - fleet.n_spot)
-            n_on_demand = min(fleet.n_on_demand, missing, n_max - n_spot)
+    for name in sorted(zones, key=lambda zone: zones[zone].price):
+        fleet = zones[name]
+        room = max(0, n_max - n_spot[name])
+        n_new = min(room, max(0, n_missing))
+        n_missing -= n_new
+        n_old = min(room, fleet.n_on_demand, max(0, n_kept))
+        n_kept -= n_old
         orders.append(
-            ZoneOrder(zone=name, n_spot=n_spot, n_on_demand=max(0, n_on_demand))
+            ZoneOrder(zone=name, n_spot=n_spot[name], n_on_demand=max(n_new, n_old))
         )
     return orders
+
+
+def _spread_spot(
+    zones: Mapping[str, ZoneFleet], n_needed: int, n_min: int, n_max: int
+) -> dict[str, int]:
+    """Spreads reclaimable servers evenly, cheapest zones first."""
+    wanted = {
+        name: fleet.n_spot if fleet.spot_refused else n_min
+        for name, fleet in zones.items()
+    }
+    cheapest = sorted(zones, key=lambda name: zones[name].price)
+    n_left = n_needed - sum(wanted.values())
+    while n_left > 0:
+        # Even rounds keep the loss of one zone small.
+        level = min(
+            (
+                wanted[name]
+                for name in cheapest
+                if not zones[name].spot_refused and wanted[name] < n_max
+            ),
+            default=None,
+        )
+        if level is None:
+            break
+        for name in cheapest:
+            open_zone = not zones[name].spot_refused and wanted[name] < n_max
+            if n_left > 0 and open_zone and wanted[name] == level:
+                wanted[name] += 1
+                n_left -= 1
+    return wanted
