Buy on-demand servers only for the load that nothing else carries

Change: reclaimable servers are ordered first; what is really there or booting decides the rest; on-demand servers hold the load up to 0.6 of their time and go only once reclaimable ones serve.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -20,12 +20,18 @@
     CloudOrders,
     OrderOutcome,
 )
-from ..policy.fleet_size import ZoneFleet, ZoneOrder, count_needed, plan_zones
+from ..policy.fleet_size import (
+    ZoneFleet,
+    count_firm,
+    count_needed,
+    plan_on_demand,
+    plan_spot,
+)
 from .catalogue import Catalogue
 from .clock import read_age_clock
 from .duty_lease import DutyLease
 from .members import Members
-from .model import BackendState, EdgeSettings, Service
+from .model import BackendState, EdgeSettings, FleetBounds, Service
 from .usage import Usage
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -35,7 +41,7 @@
 N_CANDIDATES: Final = 2  # daemons that try for a free lease, so that few calls are made
 TRY_PAUSE_S: Final = 1.0  # between two looks at a lease that another daemon holds
 FLEET_PAUSE_S: Final = 1.0  # between two plans; a server boots for seconds
-SPOT_REST_S: Final = 2.0  # a zone that refused is asked again; the call is cheap
+SPOT_REST_S: Final = 3.0  # a zone that refused is asked again; the call is cheap
 BOOT_MARGIN_S: Final = (
     1.5  # beyond the boot time until an ordered server counts as lost
 )
@@ -210,12 +216,29 @@
         for service in configuration.services.values():
             if service.fleet is None:
                 continue
-            for order in self._plan(service, work.get(service.name, 0.0)):
-                await self._place(service, order)
+            await self._order_service(service, work.get(service.name, 0.0))
 
-    def _plan(self, service: Service, load: float) -> list[ZoneOrder]:
+    async def _order_service(self, service: Service, load: float) -> None:
+        """Orders reclaimable servers, then what they leave open."""
         bounds = service.fleet
         assert bounds is not None
+        zones, n_ready = self._view_zones(service, bounds)
+        n_needed = self._smooth(service.name, load, read_age_clock(), n_ready)
+        spot = plan_spot(
+            zones, n_needed=n_needed, n_min=bounds.n_min, n_max=bounds.n_max
+        )
+        for zone, n_servers in spot.items():
+            await self._place(service, zone, n_servers, spot=True)
+        zones, _ = self._view_zones(service, bounds)
+        n_firm = count_firm(load, n_needed) if load > IDLE_LOAD else n_needed
+        on_demand = plan_on_demand(zones, n_firm=n_firm, n_max=bounds.n_max)
+        for zone, n_servers in on_demand.items():
+            await self._place(service, zone, n_servers, spot=False)
+
+    def _view_zones(
+        self, service: Service, bounds: FleetBounds
+    ) -> tuple[dict[str, ZoneFleet], int]:
+        """Makes the views that the fleet decisions take, and counts ready servers."""
         now = read_age_clock()
         zones = {}
         n_ready = 0
@@ -239,10 +262,7 @@
                 n_spot_ready=n_spot_ready,
                 spot_refused=now < refused_until,
             )
-        n_needed = self._smooth(service.name, load, now, n_ready)
-        return plan_zones(
-            zones, n_needed=n_needed, n_min=bounds.n_min, n_max=bounds.n_max
-        )
+        return zones, n_ready
 
     def _count_coming(
         self, service: Service, zone: str, spot: bool, n_ready: int
@@ -278,36 +298,36 @@
             self._wanted[service] = needed
         return self._wanted[service]
 
-    async def _place(self, service: Service, order: ZoneOrder) -> None:
-        """Sends what differs from the last order; reclaimable servers first."""
-        for spot, n_servers in ((True, order.n_spot), (False, order.n_on_demand)):
-            key = (service.name, order.zone, spot)
-            if self._ordered.get(key, (None, 0.0))[0] == n_servers:
-                continue
-            timeout_s = self._find_call_time()
-            if not timeout_s or not self.lease.is_held():
-                return
-            outcome = await self._cloud.order_servers(
-                service.name,
-                order.zone,
-                n_servers,
-                spot=spot,
-                fence=self.lease.fence,
-                timeout_s=timeout_s,
-            )
-            log_event(
-                LOGGER,
-                "servers_ordered",
-                service=service.name,
-                zone=order.zone,
-                spot=spot,
-                n_servers=n_servers,
-                outcome=outcome,
-                fence=self.lease.fence,
-            )
-            if outcome is OrderOutcome.ACCEPTED:
-                self._ordered[key] = (n_servers, read_age_clock())
-            elif spot:
-                self._rests_until[service.name, order.zone] = (
-                    read_age_clock() + SPOT_REST_S
-                )
+    async def _place(
+        self, service: Service, zone: str, n_servers: int, *, spot: bool
+    ) -> None:
+        """Sends an order that differs from the last one."""
+        key = (service.name, zone, spot)
+        if self._ordered.get(key, (None, 0.0))[0] == n_servers:
+            return
+        timeout_s = self._find_call_time()
+        if not timeout_s or not self.lease.is_held():
+            return
+        outcome = await self._cloud.order_servers(
+            service.name,
+            zone,
+            n_servers,
+            spot=spot,
+            fence=self.lease.fence,
+            timeout_s=timeout_s,
+        )
+        now = read_age_clock()
+        log_event(
+            LOGGER,
+            "servers_ordered",
+            service=service.name,
+            zone=zone,
+            spot=spot,
+            n_servers=n_servers,
+            outcome=outcome,
+            fence=self.lease.fence,
+        )
+        if outcome is OrderOutcome.ACCEPTED:
+            self._ordered[key] = (n_servers, now)
+        elif spot:
+            self._rests_until[service.name, zone] = now + SPOT_REST_S
--- a/berylpost/policy/fleet_size.py
+++ b/berylpost/policy/fleet_size.py
@@ -15,7 +15,9 @@
 # first tokens stay within their objective up to about 0.6.
 TARGET_LOAD: Final = 0.28
 SHRINK_LOAD: Final = 0.2  # below the target, so that a wave's trough changes nothing
-GAP_SHARE: Final = 0.6  # of the needed servers that must be there at any price
+FIRM_LOAD: Final = (
+    0.6  # of a server's time; on-demand servers are bought only beyond it
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,15 +40,6 @@
     spot_refused: bool
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ZoneOrder:
-    """Wanted servers in one zone."""
-
-    zone: str
-    n_spot: int
-    n_on_demand: int
-
-
 def count_needed(load: float, n_now: int) -> int:
     """Counts the servers that a load needs.
 
@@ -60,10 +53,20 @@
     return max(1, wanted)
 
 
-def plan_zones(
+def count_firm(load: float, n_needed: int) -> int:
+    """Counts the servers that must be there at any price.
+
+    Args:
+        load: server-seconds of work a second.
+        n_needed: servers that the load needs with room to spare.
+    """
+    return min(n_needed, max(1, math.ceil(load / FIRM_LOAD)))
+
+
+def plan_spot(
     zones: Mapping[str, ZoneFleet], *, n_needed: int, n_min: int, n_max: int
-) -> list[ZoneOrder]:
-    """Plans the orders for one service.
+) -> dict[str, int]:
+    """Plans reclaimable servers: evenly over the zones, cheapest first.
 
     Args:
         zones: by name.
@@ -72,30 +75,8 @@
         n_max: most in a zone, of both kinds together.
 
     Returns:
-        One order for each zone.
+        Wanted reclaimable servers by zone.
     """
-    n_spot = _spread_spot(zones, n_needed, n_min, n_max)
-    n_missing = math.ceil(n_needed * GAP_SHARE) - sum(n_spot.values())
-    # On-demand servers of the start stay until as many reclaimable ones serve.
-    n_kept = n_needed - sum(fleet.n_spot_ready for fleet in zones.values())
-    orders = []
-    for name in sorted(zones, key=lambda zone: zones[zone].price):
-        fleet = zones[name]
-        room = max(0, n_max - n_spot[name])
-        n_new = min(room, max(0, n_missing))
-        n_missing -= n_new
-        n_old = min(room, fleet.n_on_demand, max(0, n_kept))
-        n_kept -= n_old
-        orders.append(
-            ZoneOrder(zone=name, n_spot=n_spot[name], n_on_demand=max(n_new, n_old))
-        )
-    return orders
-
-
-def _spread_spot(
-    zones: Mapping[str, ZoneFleet], n_needed: int, n_min: int, n_max: int
-) -> dict[str, int]:
-    """Spreads reclaimable servers evenly, cheapest zones first."""
     wanted = {
         name: fleet.n_spot if fleet.spot_refused else n_min
         for name, fleet in zones.items()
@@ -120,3 +101,38 @@
                 wanted[name] += 1
                 n_left -= 1
     return wanted
+
+
+def plan_on_demand(
+    zones: Mapping[str, ZoneFleet], *, n_firm: int, n_max: int
+) -> dict[str, int]:
+    """Plans on-demand servers from what is really there of reclaimable ones.
+
+    Those at hand stay until as many reclaimable ones serve as must be there, so that
+    an order that comes to nothing never leaves a gap.
+
+    Args:
+        zones: by name.
+        n_firm: servers that must be there at any price.
+        n_max: most in a zone, of both kinds together.
+
+    Returns:
+        Wanted on-demand servers by zone.
+    """
+    n_spot = sum(fleet.n_spot for fleet in zones.values())
+    n_ready = sum(fleet.n_spot_ready for fleet in zones.values())
+    n_missing = n_firm - n_spot
+    n_kept = n_firm - n_ready
+    wanted = {}
+    for name in sorted(zones, key=lambda zone: (-zones[zone].n_on_demand, zone)):
+        fleet = zones[name]
+        n_old = min(fleet.n_on_demand, max(0, n_kept))
+        n_kept -= n_old
+        n_missing -= n_old
+        wanted[name] = n_old
+    for name in sorted(zones, key=lambda zone: zones[zone].price):
+        room = n_max - zones[name].n_spot - wanted[name]
+        n_new = min(max(0, room), max(0, n_missing))
+        n_missing -= n_new
+        wanted[name] += n_new
+    return wanted
