Tell the other daemons which shared prompt parts an engine was sent

Ruled out: engines' cache events: a waiting call from each daemon to each engine. Change: gossip names the shared parts sent in the last 0.8 s; a part nobody holds still prefers its home.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final
 
@@ -24,6 +24,8 @@
 CACHE_SHARE: Final = 0.8  # of an engine's memory is taken to hold prompt parts
 MIN_CONNECTIONS: Final = 4  # however many daemons share a server's limit
 CONNECTION_SHARE: Final = 0.9  # of a server's limit, for daemons not yet counted
+PARTS_TOLD_S: Final = 0.8  # a sent part is told in three gossip rounds, so one may go
+MAX_PARTS_TOLD: Final = 64  # in one datagram, 1.5 KB; a daemon's peak is 40 a second
 SPEED_WEIGHT: Final = 0.1  # of one answer in the moving speed
 
 
@@ -61,6 +63,7 @@
         self._by_service: dict[str, list[Slot]] = {}
         self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
         self._services: Mapping[str, Service] = {}
+        self._sent_parts: deque[tuple[float, str, PromptPart]] = deque()
 
     def update(
         self, backends: Mapping[str, Backend], services: Mapping[str, Service]
@@ -146,8 +149,34 @@
             total -= part.n_tokens
         return float(total)
 
-    def remember_parts(self, slot: Slot, parts: tuple[PromptPart, ...]) -> None:
-        """Notes that an engine reads the parts; the oldest yield to its memory."""
+    def note_prompt(self, slot: Slot, parts: tuple[PromptPart, ...]) -> None:
+        """Notes that an engine reads a prompt, and tells the others of its parts."""
+        self._remember_parts(slot, parts)
+        now = read_age_clock()
+        for part in parts[:-1]:
+            self._sent_parts.append((now, slot.backend.id, part))
+
+    def export_parts(self) -> dict[str, list[PromptPart]]:
+        """Returns the shared parts sent lately, by engine, for the other daemons."""
+        horizon = read_age_clock() - PARTS_TOLD_S
+        while self._sent_parts and (
+            self._sent_parts[0][0] < horizon or len(self._sent_parts) > MAX_PARTS_TOLD
+        ):
+            self._sent_parts.popleft()
+        told: dict[str, list[PromptPart]] = {}
+        for _, backend, part in self._sent_parts:
+            told.setdefault(backend, []).append(part)
+        return told
+
+    def import_parts(self, told: Mapping[str, Iterable[Any]]) -> None:
+        """Takes the parts that another daemon has sent."""
+        for backend, parts in told.items():
+            slot = self.slots.get(backend)
+            if slot is not None:
+                self._remember_parts(slot, tuple(PromptPart(*part) for part in parts))
+
+    def _remember_parts(self, slot: Slot, parts: tuple[PromptPart, ...]) -> None:
+        """Notes that an engine holds parts; the oldest yield to its memory."""
         service = self._services.get(slot.backend.service)
         if service is None or service.engine is None:
             return
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -261,6 +261,7 @@
         return msgspec.msgpack.encode(
             [
                 self.table.export_loads(),
+                self.table.export_parts(),
                 self.quotas.export_totals(),
                 self.usage.export_counts(),
                 self.work.export_rates(),
@@ -269,8 +270,9 @@
         )
 
     def _take_gossip(self, member: Member, body: Any) -> None:
-        loads, totals, counts, rates, hold = body
+        loads, parts, totals, counts, rates, hold = body
         self.table.import_loads(member.name, loads)
+        self.table.import_parts(parts)
         self.quotas.import_totals(member, totals)
         self.usage.import_counts(member.name, member.incarnation, counts)
         self.work.import_rates(member.name, rates)
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -52,6 +52,7 @@
 STALL_S: Final = (
     1.5  # pause in a stream before it goes on elsewhere; callers leave at 2
 )
+HOME_SHARE: Final = 0.4  # of unread shared parts that a prompt's home is spared
 EVENT_STREAM: Final = b"text/event-stream"
 FULL_RETRY_S: Final = 0.3  # a full server has free places after about one request
 NO_BACKEND_RETRY_S: Final = 0.5
@@ -322,7 +323,7 @@
         parts = work.head.parts
         if parts:
             uncached = [self._count_uncached(work, slot) for slot in slots]
-            self._assume_home_cached(work, slots, uncached)
+            self._prefer_home(work, slots, uncached)
             choice = choose_engine(loads, uncached)
         else:
             tie = self._random.randrange(len(slots))
@@ -356,18 +357,18 @@
     def _count_uncached(self, work: Work, slot: Slot) -> float:
         return self._table.count_uncached(slot, work.head.parts)
 
-    def _assume_home_cached(
+    def _prefer_home(
         self, work: Work, slots: list[Slot], uncached: list[float]
     ) -> None:
-        """Takes the shared parts as cached at their home, where all daemons send."""
+        """Makes unknown shared parts go to one engine from all daemons."""
         shared = work.head.parts[:-1]
-        if not shared:
+        own = work.head.parts[-1].n_tokens
+        if not shared or min(uncached) <= own:
             return
         home = rank_homes(shared[-1].id, [slot.backend.id for slot in slots])[0]
-        own = work.head.parts[-1].n_tokens
         for index, slot in enumerate(slots):
             if slot.backend.id == home:
-                uncached[index] = min(uncached[index], float(own))
+                uncached[index] -= HOME_SHARE * (uncached[index] - own)
 
     async def _connect(self, work: Work) -> tuple[Slot, Connection]:
         """Chooses a server and gets a connection to it.
@@ -433,7 +434,7 @@
         slot.n_outstanding += 1
         slot.pending_tokens += uncached
         pending = uncached
-        self._table.remember_parts(slot, work.head.parts)
+        self._table.note_prompt(slot, work.head.parts)
         sent_at = read_age_clock()
         work.n_sent += 1
         work.state = AttemptState.SENT
