Speak the platform's store protocol everywhere, over one codec and one stand-in

Cause: the product's own daemon and the entry daemon spoke two store protocols, with two sets of types and a stand-in for only the first. Change: platform.object_wire has targets, documents and refusals; object_store uses it from an event loop, objects from threads; the stand-in keeps kinds, revisions, conditions, pages, long-polled watches and a history that may be forgotten. Keys keep their form: the first word is the kind. A watch of the product's own daemon is a sequence of waits, so it sees a silent store.

--- a/berylpost/configurations.py
+++ b/berylpost/configurations.py
@@ -15,7 +15,6 @@
 from typing import Any, Final
 
 import msgspec
-import urllib3
 
 from .configuration import (
     AuditEntry,
@@ -33,7 +32,7 @@
 from .messages import ConfigurationPull, ConfigurationPush, Message
 from .metrics import CONFIGURATION_NUMBER
 from .peers import AnnounceNumbers, NumbersHeard, Send
-from .platform.objects import HttpObjects, Objects, parse_watch
+from .platform.objects import HttpObjects, Objects
 from .policy.membership import Table, choose_watchers, list_active
 from .writer import ConditionalWriter, Seen, Verdict, open_envelope, read_object
 
@@ -264,7 +263,7 @@
             name="configurations",
             handle=self._handle_message,
             tick=self._advance,
-            close=self._close_watch,
+            close=self._stop_watching,
         )
         self._context = context
         self._objects = objects
@@ -274,7 +273,7 @@
             "configurations", {}
         )
         self._pulled_at: dict[str, float] = {}
-        self._watch: urllib3.BaseHTTPResponse | None = None
+        self._is_watching = False
         self._watch_thread: threading.Thread | None = None
         self._may_watch_at = 0.0
         self._read_at = 0.0
@@ -399,30 +398,25 @@
         watchers = choose_watchers(active, settings.daemon.zone, n_watchers)
         wanted = settings.daemon.id in watchers
         running = self._watch_thread is not None and self._watch_thread.is_alive()
+        self._is_watching = wanted
         if wanted and not running and time.monotonic() >= self._may_watch_at:
             self._watch_thread = threading.Thread(
                 target=self._run_watch, name="configuration-watch", daemon=True
             )
             self._watch_thread.start()
-        elif not wanted and running:
-            self._close_watch()
 
-    def _close_watch(self) -> None:
-        watch, self._watch = self._watch, None
-        if watch is not None:
-            watch.close()
+    def _stop_watching(self) -> None:
+        self._is_watching = False
 
     def _run_watch(self) -> None:
         """Waits on the watch; posts each change to the task's own mailbox."""
         try:
-            self._watch = self._objects.open_watch(PREFIX, 0)
-            for key, stored in parse_watch(self._watch):
+            for key, stored in self._objects.watch(PREFIX, lambda: self._is_watching):
                 envelope = open_envelope(key, stored.value)
                 self.post(Offered(versioned=_decode_versioned(envelope.open())))
-        except (PlatformError, ValueError, AttributeError) as error:
+        except (PlatformError, ValueError) as error:
             log_event(LOGGER, "watch_ended", logging.WARNING, error=error)
         finally:
-            self._watch = None
             # Spread, so that a store that returns is not met by all at once.
             self._may_watch_at = time.monotonic() + self._random.uniform(*WATCH_PAUSE_S)
 
--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -16,7 +16,8 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.entries import EntryError, decode_backend, decode_configuration
-from ..platform.object_store import Changes, HistoryGoneError, Listing, ObjectStore
+from ..platform.object_store import ObjectStore
+from ..platform.object_wire import Changes, HistoryGoneError, Listing
 from .clock import read_age_clock
 from .model import Backend, Endpoint, ServingConfiguration
 
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -13,7 +13,8 @@
 from ..errors import LostAnswerError, PlatformError
 from ..logs import log_event
 from ..platform import names
-from ..platform.object_store import ConflictError, ObjectStore, StoredObject
+from ..platform.object_store import ObjectStore
+from ..platform.object_wire import ConflictError, StoredObject
 from .clock import read_age_clock
 
 LOGGER: Final = logging.getLogger(__name__)
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -20,7 +20,8 @@
 from ..errors import PlatformError
 from ..logs import log_event
 from ..platform import names
-from ..platform.object_store import ConflictError, ObjectStore
+from ..platform.object_store import ObjectStore
+from ..platform.object_wire import ConflictError
 from .clock import read_age_clock
 from .model import EdgeSettings, Endpoint
 
--- a/berylpost/fakes/memory.py
+++ b/berylpost/fakes/memory.py
@@ -103,8 +103,10 @@
             raise PlatformError("refused")
         return sorted(key for key in self.values if key.startswith(prefix))
 
-    def watch(self, prefix: str, since: int) -> Iterator[tuple[str, StoredObject]]:
+    def watch(
+        self, prefix: str, is_wanted: Callable[[], bool]
+    ) -> Iterator[tuple[str, StoredObject]]:
         """Yields what is there now; there is nothing to wait for."""
         for key, (version, value) in sorted(self.values.items()):
-            if key.startswith(prefix) and version > since:
+            if key.startswith(prefix) and is_wanted():
                 yield key, StoredObject(version=version, value=value)
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -1,121 +1,151 @@
-"""Stand-in for the platform's object API: versions, conditional update, watch.
+"""Stand-in for the platform's store: kinds, revisions, conditions, watches.
 
-`GET|PUT|DELETE /v1/objects/KEY` with the version as ETag, `If-Match: "N"` or
-`If-None-Match: *`; `GET /v1/objects?prefix=P` lists; `GET /v1/watch?prefix=P&
-since=V` streams changes as JSON lines, first what is newer than V. Values are
-limited to 1 MB. Counts calls by kind, a waiting watch as one.
+Calls under `/v1/objects/KIND` and `/v1/objects/KIND/NAME`. A list has at most
+`PAGE_ITEMS` objects, a watch waits at most `MAX_WAIT_S`, history goes back
+`n_history` changes and answers 410 beyond. Counts calls by kind at `/calls`.
 """
 
 import asyncio
-import base64
-import time
-from collections import Counter
-from collections.abc import AsyncIterator
-from typing import Final
-
-import msgspec
+import json
+from collections import Counter, deque
+from typing import Any, Final
 
 from .server import Reply, Request, StandIn, reply_json
 
-MAX_VALUE_BYTES: Final = 1_000_000
-HEARTBEAT_S: Final = 5.0
+MAX_VALUE_BYTES: Final = 1 << 20
+MAX_WAIT_S: Final = 30.0
+PAGE_ITEMS: Final = 500
+N_HISTORY: Final = 10_000
 PREFIX: Final = "/v1/objects/"
 
+Document = dict[str, Any]
+
 
 class ObjectStore:
-    """The kept objects and the watches that wait on them."""
+    """The kept objects, their history and the watches that wait on them."""
 
     def __init__(self, *, endpoint: str) -> None:
-        self.values: dict[str, tuple[int, bytes]] = {}
+        self.kinds: dict[str, dict[str, Document]] = {}
         self.calls: Counter[str] = Counter()
-        self._version = 0
+        self.revision = 1
+        self._history: deque[tuple[int, str, Document]] = deque(maxlen=N_HISTORY)
+        self._forgotten = 0
         self._changed = asyncio.Condition()
         self.server = StandIn(endpoint=endpoint, handle=self._handle)
 
+    def forget_history(self) -> None:
+        """Drops all history, as a compaction does."""
+        self._history.clear()
+        self._forgotten = self.revision
+
+    async def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes an object as another writer would; returns its revision."""
+        known = self.kinds.setdefault(kind, {}).get(name)
+        return await self._store(kind, name, spec, known)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object as another writer would."""
+        document = self.kinds.get(kind, {}).pop(name, None)
+        if document is not None:
+            self.revision += 1
+            await self._record(kind, {"Object": document, "Removed": True})
+
     async def _handle(self, request: Request) -> Reply:
-        if request.path == "/v1/watch":
-            return self._watch(request)
-        if request.path == "/v1/objects":
-            return self._list(request)
         if request.path == "/calls":
             return reply_json(dict(self.calls))
         if not request.path.startswith(PREFIX):
-            return reply_json({"error": "no such path"}, 404)
-        key = request.path.removeprefix(PREFIX)
+            return reply_json({"Error": "no such path"}, 404)
+        kind, _, name = request.path.removeprefix(PREFIX).partition("/")
         if request.method == "GET":
-            self.calls["read"] += 1
-            return self._get(key)
+            if name:
+                self.calls["read"] += 1
+                document = self.kinds.get(kind, {}).get(name)
+                return reply_json(document or {}, 200 if document else 404)
+            if "Watch" in request.query:
+                self.calls["watch"] += 1
+                return await self._watch(kind, request)
+            self.calls["list"] += 1
+            return self._list(kind, request.query.get("After", ""))
         self.calls["write"] += 1
-        return await self._write(key, request)
-
-    def _get(self, key: str) -> Reply:
-        if key not in self.values:
-            return reply_json({"error": "no such object"}, 404)
-        version, value = self.values[key]
-        return Reply(headers=(("ETag", f'"{version}"'),), body=value)
-
-    def _list(self, request: Request) -> Reply:
-        self.calls["list"] += 1
-        prefix = request.query.get("prefix", "")
-        found = [
-            {"key": key, "version": version}
-            for key, (version, _) in sorted(self.values.items())
-            if key.startswith(prefix)
-        ]
-        return reply_json({"objects": found})
-
-    async def _write(self, key: str, request: Request) -> Reply:
-        current = self.values.get(key, (0, b""))[0]
-        wanted = request.headers.get("if-match", "").strip('"')
-        fresh = request.headers.get("if-none-match") == "*"
-        if (wanted and wanted != str(current)) or (fresh and current):
-            return reply_json({"error": "version", "version": current}, 412)
+        return await self._write(kind, name, request)
+
+    def _list(self, kind: str, after: str) -> Reply:
+        names = sorted(name for name in self.kinds.get(kind, {}) if name > after)
+        items = [self.kinds[kind][name] for name in names[:PAGE_ITEMS]]
+        more = len(names) > PAGE_ITEMS
+        return reply_json(
+            {"Items": items, "HasMore": more, "StoreRevision": self.revision}
+        )
+
+    async def _write(self, kind: str, name: str, request: Request) -> Reply:
+        if len(request.body) > MAX_VALUE_BYTES:
+            return reply_json({"Error": "value over 1 MB"}, 413)
+        document: Document = request.decode() or {}
+        metadata: Document = document.get("Metadata", {})
+        creates = request.method == "POST"
+        name = metadata.get("Name", "") if creates else name
+        known = self.kinds.setdefault(kind, {}).get(name)
+        if creates and known is not None:
+            return reply_json(known, 409)
+        if not creates and known is None:
+            return reply_json({}, 404)
+        wanted = metadata.get("Revision", request.query.get("Revision"))
+        if known and wanted is not None:
+            if int(wanted) != known["Metadata"]["Revision"]:
+                return reply_json(known, 409)
         if request.method == "DELETE":
-            self.values.pop(key, None)
+            await self.remove(kind, name)
             return reply_json({})
-        if len(request.body) > MAX_VALUE_BYTES:
-            return reply_json({"error": "value over 1 MB"}, 413)
-        self._version += 1
-        version = self._version  # another write may come while watches are told
-        self.values[key] = (version, request.body)
+        await self._store(kind, name, document.get("Spec"), known)
+        return reply_json(self.kinds[kind][name])
+
+    async def _store(
+        self, kind: str, name: str, spec: Any, known: Document | None
+    ) -> int:
+        if known is not None and known["Spec"] == spec:
+            return int(known["Metadata"]["Revision"])
+        self.revision += 1
+        created = known["Metadata"]["CreateRevision"] if known else self.revision
+        metadata = {
+            "Name": name,
+            "Revision": self.revision,
+            "CreateRevision": created,
+            "Finalizers": [],
+            "Deleting": False,
+        }
+        # A copy, since the writer may go on changing what it gave.
+        spec = json.loads(json.dumps(spec))
+        document = {"Metadata": metadata, "Spec": spec, "Status": None}
+        self.kinds[kind][name] = document
+        revision = self.revision
+        await self._record(kind, {"Object": document, "Removed": False})
+        return revision
+
+    async def _record(self, kind: str, event: Document) -> None:
+        if len(self._history) == N_HISTORY:
+            self._forgotten = self._history[0][0]
+        self._history.append((self.revision, kind, event))
         async with self._changed:
             self._changed.notify_all()
-        return reply_json({}, 200, ("ETag", f'"{version}"'))
-
-    def _watch(self, request: Request) -> Reply:
-        self.calls["watch"] += 1
-        since = int(request.query.get("since", "0"))
-        stream = self._stream_changes(request.query.get("prefix", ""), since)
-        return Reply(headers=(("Content-Type", "application/jsonl"),), stream=stream)
 
-    async def _stream_changes(self, prefix: str, since: int) -> AsyncIterator[bytes]:
-        beat_at = time.monotonic() + HEARTBEAT_S
+    async def _watch(self, kind: str, request: Request) -> Reply:
+        since = int(request.query["Watch"])
+        wait_s = min(MAX_WAIT_S, int(request.query.get("WaitMs", "0")) / 1_000)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + wait_s
         while True:
-            newer = sorted(
-                (version, key, value)
-                for key, (version, value) in self.values.items()
-                if version > since and key.startswith(prefix)
-            )
-            for version, key, value in newer:
-                since = version
-                beat_at = time.monotonic() + HEARTBEAT_S
-                yield (
-                    msgspec.json.encode(
-                        {
-                            "key": key,
-                            "version": version,
-                            "value": base64.b64encode(value).decode(),
-                        }
-                    )
-                    + b"\n"
-                )
-            if self.server.faults.down:
-                return
+            if since < self._forgotten:
+                return reply_json({"Error": "history is gone"}, 410)
+            events = [
+                event
+                for revision, of_kind, event in self._history
+                if revision > since and of_kind == kind
+            ]
+            left_s = ends_at - loop.time()
+            if events or left_s <= 0 or self.server.faults.down:
+                return reply_json({"events": events, "StoreRevision": self.revision})
             try:
-                # Changes elsewhere wake it too and must not put the beat off.
-                left_s = max(0.01, beat_at - time.monotonic())
                 async with self._changed:
                     await asyncio.wait_for(self._changed.wait(), left_s)
             except TimeoutError:
-                beat_at = time.monotonic() + HEARTBEAT_S
-                yield b"{}\n"
+                continue
--- a/berylpost/platform/web.py
+++ b/berylpost/platform/web.py
@@ -4,7 +4,7 @@
 connection that was never made is a plain `PlatformError`.
 """
 
-from typing import Final
+from typing import Any, Final
 
 import urllib3
 
@@ -29,15 +29,17 @@
     *,
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
+    timeout_s: float | None = None,
 ) -> urllib3.BaseHTTPResponse:
-    """Makes one call.
+    """Makes one call; `timeout_s` replaces the pool's own for the answer.
 
     Raises:
         PlatformError: refused or not connected; no effect.
         LostAnswerError: sent, but the answer did not come; the effect is unknown.
     """
+    more: dict[str, Any] = {} if timeout_s is None else {"timeout": timeout_s}
     try:
-        response = pool.request(method, url, body=body, headers=headers)
+        response = pool.request(method, url, body=body, headers=headers, **more)
     except (
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ConnectTimeoutError,
