Test the entry daemon over stand-ins that misbehave byte by byte

A daemon that has run for 4 s opens a customer's quota with its whole burst: the quota scenario failed with 179 of 200 before.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -112,6 +112,14 @@
         for connection in list(self.connections):
             connection.close_when_written()
 
+    def kill(self) -> None:
+        """Breaks all that is open, as the end of the process does."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.abort()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -111,11 +111,16 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_settings_changed)
-        await self._start()
+        await self.start()
         await self._stop.wait()
-        await self._leave()
+        await self.leave()
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Opens all sockets and starts all parts.
+
+        Raises:
+            OSError: an address is taken.
+        """
         settings = self.settings
         self.catalogue.add_listener(self._follow_catalogue)
         await self.front.start(*settings.front)
@@ -157,7 +162,7 @@
         await server.start(*address)
         self._control.append(server)
 
-    async def _leave(self) -> None:
+    async def leave(self) -> None:
         """Stops taking new callers, finishes what runs, and exits in time."""
         began_at = read_age_clock()
         ends_at = began_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
@@ -186,6 +191,17 @@
         if self._log_stream is not None:
             self._log_stream.flush_lines()
 
+    def kill(self) -> None:
+        """Drops everything at once, as the end of the process does."""
+        self.catalogue.stop()
+        self.members.stop()
+        if self.duties is not None:
+            self.duties.kill()
+        for task in self._tasks:
+            task.cancel()
+        for server in (self.front, *self._control):
+            server.kill()
+
     def _close_idle(self) -> None:
         horizon = read_age_clock() - IDLE_CLOSE_S
         for connection in list(self.front.connections):
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -106,15 +106,19 @@
 
     async def stop(self) -> None:
         """Gives the lease back and ends."""
-        if self._task is not None:
-            self._task.cancel()
-        self._cloud.close()
-        self.store.close()
+        self.kill()
         try:
             await self.lease.release()
         except PlatformError as error:
             log_event(LOGGER, "release_failed", logging.WARNING, error=error)
 
+    def kill(self) -> None:
+        """Ends without a word, as the end of the process does."""
+        if self._task is not None:
+            self._task.cancel()
+        self._cloud.close()
+        self.store.close()
+
     def export_hold(self) -> float:
         """Returns how long this daemon still holds the lease, for gossip; 0 if not."""
         return round(self.lease.read_left_s(), 2)
--- a/berylpost/edge/quotas.py
+++ b/berylpost/edge/quotas.py
@@ -21,7 +21,8 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 SLACK_SHARE: Final = 0.4  # of the platform's extra; the rest is for reports not heard
-RESTART_SHARE: Final = 0.5  # of the burst that a daemon starts with, before it hears
+RESTART_SHARE: Final = 0.5  # of the burst that a daemon starts with: it may be used up
+RESTART_S: Final = 4.0  # after its start a daemon knows what the others have used
 
 
 class Quotas:
@@ -33,6 +34,7 @@
 
     def __init__(self, *, bounds: Bounds) -> None:
         self._bounds = bounds
+        self._started_at = read_age_clock()
         self._states: dict[str, QuotaState] = {}
         self._budgets: dict[str, RepeatBudget] = {}
         self._seen: dict[tuple[str, int], dict[str, float]] = {}
@@ -132,7 +134,9 @@
         now = read_age_clock()
         state = self._states.get(customer.name)
         if state is None:
-            level = customer.burst * RESTART_SHARE
+            level = customer.burst
+            if now - self._started_at < RESTART_S:
+                level *= RESTART_SHARE
             level = min(level, self._heard_level.get(customer.name, level))
             state = QuotaState(level=level, updated_at=now)
             self._states[customer.name] = state
--- /dev/null
+++ b/berylpost/fakes/entry_world.py
@@ -0,0 +1,208 @@
+"""Entry daemons with stand-ins of their platform, in one event loop and thread.
+
+Each daemon and each backend server has an IP number of its own on loopback, and the
+ports are the same everywhere, as on the platform. A test pulls the levers through
+`run`, which hands a coroutine to the loop.
+"""
+
+import asyncio
+import itertools
+import random
+import socket
+import threading
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
+
+from ..edge.daemon import EdgeDaemon
+from ..edge.model import Bounds, EdgeSettings, Endpoint
+from .duty_api import DutyApi
+from .objects import ObjectStore
+from .replica import Replica
+
+T = TypeVar("T")
+
+HOST: Final = "site.example"
+KEY: Final = "key-one"
+START_TIMEOUT_S: Final = 10.0
+BOUNDS: Final = Bounds(
+    lease_s=1.0,
+    grace_s=3.0,
+    revoke_s=5.0,
+    address_ttl_s=5.0,
+    usage_window_s=5.0,
+    usage_late_s=10.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_extra=500.0,
+    quota_window_s=8.0,
+    quota_extra=0.0,
+    quota_overshoot=0.1,
+)
+_networks = itertools.count(random.Random().randrange(20, 200))
+
+
+def make_route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+    """Makes a route as the operator writes it."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": 1_500,
+        "TargetLatencyMs": 300,
+        "Priority": 1,
+        "Service": "app",
+        "MaxAttempts": 2,
+        **more,
+    }
+
+
+def make_configuration(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Makes a configuration with a route of each kind and one customer."""
+    routes = [
+        make_route("read", "idempotent"),
+        make_route("book", "non_idempotent", MaxAttempts=1),
+        make_route("stream", "streaming", CanResume=True, GapAimMs=250),
+        make_route("stream/once", "streaming", MaxAttempts=1, GapAimMs=250),
+        make_route("open", "idempotent", Public=True),
+    ]
+    tenant = {"Name": "one", "ApiKeys": [KEY], "RatePerS": 0, "Burst": 0}
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [{"Name": "app", "HealthPath": "/health", "MaxConns": 100}],
+        "Limits": {},
+        "Tenants": [tenant],
+        **more,
+    }
+
+
+class EntryWorld:
+    """The running stand-ins and daemons.
+
+    Args:
+        n_daemons: entry daemons to start.
+        n_replicas: backend servers of the service `app`.
+        duties: that the platform asks for.
+    """
+
+    def __init__(
+        self,
+        *,
+        n_daemons: int = 1,
+        n_replicas: int = 2,
+        duties: frozenset[str] = frozenset(),
+    ) -> None:
+        self._network = f"127.{next(_networks) % 250 + 2}.{random.randrange(250)}"
+        self._ports = [_find_port() for _ in range(4)]
+        self._duties = duties
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        store = f"{self._network}.1:{self._ports[0]}"
+        self.store = ObjectStore(endpoint=store)
+        self.duty_api = DutyApi(endpoint=f"{self._network}.2:{self._ports[0]}")
+        self.replicas = [
+            Replica(id=f"r-{n}", ip=f"{self._network}.{100 + n}", port=self._ports[0])
+            for n in range(n_replicas)
+        ]
+        self.daemons: dict[str, EdgeDaemon] = {}
+        self._n_daemons = n_daemons
+
+    def __enter__(self) -> "EntryWorld":
+        """Starts everything and waits until the daemons serve."""
+        self._thread.start()
+        self.run(self._start())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Ends everything."""
+        self.run(self._stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(START_TIMEOUT_S)
+        self.loop.close()
+
+    def run(self, work: Coroutine[Any, Any, T], timeout_s: float = 30.0) -> T:
+        """Runs a coroutine in the world's loop and returns its result."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(timeout_s)
+
+    def make_settings(self, number: int) -> EdgeSettings:
+        """Makes the settings of one daemon."""
+        ip = f"{self._network}.{10 + number}"
+        cloud = Endpoint(f"{self._network}.2", self._ports[0])
+        return EdgeSettings(
+            name=f"entry-{number}",
+            ip=ip,
+            zone="a",
+            region="here",
+            front=Endpoint(ip, self._ports[0]),
+            readiness=Endpoint(ip, self._ports[1]),
+            directory=Endpoint(ip, self._ports[2]),
+            peer=Endpoint(ip, self._ports[3]),
+            metrics=None,
+            store=Endpoint(f"{self._network}.1", self._ports[0]),
+            cloud=cloud if self._duties else None,
+            duties=self._duties,
+            heartbeat_s=1.2,
+            max_descriptors=1_024,
+            memory_mb=300,
+            bounds=BOUNDS,
+        )
+
+    async def start_daemon(self, number: int) -> EdgeDaemon:
+        """Starts one daemon and waits until it is ready."""
+        daemon = EdgeDaemon(settings=self.make_settings(number), log_stream=None)
+        await daemon.start()
+        self.daemons[daemon.settings.name] = daemon
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not daemon.is_ready or not daemon.table.slots:
+                await asyncio.sleep(0.02)
+        return daemon
+
+    async def put_configuration(self, spec: dict[str, Any]) -> None:
+        """Writes a configuration as the operator does."""
+        await self.store.put("config", "main", spec)
+
+    async def put_replica(self, replica: Replica, **more: Any) -> None:
+        """Writes a backend server's entry as it does itself."""
+        spec = {
+            **replica.spec,
+            "Service": "app",
+            "Zone": "a",
+            "State": "ready",
+            **more,
+        }
+        await self.store.put("servers", replica.id, spec)
+
+    async def _start(self) -> None:
+        await self.store.server.start()
+        await self.duty_api.server.start()
+        for replica in self.replicas:
+            await replica.start()
+            await self.put_replica(replica)
+        await self.put_configuration(make_configuration())
+        numbers = range(self._n_daemons)
+        await asyncio.gather(*(self.start_daemon(number) for number in numbers))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while any(
+                len(daemon.members.list_alive()) < self._n_daemons - 1
+                for daemon in self.daemons.values()
+            ):
+                await asyncio.sleep(0.02)
+
+    async def _stop(self) -> None:
+        for daemon in self.daemons.values():
+            daemon.kill()
+        for replica in self.replicas:
+            await replica.stop()
+        await self.store.server.stop()
+        await self.duty_api.server.stop()
+        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _find_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -106,7 +106,7 @@
             return int(known["Metadata"]["Revision"])
         self.revision += 1
         created = known["Metadata"]["CreateRevision"] if known else self.revision
-        metadata = {
+        metadata: Document = {
             "Name": name,
             "Revision": self.revision,
             "CreateRevision": created,
@@ -142,7 +142,9 @@
                 if revision > since and of_kind == kind
             ]
             left_s = ends_at - loop.time()
-            if events or left_s <= 0 or self.server.faults.down:
+            if self.server.faults.down:
+                return reply_json({"Error": "unavailable"}, 503)
+            if events or left_s <= 0:
                 return reply_json({"events": events, "StoreRevision": self.revision})
             try:
                 async with self._changed:
--- /dev/null
+++ b/berylpost/fakes/replica.py
@@ -0,0 +1,344 @@
+"""Stand-in for a backend server on the platform's wire, with faults byte by byte.
+
+`fault` names what it does with the next requests; `FAULTS` is the table. Runs are
+counted by attempt id, so that a test can tell "not run" from "run twice".
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import httptools
+
+READ_BYTES: Final = 65_536
+SIGNATURE: Final = "3e1b.07"
+N_EVENTS: Final = 8
+EVENT_PAUSE_S: Final = 0.03
+
+
+class _Incoming:
+    """One request as it is parsed."""
+
+    def __init__(self) -> None:
+        self.target = b""
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.complete = False
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class Replica:
+    """One backend server.
+
+    Args:
+        id: that it expects to be called by.
+        ip: to listen on.
+        port: to listen on.
+    """
+
+    def __init__(self, *, id: str, ip: str, port: int) -> None:
+        self.id = id
+        self.ip = ip
+        self.port = port
+        self.fault = "none"
+        self.work_s = 0.0
+        self.runs: Counter[str] = Counter()
+        self.seen: list[_Incoming] = []
+        self.methods: list[str] = []
+        self.n_working = 0
+        self.n_connections = 0
+        self.open = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def spec(self) -> dict[str, object]:
+        """Its entry in the store, but for service, zone and state."""
+        return {
+            "Address": f"{self.ip}:{self.port}",
+            "Version": "v1",
+            "Slots": 8,
+            "ColdLeftMs": 0,
+            "Seq": 1,
+        }
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(self._serve, self.ip, self.port)
+
+    async def stop(self) -> None:
+        """Stops at once."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.n_connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, httptools.HttpParserError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            with contextlib.suppress(RuntimeError):
+                writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        incoming = _Incoming()
+        parser = httptools.HttpRequestParser(incoming)
+        while not incoming.complete:
+            data = await reader.read(READ_BYTES)
+            if not data:
+                return False
+            parser.feed_data(data)
+        self.methods.append(parser.get_method().decode())
+        self.seen.append(incoming)
+        if incoming.headers.get("x-berylpost-expect-replica") != self.id:
+            _write(writer, 421, {"X-Berylpost-Replica-Id": self.id}, b"")
+            return True
+        self.n_working += 1
+        work = asyncio.ensure_future(FAULTS[self.fault](self, incoming, writer))
+        leave = asyncio.ensure_future(reader.read(1))
+        try:
+            # A server drops a request whose connection closes.
+            await asyncio.wait((work, leave), return_when=asyncio.FIRST_COMPLETED)
+            return work.result() if work.done() else False
+        finally:
+            self.n_working -= 1
+            work.cancel()
+            leave.cancel()
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                await leave
+
+
+def _break_off(writer: asyncio.StreamWriter) -> bool:
+    """Resets the connection, which an orderly close is not."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+    return False
+
+
+Fault = Callable[[Replica, _Incoming, asyncio.StreamWriter], Awaitable[bool]]
+
+
+def _write(
+    writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
+) -> None:
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+def _make_headers(incoming: _Incoming) -> dict[str, str]:
+    return {
+        "X-Berylpost-Attempt-Id": incoming.headers.get("x-berylpost-attempt-id", ""),
+        "X-Berylpost-Replica-Signature": SIGNATURE,
+        "X-Berylpost-Replica-Load": "1,0,8",
+    }
+
+
+def _run(replica: Replica, incoming: _Incoming) -> None:
+    replica.runs[incoming.headers.get("x-berylpost-attempt-id", "")] += 1
+
+
+def _is_stream(incoming: _Incoming) -> bool:
+    return incoming.target.startswith(b"/stream/")
+
+
+async def _answer(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and answers it whole."""
+    _run(replica, incoming)
+    if _is_stream(incoming):
+        return await _stream(incoming, writer, n_events=N_EVENTS)
+    await asyncio.sleep(replica.work_s)
+    _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
+    return True
+
+
+async def _stream(
+    incoming: _Incoming,
+    writer: asyncio.StreamWriter,
+    *,
+    n_events: int,
+    whole: bool = True,
+    rest: bytes = b"",
+) -> bool:
+    head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    head += [f"{name}: {value}" for name, value in _make_headers(incoming).items()]
+    head.append("Transfer-Encoding: chunked")
+    writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+    first = int(incoming.headers.get("last-event-id", "0") or 0) + 1
+    for number in range(first, n_events + 1):
+        event = b"id: %d\ndata: w%d\n\n" % (number, number)
+        # Events end anywhere in a chunk.
+        for piece in (event[:9], event[9:]):
+            writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(EVENT_PAUSE_S)
+    if rest:
+        writer.write(b"%x\r\n" % len(rest) + rest + b"\r\n")
+    if whole:
+        writer.write(b"0\r\n\r\n")
+        return True
+    await writer.drain()
+    return _break_off(writer)
+
+
+async def _reset(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and resets the connection."""
+    _run(replica, incoming)
+    return _break_off(writer)
+
+
+async def _cut(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and breaks off in the middle of the answer."""
+    _run(replica, incoming)
+    if _is_stream(incoming):
+        rest = b"id: 4\ndata: w"
+        return await _stream(incoming, writer, n_events=3, whole=False, rest=rest)
+    headers = {**_make_headers(incoming), "Content-Length": "500"}
+    lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\nhalf")
+    await writer.drain()
+    writer.close()
+    return False
+
+
+async def _refuse(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Says that it is full and has not run the request."""
+    headers = {**_make_headers(incoming), "X-Berylpost-Not-Executed": "1"}
+    _write(writer, 503, headers, b"")
+    return True
+
+
+async def _fail(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request into an error of its own."""
+    _run(replica, incoming)
+    _write(writer, 500, _make_headers(incoming), b"failed")
+    return True
+
+
+async def _garbage(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and sends bytes that are no answer."""
+    _run(replica, incoming)
+    writer.write(b"\x00\x01 nothing of the kind\r\n\r\n")
+    await writer.drain()
+    return True
+
+
+async def _extra(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Answers whole, then once more, as if to another request."""
+    _run(replica, incoming)
+    _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
+    headers = {**_make_headers(incoming), "X-Berylpost-Attempt-Id": "0ther"}
+    _write(writer, 200, headers, b"not yours")
+    return True
+
+
+async def _late_extra(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends the answer to another request ahead of the right one."""
+    headers = {**_make_headers(incoming), "X-Berylpost-Attempt-Id": "0ther"}
+    _write(writer, 200, headers, b"not yours")
+    return await _answer(replica, incoming, writer)
+
+
+async def _unframed(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Answers without a length and closes in order."""
+    _run(replica, incoming)
+    lines = ["HTTP/1.1 200 OK"]
+    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:" + incoming.body)
+    await writer.drain()
+    writer.close()
+    return False
+
+
+async def _unframed_reset(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Answers without a length and resets the connection midway."""
+    _run(replica, incoming)
+    lines = ["HTTP/1.1 200 OK"]
+    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    return _break_off(writer)
+
+
+async def _unsigned(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Answers with success but without its signature."""
+    _run(replica, incoming)
+    headers = _make_headers(incoming)
+    del headers["X-Berylpost-Replica-Signature"]
+    _write(writer, 200, headers, b"echo:")
+    return True
+
+
+async def _mute(
+    replica: Replica, incoming: _Incoming, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and says nothing."""
+    _run(replica, incoming)
+    await asyncio.sleep(60)
+    return False
+
+
+FAULTS: Final[dict[str, Fault]] = {
+    "none": _answer,
+    "reset": _reset,
+    "cut": _cut,
+    "refuse": _refuse,
+    "fail": _fail,
+    "garbage": _garbage,
+    "extra": _extra,
+    "late extra": _late_extra,
+    "unframed": _unframed,
+    "unframed reset": _unframed_reset,
+    "unsigned": _unsigned,
+    "mute": _mute,
+}
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -116,6 +116,7 @@
     def __init__(self, *, endpoint: str, handle: Handler) -> None:
         self.endpoint = endpoint
         self.faults = FaultPlan()
+        self.refused_ips: set[str] = set()
         self.n_calls = 0
         self._handle = handle
         self._server: asyncio.Server | None = None
@@ -165,6 +166,9 @@
             await self._send(writer, reply_json({}))
             return True
         self.n_calls += 1
+        if writer.get_extra_info("peername")[0] in self.refused_ips:
+            await self._send(writer, reply_json({"error": "unavailable"}, 503))
+            return True
         reply = await self._answer(request)
         if reply is None:
             # The effect stands; the asker never learns of it.
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,655 @@
+"""Steps over entry daemons and the stand-ins of their platform."""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import dataclass, field
+
+import httptools
+from behave import given, then, when
+from behave.runner import Context
+
+from berylpost.fakes.entry_world import HOST, KEY, EntryWorld, make_configuration
+from berylpost.fakes.replica import N_EVENTS, SIGNATURE
+
+DEADLINE_MS = 1_000
+ANSWER_TIMEOUT_S = 10.0
+
+
+@dataclass
+class Answer:
+    """An answer as a caller has read it."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    closes: bool = False
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.answers = [Answer()]
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_header(self, name, value):
+        headers = self.answers[-1].headers
+        headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        self.answers[-1].status = self.parser.get_status_code()
+
+    def on_body(self, body):
+        self.answers[-1].body += body
+
+    def on_message_complete(self):
+        self.answers[-1].whole = True
+        self.answers[-1].closes = not self.parser.should_keep_alive()
+        self.answers.append(Answer())
+
+    def send(self, line, request_id, *, key=KEY, body=b"", more=()):
+        headers = [f"{line} HTTP/1.1", f"Host: {HOST}"]
+        headers += [f"X-Berylpost-Attempt-Id: {request_id}"]
+        headers += [f"X-Berylpost-Deadline-Ms: {DEADLINE_MS}"]
+        if key:
+            headers.append(f"Authorization: Bearer {key}")
+        headers += more
+        headers.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join(headers).encode() + b"\r\n\r\n" + body)
+
+    async def read(self):
+        """Reads until one more answer is whole or the connection ends."""
+        known = len(self.answers)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while len(self.answers) == known:
+                try:
+                    data = await self.reader.read(65_536)
+                except ConnectionError:
+                    data = b""
+                if not data:
+                    return self.answers[-1]
+                self.parser.feed_data(data)
+        return self.answers[known - 1]
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+async def connect(daemon):
+    return Caller(*await asyncio.open_connection(*daemon.settings.front))
+
+
+async def ask(daemon, line, request_id, **more):
+    """Sends one request on a connection of its own."""
+    caller = await connect(daemon)
+    try:
+        caller.send(line, request_id, **more)
+        return await caller.read()
+    finally:
+        caller.close()
+
+
+def first_daemon(context):
+    return next(iter(context.world.daemons.values()))
+
+
+def start_world(context, **more):
+    context.world = EntryWorld(**more)
+    context.world.__enter__()
+    context.add_cleanup(context.world.__exit__)
+
+
+def make_line(kind):
+    return f"{'GET' if kind in ('read', 'open') else 'POST'} /{kind}/a"
+
+
+def wait_for(seconds, check):
+    """Waits until a check holds; fails with its last value."""
+    ends_at = time.monotonic() + seconds
+    while True:
+        value = check()
+        if value is True:
+            return
+        assert time.monotonic() < ends_at, value
+        time.sleep(0.05)
+
+
+@given("an entry daemon and two backend servers")
+def step_start_one(context: Context) -> None:
+    start_world(context)
+
+
+@given("{n:d} entry daemons with duties")
+def step_start_many(context: Context, n: int) -> None:
+    start_world(context, n_daemons=n, duties=frozenset({"usage_report", "autoscale"}))
+
+
+@given('every server\'s fault is "{fault}"')
+def step_set_fault(context: Context, fault: str) -> None:
+    for replica in context.world.replicas:
+        replica.fault = fault
+
+
+@given('one server\'s fault is "{first}" and the other\'s is "{second}"')
+def step_set_faults(context: Context, first: str, second: str) -> None:
+    for replica, fault in zip(context.world.replicas, (first, second), strict=True):
+        replica.fault = fault
+
+
+@given("every server's work takes {seconds:f} s")
+def step_set_work(context: Context, seconds: float) -> None:
+    for replica in context.world.replicas:
+        replica.work_s = seconds
+
+
+@when('a caller sends "{line}" with a body and headers only the system may set')
+def step_send_full(context: Context, line: str) -> None:
+    more = [
+        "X-Berylpost-Tenant: somebody",
+        "X-Berylpost-Expect-Replica: r-9",
+        "X-Berylpost-Hold: 1",
+        "Kv-From: 127.0.0.1:1/2",
+        "X-Berylpost-Urgency-Class: 0",
+        "Connection: keep-alive, X-Own",
+        "X-Own: 1",
+        "X-Other: kept",
+    ]
+    context.answer = context.world.run(
+        ask(first_daemon(context), line, "id-1", body=b"payload", more=more)
+    )
+
+
+@then("the answer is 200 with the server's signature and its whole body")
+def step_check_full(context: Context) -> None:
+    answer = context.answer
+    assert answer.status == 200 and answer.whole, answer
+    assert answer.headers["x-berylpost-replica-signature"] == SIGNATURE
+    assert answer.body == b"echo:payload", answer
+
+
+def find_seen(context):
+    seen = [s for replica in context.world.replicas for s in replica.seen]
+    assert len(seen) == 1, seen
+    return seen[0]
+
+
+@then("the server saw the same method, path, query and body")
+def step_check_same(context: Context) -> None:
+    seen = find_seen(context)
+    methods = [m for replica in context.world.replicas for m in replica.methods]
+    assert methods == ["POST"], methods
+    assert seen.target == b"/read/a/b?q=1" and seen.body == b"payload", seen.target
+
+
+@then("the server saw the customer, the time left and its own id")
+def step_check_set(context: Context) -> None:
+    headers = find_seen(context).headers
+    assert headers["x-berylpost-tenant"] == "one", headers
+    assert 0 < int(headers["x-berylpost-deadline-ms"]) <= DEADLINE_MS, headers
+    assert headers["x-berylpost-expect-replica"] in ("r-0", "r-1"), headers
+    assert headers["x-other"] == "kept", headers
+
+
+@then("the server saw none of the caller's key and system headers")
+def step_check_dropped(context: Context) -> None:
+    headers = find_seen(context).headers
+    for name in ("authorization", "x-berylpost-hold", "kv-from", "x-own"):
+        assert name not in headers, headers
+    assert "x-berylpost-urgency-class" not in headers, headers
+
+
+@when('a caller sends a "{kind}" request')
+def step_send_kind(context: Context, kind: str) -> None:
+    context.answer = context.world.run(
+        ask(first_daemon(context), make_line(kind), "id-1", body=b"x")
+    )
+
+
+def is_right(answer, wanted):
+    """Holds an answer against a row of the table."""
+    words = wanted.split()
+    if answer.status != int(words[0]):
+        return False
+    more = " ".join(words[1:])
+    if more == "cut":
+        return not answer.whole
+    if not answer.whole:
+        return False
+    if more == "whole":
+        return answer.body == b"echo:x"
+    if more == "signed":
+        signature = answer.headers.get("x-berylpost-replica-signature")
+        return signature == SIGNATURE and answer.body == b"failed"
+    if more.startswith("events"):
+        return answer.body == make_events(N_EVENTS)
+    return "x-berylpost-replica-signature" not in answer.headers
+
+
+def make_events(n_events):
+    return b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, n_events + 1))
+
+
+@then('its answer is "{wanted}" and it ran "{runs}" times')
+def step_check_answer(context: Context, wanted: str, runs: str) -> None:
+    n_runs = sum(replica.runs.total() for replica in context.world.replicas)
+    assert is_right(context.answer, wanted), context.answer
+    assert n_runs == int(runs), n_runs
+
+
+@when('callers send "{kind}" requests until the first server was asked')
+def step_send_until(context: Context, kind: str) -> None:
+    context.answers = []
+    for number in range(20):
+        answer = context.world.run(
+            ask(first_daemon(context), make_line(kind), f"id-{number}")
+        )
+        context.answers.append(answer)
+        if context.world.replicas[0].seen:
+            return
+    raise AssertionError("the first server was never asked")
+
+
+@then("every answer holds the events 1 to 8 once each and ends whole")
+def step_check_events(context: Context) -> None:
+    for answer in context.answers:
+        assert answer.whole and answer.body == make_events(N_EVENTS), answer
+
+
+@when('a caller sends {n:d} "{kind}" requests on one connection')
+def step_send_many(context: Context, n: int, kind: str) -> None:
+    async def send_many():
+        caller = await connect(first_daemon(context))
+        answers = []
+        for number in range(n):
+            caller.send(make_line(kind), f"id-{number}", body=b"%d" % number)
+            answers.append(await caller.read())
+        caller.close()
+        return answers
+
+    context.answers = context.world.run(send_many())
+
+
+@then("each answer is to its own request")
+def step_check_own(context: Context) -> None:
+    for number, answer in enumerate(context.answers):
+        assert answer.status == 200, answer
+        assert answer.body == b"echo:%d" % number, answer
+        assert answer.headers["x-berylpost-attempt-id"] == f"id-{number}", answer
+
+
+@when('a caller sends a "{kind}" request and leaves after {seconds:f} s')
+def step_send_and_leave(context: Context, kind: str, seconds: float) -> None:
+    async def leave():
+        caller = await connect(first_daemon(context))
+        caller.send(make_line(kind), "id-1")
+        await asyncio.sleep(seconds)
+        working = sum(replica.n_working for replica in context.world.replicas)
+        caller.close()
+        return working
+
+    assert context.world.run(leave()) == 1
+
+
+@then("no server works on it {seconds:f} s later")
+def step_check_idle(context: Context, seconds: float) -> None:
+    time.sleep(seconds)
+    working = [replica.n_working for replica in context.world.replicas]
+    assert not any(working), working
+
+
+@when('a caller sends {n:d} "{kind}" requests at once on one connection')
+def step_send_pipelined(context: Context, n: int, kind: str) -> None:
+    async def send_pipelined():
+        caller = await connect(first_daemon(context))
+        for number in range(n):
+            caller.send(make_line(kind), f"id-{number}", body=b"%d" % number)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while len(caller.answers) <= n:
+                await caller.read()
+        caller.close()
+        return caller.answers[:n]
+
+    context.answers = context.world.run(send_pipelined())
+
+
+@then("the answers come in the order of the requests")
+def step_check_order(context: Context) -> None:
+    step_check_own(context)
+
+
+@when('a caller sends "{line}" with the key "{key}"')
+def step_send_key(context: Context, line: str, key: str) -> None:
+    context.answer = context.world.run(
+        ask(first_daemon(context), line, "id-1", key=key)
+    )
+
+
+@when('a caller sends "{line}" with the key ""')
+def step_send_no_key(context: Context, line: str) -> None:
+    step_send_key(context, line, "")
+
+
+@then("the answer is {status:d}")
+def step_check_status(context: Context, status: int) -> None:
+    assert context.answer.status == status, context.answer
+
+
+@when("the first server's entry says that it is leaving")
+def step_drain(context: Context) -> None:
+    world = context.world
+    world.run(world.put_replica(world.replicas[0], State="draining"))
+    slots = first_daemon(context).table
+    wait_for(2.0, lambda: len(slots.list_usable("app")) == 1 or "still two")
+
+
+@then("only the second server was asked")
+def step_check_second(context: Context) -> None:
+    first, second = context.world.replicas
+    assert not first.seen and len(second.seen) == 20, len(second.seen)
+
+
+@when("{seconds:f} s pass")
+def step_pass(context: Context, seconds: float) -> None:
+    time.sleep(seconds)
+
+
+@then("the servers saw {n:d} connections")
+def step_check_connections(context: Context, n: int) -> None:
+    seen = sum(replica.n_connections for replica in context.world.replicas)
+    assert seen == n, seen
+
+
+@when("entries with faults are written beside the servers' own")
+def step_bad_entries(context: Context) -> None:
+    world = context.world
+    whole = {**world.replicas[0].spec, "Service": "app", "Zone": "a", "State": "ready"}
+    missing = [
+        {name: value for name, value in whole.items() if name != left_out}
+        for left_out in whole
+    ]
+    wrong = [
+        {**whole, "State": "resting"},
+        {**whole, "Service": "nobody"},
+        {**whole, "Service": 7},
+        {**whole, "Slots": "8"},
+        {**whole, "Slots": 0},
+        {**whole, "Address": "nowhere"},
+        {**whole, "Address": "1.2.3.4:99999"},
+        {**whole, "ColdLeftMs": "soon"},
+        "bytes",
+        None,
+        [],
+    ]
+
+    async def write():
+        for number, spec in enumerate([*missing, *wrong]):
+            await world.store.put("servers", f"bad-{number}", spec)
+
+    world.run(write())
+    time.sleep(0.3)
+
+
+@then("the daemon knows {n:d} backend servers")
+def step_check_known(context: Context, n: int) -> None:
+    known = first_daemon(context).table.slots
+    assert len(known) == n, sorted(known)
+
+
+def write_without_keys(context):
+    spec = make_configuration(2, Tenants=[{"Name": "one", "ApiKeys": []}])
+    context.world.run(context.world.put_configuration(spec))
+
+
+@when("a configuration without keys is written")
+def step_revoke(context: Context) -> None:
+    write_without_keys(context)
+
+
+@when("the store forgets its history and a configuration without keys is written")
+def step_forget(context: Context) -> None:
+    context.world.store.server.faults.refuse = 2
+    write_without_keys(context)
+    context.world.store.forget_history()
+
+
+def ask_status(context, daemon, kind):
+    answer = context.world.run(ask(daemon, make_line(kind), "id-9"))
+    return answer.status
+
+
+@then('within {seconds:g} s a caller\'s "{kind}" request is answered {status:d}')
+def step_check_within(context: Context, seconds: float, kind: str, status: int) -> None:
+    daemon = first_daemon(context)
+
+    def check():
+        got = ask_status(context, daemon, kind)
+        return got == status or got
+
+    wait_for(seconds, check)
+
+
+@when("the store is down for {seconds:f} s")
+def step_store_down(context: Context, seconds: float) -> None:
+    context.world.store.server.faults.down = True
+    time.sleep(seconds)
+
+
+@then('a caller\'s "{kind}" request is answered {status:d} in the end')
+@then('a caller\'s "{kind}" request is answered {status:d}')
+def step_check_kind(context: Context, kind: str, status: int) -> None:
+    got = ask_status(context, first_daemon(context), kind)
+    assert got == status, got
+
+
+@when('a caller sends a "{kind}" request and the daemon is told to stop meanwhile')
+def step_stop_meanwhile(context: Context, kind: str) -> None:
+    daemon = first_daemon(context)
+
+    async def send():
+        caller = await connect(daemon)
+        caller.send(make_line(kind), "id-1")
+        await asyncio.sleep(0.2)
+        leaving = asyncio.create_task(daemon.leave())
+        await asyncio.sleep(0)
+        context.ready_meanwhile = daemon.is_ready
+        answer = await caller.read()
+        with contextlib.suppress(asyncio.CancelledError):
+            await leaving
+        return answer
+
+    context.answer = context.world.run(send())
+
+
+@then("that answer is 200 and ends the connection")
+def step_check_last(context: Context) -> None:
+    assert context.answer.status == 200 and context.answer.whole, context.answer
+    assert context.answer.closes, context.answer
+
+
+@then("the daemon is not ready while it leaves")
+def step_check_not_ready(context: Context) -> None:
+    assert context.ready_meanwhile is False
+
+
+@when("a caller sends bytes that are no request")
+def step_send_garbage(context: Context) -> None:
+    async def send():
+        caller = await connect(first_daemon(context))
+        caller.writer.write(b"GET /read/a HTTP/1.1\r\nHost: a\r\nBad Header\r\n\r\n")
+        return await caller.read()
+
+    context.answer = context.world.run(send())
+
+
+@then("the servers were asked nothing")
+def step_check_nothing(context: Context) -> None:
+    assert not any(replica.seen for replica in context.world.replicas)
+
+
+# Several daemons.
+
+
+@when("the store refuses the first daemon and a configuration without keys is written")
+def step_refuse_one(context: Context) -> None:
+    refused = first_daemon(context).settings.ip
+    context.world.store.server.refused_ips.add(refused)
+    write_without_keys(context)
+
+
+@then(
+    'within {seconds:g} s the first daemon answers a "{kind}" request with {status:d}'
+)
+def step_check_first(context: Context, seconds: float, kind: str, status: int) -> None:
+    step_check_within(context, seconds, kind, status)
+
+
+def read_directory(context, daemon):
+    async def read():
+        reader, writer = await asyncio.open_connection(*daemon.settings.directory)
+        caller = Caller(reader, writer)
+        target = f"/v1/resolve?Name={HOST}&Region=here&Zone=a"
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: d\r\n\r\n".encode())
+        answer = await caller.read()
+        caller.close()
+        return answer.body.count(b":") - 2
+
+    return context.world.run(read())
+
+
+@then("the directory of each daemon names {n:d} addresses")
+def step_check_directories(context: Context, n: int) -> None:
+    for daemon in context.world.daemons.values():
+
+        def check(daemon=daemon):
+            found = read_directory(context, daemon)
+            return found == n or found
+
+        wait_for(2.0, check)
+
+
+@when("the first daemon is told to stop")
+def step_stop_first(context: Context) -> None:
+    daemon = first_daemon(context)
+    asyncio.run_coroutine_threadsafe(daemon.leave(), context.world.loop)
+
+
+@then("within {seconds:g} s the directory of the second daemon names {n:d} addresses")
+def step_check_directory(context: Context, seconds: float, n: int) -> None:
+    daemon = list(context.world.daemons.values())[1]
+
+    def check():
+        found = read_directory(context, daemon)
+        return found == n or found
+
+    wait_for(seconds, check)
+
+
+def find_holder(context):
+    found = []
+
+    def check():
+        found[:] = [
+            number
+            for number, daemon in enumerate(context.world.daemons.values())
+            if daemon.duties.lease.is_held()
+        ]
+        return len(found) == 1 or found
+
+    wait_for(10.0, check)
+    return list(context.world.daemons.values())[found[0]]
+
+
+def kill_daemon(context, daemon):
+    async def kill():
+        daemon.kill()
+
+    context.world.run(kill())
+    del context.world.daemons[daemon.settings.name]
+
+
+@when('each daemon gets {n:d} "{kind}" requests and the holder of the duties is killed')
+def step_use_and_kill(context: Context, n: int, kind: str) -> None:
+    holder = find_holder(context)
+
+    async def send_all():
+        for daemon in context.world.daemons.values():
+            for number in range(n):
+                await ask(daemon, make_line(kind), f"{daemon.settings.name}-{number}")
+        await asyncio.sleep(0.6)
+
+    context.world.run(send_all())
+    kill_daemon(context, holder)
+
+
+@then(
+    "within {seconds:g} s the reports sum to {n:d} requests "
+    "and no rule of holders is broken"
+)
+def step_check_reports(context: Context, seconds: float, n: int) -> None:
+    judge = context.world.duty_api.judge
+
+    def check():
+        total = sum(sum(counts.values()) for counts in judge.reports.values())
+        return total == n or judge.reports
+
+    wait_for(seconds, check)
+    assert not judge.breaches, judge.breaches
+
+
+@when("the holder of the duties is killed three times")
+def step_kill_holders(context: Context) -> None:
+    world = context.world
+    for _ in range(3):
+        holder = find_holder(context)
+        number = int(holder.settings.name.rpartition("-")[2])
+        time.sleep(0.5)
+        kill_daemon(context, holder)
+        time.sleep(0.3)
+        world.run(world.start_daemon(number))
+    find_holder(context)
+
+
+@then("no rule of holders is broken")
+def step_check_breaches(context: Context) -> None:
+    judge = context.world.duty_api.judge
+    assert not judge.breaches, judge.breaches
+
+
+@when(
+    "a customer with {rate:d} requests a second and a burst of {burst:d} "
+    "asks for {asked:d} a second for {seconds:d} s"
+)
+def step_ask_much(
+    context: Context, rate: int, burst: int, asked: int, seconds: int
+) -> None:
+    world = context.world
+    tenant = {"Name": "one", "ApiKeys": [KEY], "RatePerS": rate, "Burst": burst}
+    world.run(world.put_configuration(make_configuration(2, Tenants=[tenant])))
+    time.sleep(1.0)
+
+    async def ask_all():
+        daemons = list(world.daemons.values())
+        callers = [await connect(daemon) for daemon in daemons]
+        began_at = time.monotonic()
+        number = 0
+        while time.monotonic() - began_at < seconds:
+            for caller in callers:
+                number += 1
+                caller.send(make_line("read"), f"q-{number}")
+                await caller.read()
+            ahead_s = number / asked - (time.monotonic() - began_at)
+            await asyncio.sleep(max(0.0, ahead_s))
+        for caller in callers:
+            caller.close()
+
+    world.run(ask_all())
+
+
+@then("between {least:d} and {most:d} of its requests ran")
+def step_check_ran(context: Context, least: int, most: int) -> None:
+    n_ran = sum(len(replica.runs) for replica in context.world.replicas)
+    assert least <= n_ran <= most, n_ran
