Merge a neighbour's servers by revision instead of taking them over

Ruled out: a silent watch: no store_lost or watch_behind_neighbour at that daemon. Change: entries come only with a revision above the one at which they went, and go only if the neighbour's state is newer than they are.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -27,6 +27,7 @@
 BACKENDS_WAIT_S: Final = 4.0  # gossip tells of missed changes sooner
 RETRY_PAUSE_S: Final = 0.25  # first pause after a failed call; doubles
 MAX_RETRY_PAUSE_S: Final = 1.0  # finds a returned store within its two seconds' grace
+MAX_REMOVED: Final = 1_000  # ten minutes of a deployment's losses at the large size
 RETURN_GRACE_S: Final = 2.0  # entries lapsed in an outage are written again by then
 TRUST_SHARE: Final = 0.95  # of revoke_s; the rest is for clocks that run apart
 
@@ -53,6 +54,7 @@
         self._address = store_address
         self._trust_s = revoke_s * TRUST_SHARE
         self._entries: dict[str, tuple[int, Any]] = {}
+        self._removed: dict[str, int] = {}  # last revision of an entry that is gone
         self._vanished: set[str] = set()
         self._listeners: list[Listener] = []
         self._watches: dict[str, asyncio.Task[None]] = {}
@@ -122,10 +124,8 @@
         if configuration:
             self._set_configuration(configuration[0], configuration[1], "neighbour")
         if state.get("backends_revision", 0) > self.backends_revision:
-            self.backends_revision = state["backends_revision"]
             present = {n: (r, spec) for n, r, spec in state["backends"]}
-            # What the neighbour still keeps over an outage is in its state too.
-            self._replace_backends(present, keep_vanished=False)
+            self._merge_backends(present, state["backends_revision"])
 
     def _kick(self, kind: str) -> None:
         event = self._kicked.get(kind)
@@ -275,6 +275,20 @@
             self._set_backend(name, revision, spec)
         self._notify()
 
+    def _merge_backends(
+        self, present: dict[str, tuple[int, Any]], revision: int
+    ) -> None:
+        """Takes a neighbour's entries as of a revision where they are newer."""
+        for name in self._entries.keys() - present.keys():
+            if self._entries[name][0] <= revision:
+                # What the neighbour keeps over an outage would be in its state.
+                self._vanish(name, keep=False)
+        for name, (entry_revision, spec) in present.items():
+            if entry_revision > self._removed.get(name, -1):
+                self._set_backend(name, entry_revision, spec)
+        self.backends_revision = max(self.backends_revision, revision)
+        self._notify()
+
     def _take_backend_changes(self, changes: Changes, asked_at: float) -> None:
         for change in changes.changes:
             item = change.item
@@ -325,7 +339,11 @@
                 self._vanished.add(name)
                 self._schedule_end(name)
             return
-        self._entries.pop(name, None)
+        entry = self._entries.pop(name, None)
+        if entry is not None:
+            self._removed[name] = entry[0]
+            while len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
         self._vanished.discard(name)
         if self.backends.pop(name, None) is not None:
             log_event(LOGGER, "backend_gone", backend=name)
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -126,3 +126,8 @@
     When a caller sends bytes that are no request
     Then the answer is 400
     And the servers were asked nothing
+
+  Scenario: A neighbour's state neither brings back nor drops what is newer here
+    When the first server's entry is removed
+    And a neighbour's state from before that, but with a later change, is taken
+    Then the daemon knows only the second server and the later one
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -653,3 +653,37 @@
 def step_check_ran(context: Context, least: int, most: int) -> None:
     n_ran = sum(len(replica.runs) for replica in context.world.replicas)
     assert least <= n_ran <= most, n_ran
+
+
+@when("the first server's entry is removed")
+def step_remove_first(context: Context) -> None:
+    world = context.world
+    table = first_daemon(context).table
+    context.before = first_daemon(context).catalogue.export_state()
+    world.run(world.store.remove("servers", world.replicas[0].id))
+    wait_for(2.0, lambda: len(table.slots) == 1 or "still two")
+
+
+@when("a neighbour's state from before that, but with a later change, is taken")
+def step_take_old_state(context: Context) -> None:
+    catalogue = first_daemon(context).catalogue
+    before = context.before
+    later = before["backends_revision"] + 10
+    spec = {**context.world.replicas[1].spec, "Service": "app", "Zone": "a"}
+    spec |= {"State": "ready", "Address": "127.0.0.1:9"}
+    state = {
+        **before,
+        "backends_revision": later,
+        "backends": [*before["backends"], ["r-later", later, spec]],
+    }
+
+    async def take():
+        catalogue.import_state(state)
+
+    context.world.run(take())
+
+
+@then("the daemon knows only the second server and the later one")
+def step_check_merged(context: Context) -> None:
+    known = sorted(first_daemon(context).table.slots)
+    assert known == ["r-1", "r-later"], known
