Take the duties over as soon as their holder says that its hold has ended

Ruled out: a shorter term: more renewals, each a priced call. Change: gossip carries the renewal that the holder acts on and the time left; whoever finds that very renewal in the store after that takes over; a holder that fails twice while others are served lets go, and does not come back within the shortest lease.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -273,7 +273,7 @@
     # What goes between daemons.
 
     def _make_gossip(self) -> bytes:
-        hold = self.duties.export_hold() if self.duties is not None else 0
+        hold = self.duties.export_hold() if self.duties is not None else [0, 0]
         return msgspec.msgpack.encode(
             [
                 self.table.export_loads(),
@@ -293,7 +293,7 @@
         self.usage.import_counts(member.name, member.incarnation, counts)
         self.work.import_rates(member.name, rates)
         if self.duties is not None:
-            self.duties.import_hold(hold)
+            self.duties.import_hold(member, hold)
 
     def _read_progress(self) -> tuple[int, float, int]:
         held = self.catalogue.configuration
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -7,8 +7,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
-from typing import Any, Final
+from collections.abc import Callable, Mapping, Sequence
+from typing import Final
 
 from ..errors import PlatformError
 from ..logs import log_event
@@ -29,8 +29,8 @@
 )
 from .catalogue import Catalogue
 from .clock import read_age_clock
-from .duty_lease import DutyLease
-from .members import Members
+from .duty_lease import DutyLease, HeardHold
+from .members import Member, Members
 from .model import BackendState, EdgeSettings, FleetBounds, Service
 from .usage import Usage
 
@@ -47,6 +47,9 @@
 )
 IDLE_LOAD: Final = 0.01  # server-seconds a second; less is no traffic yet
 SWITCH_S: Final = 6.0  # fewer servers are ordered only after the load was low so long
+HOLD_MARGIN_S: Final = 0.3  # after another's hold; clocks and gossip are finer
+FAILURES_TO_DROP: Final = 2  # of calls in a row while others reach the store
+SERVED_AGE_S: Final = 2.0  # a configuration confirmed since then shows a served store
 CALL_MARGIN_S: Final = 0.3  # of a hold that is too short to begin a call in
 
 
@@ -97,7 +100,9 @@
         self._planned_at = 0.0
         self._wanted: dict[str, int] = {}
         self._low_since: dict[str, float] = {}
-        self._others_hold_until = 0.0
+        self._heard: HeardHold | None = None
+        self._n_failed = 0
+        self._may_retake_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -119,15 +124,23 @@
         self._cloud.close()
         self.store.close()
 
-    def export_hold(self) -> float:
-        """Returns how long this daemon still holds the lease, for gossip; 0 if not."""
-        return round(self.lease.read_left_s(), 2)
+    def export_hold(self) -> list[float]:
+        """Returns this daemon's hold for gossip."""
+        return self.lease.export_hold()
 
-    def import_hold(self, left_s: Any) -> None:
-        """Takes another daemon's word that it holds the lease."""
-        if isinstance(left_s, int | float) and left_s > 0:
-            until = read_age_clock() + left_s
-            self._others_hold_until = max(self._others_hold_until, until)
+    def import_hold(self, member: Member, hold: Sequence[float]) -> None:
+        """Takes another daemon's word on its hold."""
+        sequence, left_s = hold
+        if not sequence:
+            return
+        heard = HeardHold(
+            holder=member.name,
+            incarnation=member.incarnation,
+            sequence=int(sequence),
+            until=read_age_clock() + left_s,
+        )
+        if left_s > 0 or (self._heard and self._heard.holder == member.name):
+            self._heard = heard
 
     async def _run(self) -> None:
         while True:
@@ -135,14 +148,20 @@
             try:
                 if self.lease.is_held():
                     await self._act()
+                    self._n_failed = 0
+                    self._may_retake_at = self._find_retake_time()
                 elif self._may_try():
                     self._forget_orders()
-                    await self.lease.try_take()
+                    await self.lease.try_take(self._heard)
                     if not self.lease.is_held():
                         pause_s = TRY_PAUSE_S
             except PlatformError as error:
                 log_event(LOGGER, "duty_failed", logging.WARNING, error=error)
-                pause_s = TRY_PAUSE_S
+                self._n_failed += 1
+                if self._n_failed >= FAILURES_TO_DROP and self._is_another_served():
+                    # Another daemon reaches the store; it need not wait for the term.
+                    self.lease.drop()
+                    self._members.announce()
             except Exception:
                 LOGGER.exception("event=duty_error")
                 pause_s = TRY_PAUSE_S
@@ -151,7 +170,10 @@
     def _may_try(self) -> bool:
         """Tells whether this daemon is among those that should try now."""
         now = read_age_clock()
-        if self._members.leaving or now < self._others_hold_until:
+        if self._members.leaving or now < self._may_retake_at:
+            return False
+        heard = self._heard
+        if heard is not None and now < heard.until + HOLD_MARGIN_S:
             return False
         settled = now - self._started_at > self._settings.bounds.lease_s / 2
         if not settled:
@@ -160,6 +182,22 @@
         rank = sorted([*names, self._settings.name]).index(self._settings.name)
         return rank < N_CANDIDATES
 
+    def _find_retake_time(self) -> float:
+        """Returns when this daemon may hold again after its hold, at the earliest.
+
+        Two daemons that take turns within the shortest lease could not be told from
+        two that both believe they hold it.
+        """
+        return read_age_clock() + self._settings.bounds.lease_s + HOLD_MARGIN_S
+
+    def _is_another_served(self) -> bool:
+        """Tells whether the store answers another daemon."""
+        return any(
+            member.confirmation_age < SERVED_AGE_S
+            for member in self._members.list_alive()
+            if not member.leaving
+        )
+
     def _forget_orders(self) -> None:
         self._ordered.clear()
         self._sent.clear()
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from ..errors import LostAnswerError, PlatformError
@@ -26,6 +27,30 @@
 N_KEPT_REPORTS: Final = 3
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeardHold:
+    """What a holder said of its hold by gossip.
+
+    Attributes:
+        sequence: of the renewal that it acts on.
+        until: age clock of this VM at which the hold has ended for certain.
+    """
+
+    holder: str
+    incarnation: int
+    sequence: int
+    until: float
+
+    def is_of(self, stored: StoredObject) -> bool:
+        """Tells whether the stored lease is that renewal."""
+        spec = stored.spec if isinstance(stored.spec, dict) else {}
+        return (
+            spec.get("holder") == self.holder
+            and spec.get("incarnation") == self.incarnation
+            and spec.get("sequence") == self.sequence
+        )
+
+
 class DutyLease:
     """One daemon's view of the lease.
 
@@ -58,6 +83,7 @@
         self._import_counts = import_counts
         self._term_s = shortest_s + TERM_EXTRA_S
         self._sequence = 0
+        self._held_sequence = 0  # of the last renewal known to be stored
         self._seen: StoredObject | None = None
         self._seen_at = 0.0
         self._renew_at = 0.0
@@ -74,9 +100,17 @@
         """Tells whether it is time to renew."""
         return read_age_clock() >= self._renew_at
 
-    async def try_take(self) -> bool:
+    def export_hold(self) -> list[float]:
+        """Returns the sequence of the last renewal and how long it may be acted on."""
+        return [self._held_sequence, round(self.read_left_s(), 2)]
+
+    async def try_take(self, ended: HeardHold | None = None) -> bool:
         """Takes the lease if it is free or its term has run out.
 
+        Args:
+            ended: a renewal whose hold has ended by its holder's own word; if the
+                store shows no later one, its term need not run out.
+
         Raises:
             PlatformError: the store did not answer or refused.
         """
@@ -88,6 +122,8 @@
             self._seen, self._seen_at = stored, now
         holder = _read_holder(stored)
         lapsed = now - self._seen_at > self._term_s
+        if ended is not None and ended.is_of(stored):
+            lapsed = True
         if holder not in ("", self._holder) and not lapsed:
             return False
         return await self._write(stored)
@@ -173,6 +209,7 @@
             self.fence = stored.revision
             log_event(LOGGER, "duties_taken", fence=self.fence, term_s=self._term_s)
         self.held_until = asked_at + self._term_s * HOLD_SHARE
+        self._held_sequence = self._sequence
         self._renew_at = asked_at + self._term_s * RENEW_SHARE
         return self.is_held()
 
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -12,7 +12,7 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, Final
 
 import msgspec
@@ -80,6 +80,7 @@
     Attributes:
         heard_at: age clock of the last datagram; -inf when never heard.
         last_stamp: the newest stamp of its own that it sent.
+        confirmation_age: of its configuration when it last spoke, seconds.
         wall_offset: its time of day less this VM's age clock.
     """
 
@@ -94,8 +95,7 @@
     wall_offset: float | None = None
     leaving: bool = False
     ready: bool = False
-    body: Any = None
-    extra: dict[str, Any] = field(default_factory=dict)
+    confirmation_age: float = float("inf")
 
 
 class Members:
@@ -351,6 +351,7 @@
         member.zone = gossip.zone
         member.leaving = gossip.leaving
         member.ready = gossip.ready
+        member.confirmation_age = gossip.confirmation_age
         member.wall_offset = gossip.wall - now
         for name, ip, port in gossip.introduced:
             self._introduce(name, ip, port)
