Let three daemons watch the store and the others learn from them

Ruled out: longer waits: a key has to be confirmed within 5 s. Change: a daemon watches while fewer than three before it in a fixed order say that theirs is served; changes go out at once by gossip and neighbours fetch what is newer than they have; a digest of the entries finds what an outage has left unequal. A neighbour's confirmation is dated by a lower bound of the clocks' offset, so it does not need a round trip of its own. Missed removals now carry the revision of their end.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -1,35 +1,30 @@
 """The configuration in force and the backend servers, as the store says.
 
-Two watches bring changes; a full list is read at the start and when history is gone.
-What neighbours hold bridges a store that does not answer this VM. A configuration
-never goes back: only a higher revision replaces it. Its confirmation is the latest
-time at which the store, asked by this daemon or by a neighbour, showed no newer one.
+`store_watch` brings lists and changes from the store, and neighbours what they hold. A
+configuration never goes back: only a higher revision replaces it. Its confirmation is
+the latest time at which the store, asked by this daemon or by a neighbour, showed no
+newer one.
 """
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-from ..errors import PlatformError
+from ..hashing import hash_text
 from ..logs import log_event
 from ..platform import names
 from ..platform.entries import EntryError, decode_backend, decode_configuration
-from ..platform.object_store import ObjectStore
-from ..platform.object_wire import Changes, HistoryGoneError, Listing
+from ..platform.object_wire import Changes, Listing
 from .clock import read_age_clock
-from .model import Backend, Endpoint, ServingConfiguration
+from .model import Backend, ServingConfiguration
 
 LOGGER: Final = logging.getLogger(__name__)
 
-CONFIGURATION_WAIT_S: Final = 1.5  # two waits stay well under the shortest revoke_s
-BACKENDS_WAIT_S: Final = 4.0  # gossip tells of missed changes sooner
-RETRY_PAUSE_S: Final = 0.25  # first pause after a failed call; doubles
-MAX_RETRY_PAUSE_S: Final = 1.0  # finds a returned store within its two seconds' grace
-MAX_REMOVED: Final = 1_000  # ten minutes of a deployment's losses at the large size
 RETURN_GRACE_S: Final = 2.0  # entries lapsed in an outage are written again by then
+GRACE_RETRY_S: Final = 0.25  # between two looks at an outage that has not ended
 TRUST_SHARE: Final = 0.95  # of revoke_s; the rest is for clocks that run apart
+MAX_REMOVED: Final = 1_000  # ten minutes of a deployment's losses at the large size
 
 Listener = Callable[[], None]
 
@@ -38,29 +33,26 @@
     """State of configuration and backend servers.
 
     Args:
-        store_address: of the platform's store.
         revoke_s: age at which an unconfirmed configuration's keys are refused.
     """
 
-    def __init__(self, *, store_address: Endpoint, revoke_s: float) -> None:
+    def __init__(self, *, revoke_s: float) -> None:
         self.configuration: ServingConfiguration | None = None
         self.configuration_spec: Any = None
         self.backends: dict[str, Backend] = {}
-        self.backends_revision = 0  # of the newest entry seen
+        self.backends_revision = 0  # of the store, as of the last change seen
+        self.backends_digest = 0  # of names and revisions of all entries
         self.confirmed_at = -1e9
-        self.store_ok_at = -1e9
         self.store_back_at = -1e9
-        self.n_calls = 0
-        self._address = store_address
+        self.is_store_lost = False
         self._trust_s = revoke_s * TRUST_SHARE
         self._entries: dict[str, tuple[int, Any]] = {}
-        self._removed: dict[str, int] = {}  # last revision of an entry that is gone
+        # Of entries that are gone: their last revision, and that of their end.
+        self._removed: dict[str, tuple[int, int]] = {}
+        self._forgotten = 0  # the end of the newest one that is not kept any more
         self._vanished: set[str] = set()
         self._listeners: list[Listener] = []
-        self._watches: dict[str, asyncio.Task[None]] = {}
-        self._kicked: dict[str, asyncio.Event] = {}
         self._bad_entries: set[str] = set()
-        self._failing = {names.KIND_CONFIGURATION: False, names.KIND_BACKENDS: False}
 
     def add_listener(self, listener: Listener) -> None:
         """Has a function called after each change."""
@@ -74,20 +66,6 @@
         """Returns the age of the last confirmation, seconds."""
         return read_age_clock() - self.confirmed_at
 
-    def start(self) -> None:
-        """Starts the watches; from the event loop."""
-        for kind, follow in (
-            (names.KIND_CONFIGURATION, self._follow_configuration),
-            (names.KIND_BACKENDS, self._follow_backends),
-        ):
-            self._kicked[kind] = asyncio.Event()
-            self._watches[kind] = asyncio.create_task(follow())
-
-    def stop(self) -> None:
-        """Ends the watches."""
-        for task in self._watches.values():
-            task.cancel()
-
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Takes a neighbour's confirmation that `revision` was the newest.
 
@@ -99,134 +77,65 @@
         if revision == held and confirmed_at > self.confirmed_at:
             self.confirmed_at = confirmed_at
 
-    def note_neighbour(
-        self, configuration_revision: int, backends_revision: int
-    ) -> None:
-        """Starts a silent watch anew when a neighbour is ahead of it."""
-        held = self.configuration.revision if self.configuration else 0
-        if configuration_revision > held:
-            self._kick(names.KIND_CONFIGURATION)
-        if backends_revision > self.backends_revision:
-            self._kick(names.KIND_BACKENDS)
+    def note_store(self, *, lost: bool) -> None:
+        """Notes that the store of the backend servers was lost or is back."""
+        if self.is_store_lost and not lost:
+            self.store_back_at = read_age_clock()
+        self.is_store_lost = lost
 
-    def export_state(self) -> dict[str, Any]:
-        """Returns what a neighbour needs to bridge an unreachable store."""
+    def export_state(
+        self, configuration_since: int = 0, backends_since: int = 0
+    ) -> dict[str, Any]:
+        """Returns what a neighbour lacks that has seen up to these revisions."""
         held = self.configuration
+        newer = held is not None and held.revision > configuration_since
+        whole = backends_since < self._forgotten or not backends_since
+        since = 0 if whole else backends_since
         return {
-            "configuration": [held.revision, self.configuration_spec] if held else None,
-            "backends_revision": self.backends_revision,
-            "backends": [[n, r, spec] for n, (r, spec) in self._entries.items()],
+            "configuration": [held.revision, self.configuration_spec]
+            if held is not None and newer
+            else None,
+            "revision": self.backends_revision,
+            "whole": whole,
+            "entries": [
+                [name, revision, spec]
+                for name, (revision, spec) in self._entries.items()
+                if revision > since
+            ],
+            "removed": [
+                [name, last, end]
+                for name, (last, end) in self._removed.items()
+                if end > since
+            ],
         }
 
-    def import_state(self, state: dict[str, Any]) -> None:
-        """Takes a neighbour's state where it is ahead."""
-        configuration = state.get("configuration")
+    def import_state(self, state: Mapping[str, Any]) -> bool:
+        """Takes a neighbour's state where it is ahead; tells whether it was.
+
+        A whole state of the same revision is taken too: the two may differ in what
+        they keep of servers that went while the store was away.
+        """
+        before = (self.configuration, self.backends_revision, self.backends_digest)
+        configuration = state["configuration"]
         if configuration:
             self._set_configuration(configuration[0], configuration[1], "neighbour")
-        if state.get("backends_revision", 0) > self.backends_revision:
-            present = {n: (r, spec) for n, r, spec in state["backends"]}
-            self._merge_backends(present, state["backends_revision"])
-
-    def _kick(self, kind: str) -> None:
-        event = self._kicked.get(kind)
-        if event is not None:
-            event.set()
-
-    async def _follow_configuration(self) -> None:
-        await self._follow(
-            names.KIND_CONFIGURATION,
-            CONFIGURATION_WAIT_S,
-            self._take_configuration_list,
-            self._take_configuration_changes,
-        )
-
-    async def _follow_backends(self) -> None:
-        await self._follow(
-            names.KIND_BACKENDS,
-            BACKENDS_WAIT_S,
-            self._take_backend_list,
-            self._take_backend_changes,
-        )
-
-    async def _follow(
-        self,
-        kind: str,
-        wait_s: float,
-        take_list: Callable[[Listing, float], None],
-        take_changes: Callable[[Changes, float], None],
-    ) -> None:
-        store = ObjectStore(address=self._address)
-        revision: int | None = None
-        pause_s = RETRY_PAUSE_S
-        while True:
-            asked_at = read_age_clock()
-            self.n_calls += 1
-            try:
-                if revision is None:
-                    listing = await store.list_objects(kind)
-                    self._note_answer(kind)
-                    take_list(listing, asked_at)
-                    revision = listing.revision
-                else:
-                    changes = await self._watch(store, kind, revision, wait_s)
-                    if changes is None:
-                        continue
-                    self._note_answer(kind)
-                    take_changes(changes, asked_at)
-                    revision = changes.revision
-                pause_s = RETRY_PAUSE_S
-            except HistoryGoneError:
-                log_event(LOGGER, "history_gone", kind=kind, revision=revision)
-                revision = None
-            except PlatformError as error:
-                self._note_failure(kind, error)
-                await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
-            except Exception:
-                LOGGER.exception("event=watch_error kind=%s", kind)
-                revision = None
-                await asyncio.sleep(MAX_RETRY_PAUSE_S)
-
-    async def _watch(
-        self, store: ObjectStore, kind: str, revision: int, wait_s: float
-    ) -> Changes | None:
-        """Watches until an answer, or None when a neighbour was seen ahead."""
-        kicked = self._kicked[kind]
-        kicked.clear()
-        watch = asyncio.ensure_future(store.watch(kind, revision, wait_s))
-        kick = asyncio.ensure_future(kicked.wait())
-        done, _ = await asyncio.wait((watch, kick), return_when=asyncio.FIRST_COMPLETED)
-        kick.cancel()
-        if watch in done:
-            return watch.result()
-        # The change is likely on its way; a watch that is silent is dropped.
-        try:
-            return await asyncio.wait_for(watch, RETRY_PAUSE_S)
-        except TimeoutError:
-            log_event(LOGGER, "watch_behind_neighbour", kind=kind, revision=revision)
-            store.close()
-            return None
-
-    def _note_answer(self, kind: str) -> None:
-        now = read_age_clock()
-        if self._failing[kind]:
-            self._failing[kind] = False
-            self.store_back_at = now
-            log_event(LOGGER, "store_regained", kind=kind)
-        self.store_ok_at = now
-
-    def _note_failure(self, kind: str, error: PlatformError) -> None:
-        if not self._failing[kind]:
-            self._failing[kind] = True
-            log_event(LOGGER, "store_lost", logging.WARNING, kind=kind, error=error)
-
-    def _take_configuration_list(self, listing: Listing, asked_at: float) -> None:
+        ahead = state["revision"] - self.backends_revision
+        if ahead > 0 or (ahead == 0 and state["whole"]):
+            self._merge_backends(state)
+        after = (self.configuration, self.backends_revision, self.backends_digest)
+        return before != after
+
+    def take_configuration_list(self, listing: Listing, asked_at: float) -> None:
+        """Takes the list of the configuration's kind, asked for at a time."""
         for item in listing.items:
             if item.name == names.CONFIGURATION_NAME:
                 self._set_configuration(item.revision, item.spec, "list")
         self._confirm_own(asked_at)
 
-    def _take_configuration_changes(self, changes: Changes, asked_at: float) -> None:
+    def take_configuration_changes(
+        self, changes: Changes, asked_at: float, wait_s: float
+    ) -> None:
+        """Takes what a watch of `wait_s` brought."""
         for change in changes.changes:
             item = change.item
             if item.name == names.CONFIGURATION_NAME and not change.removed:
@@ -234,8 +143,8 @@
         # The answer may have waited in a cut link. It proves that nothing newer was
         # there when it was asked for, and a wait that ended empty so long after that.
         waited_s = read_age_clock() - asked_at
-        empty = not changes.changes and waited_s >= CONFIGURATION_WAIT_S
-        self._confirm_own(asked_at + (CONFIGURATION_WAIT_S if empty else 0.0))
+        empty = not changes.changes and waited_s >= wait_s
+        self._confirm_own(asked_at + (wait_s if empty else 0.0))
 
     def _confirm_own(self, proven_at: float) -> None:
         if self.configuration is not None:
@@ -260,54 +169,61 @@
         )
         self._notify()
 
-    def _take_backend_list(self, listing: Listing, asked_at: float) -> None:
+    def take_backend_list(self, listing: Listing) -> None:
+        """Takes the list of all backend servers."""
+        keep = self._is_store_unsteady()
+        present = {item.name for item in listing.items}
+        for name in self._entries.keys() - present:
+            self._vanish(name, listing.revision, keep=keep)
         for item in listing.items:
-            self.backends_revision = max(self.backends_revision, item.revision)
-        present = {item.name: (item.revision, item.spec) for item in listing.items}
-        self._replace_backends(present, keep_vanished=self._is_store_unsteady())
-
-    def _replace_backends(
-        self, present: dict[str, tuple[int, Any]], *, keep_vanished: bool
-    ) -> None:
-        for name in self._entries.keys() - present.keys():
-            self._vanish(name, keep=keep_vanished)
-        for name, (revision, spec) in present.items():
-            self._set_backend(name, revision, spec)
-        self._notify()
-
-    def _merge_backends(
-        self, present: dict[str, tuple[int, Any]], revision: int
-    ) -> None:
-        """Takes a neighbour's entries as of a revision where they are newer."""
-        for name in self._entries.keys() - present.keys():
-            if self._entries[name][0] <= revision:
-                # What the neighbour keeps over an outage would be in its state.
-                self._vanish(name, keep=False)
-        for name, (entry_revision, spec) in present.items():
-            if entry_revision > self._removed.get(name, -1):
-                self._set_backend(name, entry_revision, spec)
-        self.backends_revision = max(self.backends_revision, revision)
+            self._set_backend(item.name, item.revision, item.spec)
+        self.backends_revision = max(self.backends_revision, listing.revision)
         self._notify()
 
-    def _take_backend_changes(self, changes: Changes, asked_at: float) -> None:
+    def take_backend_changes(self, changes: Changes) -> None:
+        """Takes what a watch of the backend servers brought."""
+        if not changes.changes:
+            return
         for change in changes.changes:
             item = change.item
-            self.backends_revision = max(self.backends_revision, item.revision)
             if change.removed:
-                self._vanish(item.name, keep=self._is_store_unsteady())
+                keep = self._is_store_unsteady()
+                self._vanish(item.name, changes.revision, keep=keep)
             else:
                 self._set_backend(item.name, item.revision, item.spec)
-        if changes.changes:
-            self._notify()
+        self.backends_revision = max(self.backends_revision, changes.revision)
+        self._notify()
+
+    def _merge_backends(self, state: Mapping[str, Any]) -> None:
+        """Takes a neighbour's entries where they are newer."""
+        revision = state["revision"]
+        present = {name for name, _, _ in state["entries"]}
+        if state["whole"]:
+            for name in self._entries.keys() - present:
+                if self._entries[name][0] <= revision:
+                    self._vanish(name, revision, keep=False)
+        for name, last, end in state["removed"]:
+            known = self._entries.get(name)
+            if known is not None and known[0] <= last:
+                # What the neighbour keeps over an outage is not among these.
+                self._vanish(name, end, keep=False)
+        for name, entry_revision, spec in state["entries"]:
+            if entry_revision > self._removed.get(name, (-1, 0))[0]:
+                self._set_backend(name, entry_revision, spec)
+        self.backends_revision = max(self.backends_revision, revision)
+        self._notify()
 
     def _is_store_unsteady(self) -> bool:
         recent = read_age_clock() - self.store_back_at < RETURN_GRACE_S
-        return recent or self._failing[names.KIND_BACKENDS]
+        return recent or self.is_store_lost
 
     def _set_backend(self, name: str, revision: int, spec: Any) -> None:
         known = self._entries.get(name)
         if known is not None and known[0] > revision:
             return
+        if known is not None:
+            self.backends_digest ^= _digest_entry(name, known[0])
+        self.backends_digest ^= _digest_entry(name, revision)
         self._entries[name] = (revision, spec)
         self._vanished.discard(name)
         try:
@@ -332,7 +248,7 @@
                 revision=revision,
             )
 
-    def _vanish(self, name: str, *, keep: bool) -> None:
+    def _vanish(self, name: str, revision: int, *, keep: bool) -> None:
         """Drops an entry, or does so once an unsteady store has had its time."""
         if keep and name in self.backends:
             if name not in self._vanished:
@@ -341,9 +257,12 @@
             return
         entry = self._entries.pop(name, None)
         if entry is not None:
-            self._removed[name] = entry[0]
+            self.backends_digest ^= _digest_entry(name, entry[0])
+            self._removed.pop(name, None)
+            self._removed[name] = (entry[0], revision)
             while len(self._removed) > MAX_REMOVED:
-                del self._removed[next(iter(self._removed))]
+                _, end = self._removed.pop(next(iter(self._removed)))
+                self._forgotten = max(self._forgotten, end)
         self._vanished.discard(name)
         if self.backends.pop(name, None) is not None:
             log_event(LOGGER, "backend_gone", backend=name)
@@ -352,7 +271,7 @@
         """Looks again once the store has been back for its grace."""
         passed_s = read_age_clock() - self.store_back_at
         left_s = RETURN_GRACE_S - passed_s
-        delay_s = left_s if left_s > 0 else RETRY_PAUSE_S
+        delay_s = left_s if left_s > 0 else GRACE_RETRY_S
         asyncio.get_running_loop().call_later(delay_s, self._end_vanished, name)
 
     def _end_vanished(self, name: str) -> None:
@@ -361,9 +280,13 @@
         if self._is_store_unsteady():
             self._schedule_end(name)
             return
-        self._vanish(name, keep=False)
+        self._vanish(name, self.backends_revision, keep=False)
         self._notify()
 
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
+
+
+def _digest_entry(name: str, revision: int) -> int:
+    return hash_text(f"{name}:{revision}") >> 1  # msgpack's integers have 64 bits
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -16,7 +16,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.boot import load_boot_settings
-from ..platform.headers import parse_directory_query
+from ..platform.headers import parse_query
 from .backend_table import BackendTable
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
 from .catalogue import Catalogue
@@ -29,6 +29,7 @@
 from .metrics import observe_request, render_metrics
 from .model import CallerLimits, EdgeSettings, Endpoint
 from .quotas import Quotas
+from .store_watch import StoreWatch
 from .usage import Usage
 from .work_meter import WorkMeter
 
@@ -38,6 +39,7 @@
 STATE_PATH: Final = "/state"
 STATE_TIMEOUT_S: Final = 1.0  # a megabyte between neighbours at 10 Mbit/s
 BRIDGE_AFTER_S: Final = 0.6  # a watch that answers brings the change sooner
+DIFFERS_S: Final = 0.8  # three gossip rounds, in which a change may be on its way
 DIRECTORY_TTL_S: Final = 2.0  # below the platform's longest; a leave is seen sooner
 MIN_LEAVE_S: Final = 4.5  # answers of the directory older than that are few
 EXIT_MARGIN_S: Final = 0.7  # before SIGKILL
@@ -57,9 +59,7 @@
         self._log_stream = log_stream
         self._incarnation = int(time.time() * 1_000)
         bounds = settings.bounds
-        self.catalogue = Catalogue(
-            store_address=settings.store, revoke_s=bounds.revoke_s
-        )
+        self.catalogue = Catalogue(revoke_s=bounds.revoke_s)
         self.quotas = Quotas(bounds=bounds)
         self.members = Members(
             settings=settings,
@@ -70,6 +70,12 @@
             on_progress=self._note_progress,
         )
         self.quotas.bind(self.members)
+        self.watch = StoreWatch(
+            name=settings.name,
+            address=settings.store,
+            catalogue=self.catalogue,
+            members=self.members,
+        )
         self.usage = Usage(
             window_s=bounds.usage_window_s,
             read_wall_clock=self.members.estimate_wall_clock,
@@ -102,6 +108,7 @@
         self._control: list[CallerServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._behind_since: float | None = None
+        self._differs_since: float | None = None
         self._bridge: asyncio.Task[None] | None = None
         self._stop = asyncio.Event()
 
@@ -134,7 +141,7 @@
         if settings.metrics is not None:
             await self._listen({"/metrics": self._answer_metrics}, settings.metrics)
         await self.members.start()
-        self.catalogue.start()
+        self.watch.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -181,7 +188,7 @@
             if elapsed_s > MIN_LEAVE_S and not self.front.count_busy():
                 break
             await asyncio.sleep(0.1)
-        self.catalogue.stop()
+        self.watch.stop()
         self.members.announce()
         self.members.stop()
         for task in self._tasks:
@@ -193,7 +200,7 @@
 
     def kill(self) -> None:
         """Drops everything at once, as the end of the process does."""
-        self.catalogue.stop()
+        self.watch.stop()
         self.members.stop()
         if self.duties is not None:
             self.duties.kill()
@@ -226,6 +233,8 @@
         if held is not None:
             self.table.update(self.catalogue.backends, held.services)
             self.members.ready = True
+            self._behind_since = None
+            self.members.announce()
 
     @property
     def is_ready(self) -> bool:
@@ -245,14 +254,12 @@
     def _answer_directory(
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
-        query = parse_directory_query(request.target)
-        zone = query.get("zone", "")
         port = self.settings.front.port
         alive = [m for m in self.members.list_alive() if m.ready and not m.leaving]
         entries = [(m.zone, Endpoint(m.ip, port)) for m in alive]
         if self.is_ready or not entries:
             entries.append((self.settings.zone, self.settings.front))
-        del zone  # every daemon is near: availability zones are a millisecond apart
+        # Every daemon is near: availability zones are a millisecond apart.
         document = {
             "Addresses": [str(address) for _, address in entries[:64]],
             "TtlS": min(DIRECTORY_TTL_S, self.settings.bounds.address_ttl_s),
@@ -260,7 +267,10 @@
         self._answer_json(caller, document)
 
     def _answer_state(self, request: CallerRequest, caller: CallerConnection) -> None:
-        self._answer_json(caller, self.catalogue.export_state())
+        query = parse_query(request.target)
+        since = [query.get(name, "") for name in ("configuration", "backends")]
+        revisions = [int(text) if text.isdigit() else 0 for text in since]
+        self._answer_json(caller, self.catalogue.export_state(*revisions))
 
     def _answer_metrics(self, request: CallerRequest, caller: CallerConnection) -> None:
         body = render_metrics(self)
@@ -295,47 +305,65 @@
         if self.duties is not None:
             self.duties.import_hold(member, hold)
 
-    def _read_progress(self) -> tuple[int, float, int]:
+    def _read_progress(self) -> tuple[int, float, int, int]:
         held = self.catalogue.configuration
         return (
             held.revision if held is not None else 0,
             self.catalogue.read_confirmation_age(),
             self.catalogue.backends_revision,
+            self.catalogue.backends_digest,
         )
 
     def _note_progress(
         self,
         member: Member,
         configuration_revision: int,
-        confirmed_at: float | None,
+        confirmed_at: float,
         backends_revision: int,
+        backends_digest: int,
     ) -> None:
         catalogue = self.catalogue
-        if confirmed_at is not None:
-            catalogue.confirm(configuration_revision, confirmed_at)
-        catalogue.note_neighbour(configuration_revision, backends_revision)
-        held = catalogue.configuration
-        own = held.revision if held is not None else 0
+        catalogue.confirm(configuration_revision, confirmed_at)
+        own_configuration, _, own_backends, own_digest = self._read_progress()
         behind = (
-            configuration_revision > own
-            or backends_revision > catalogue.backends_revision
+            configuration_revision > own_configuration
+            or backends_revision > own_backends
         )
         now = read_age_clock()
         if not behind:
-            self._behind_since = None
-        elif self._behind_since is None:
+            # Equal revisions and other entries: one of the two has missed an end.
+            differs = (
+                member.watch_served
+                and backends_revision == own_backends
+                and backends_digest != own_digest
+            )
+            if not differs:
+                self._differs_since = None
+            elif self._differs_since is None:
+                self._differs_since = now
+            elif now - self._differs_since > DIFFERS_S and self._bridge is None:
+                self._differs_since = None
+                self._bridge = asyncio.create_task(self._fetch_state(member, 0))
+            return
+        if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since > BRIDGE_AFTER_S and self._bridge is None:
-            self._bridge = asyncio.create_task(self._fetch_state(member))
+        # A watch of its own is likely to bring the change at this moment.
+        patience_s = BRIDGE_AFTER_S if self.watch.is_served else 0.0
+        if now - self._behind_since >= patience_s and self._bridge is None:
+            self._bridge = asyncio.create_task(self._fetch_state(member, own_backends))
 
-    async def _fetch_state(self, member: Member) -> None:
-        """Takes a neighbour's state while the store does not answer this VM."""
+    async def _fetch_state(self, member: Member, backends_since: int) -> None:
+        """Takes from a neighbour what this daemon has not seen; all from 0 on."""
         channel = HttpChannel(address=member.address, connect_timeout_s=STATE_TIMEOUT_S)
+        held = self._read_progress()[0]
+        target = f"{STATE_PATH}?configuration={held}&backends={backends_since}"
         try:
-            answer = await channel.call("GET", STATE_PATH, timeout_s=STATE_TIMEOUT_S)
-            self.catalogue.import_state(msgspec.json.decode(answer.body))
-            log_event(LOGGER, "state_bridged", member=member.name)
-        except (PlatformError, msgspec.MsgspecError) as error:
+            answer = await channel.call("GET", target, timeout_s=STATE_TIMEOUT_S)
+            if self.catalogue.import_state(msgspec.json.decode(answer.body)):
+                log_event(LOGGER, "state_bridged", member=member.name)
+                if self.watch.is_served:
+                    self.watch.restart()
+        except (PlatformError, msgspec.MsgspecError, KeyError, TypeError) as error:
             log_event(LOGGER, "bridge_failed", member=member.name, error=error)
         finally:
             channel.close()
@@ -346,6 +374,8 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.table.sweep()
+            self.watch.tend()
+            self.members.watch_served = self.watch.is_served
 
     async def _flush_logs(self) -> None:
         while True:
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -50,6 +50,8 @@
         configuration_revision: that the sender holds.
         confirmation_age: of that revision, seconds, when the datagram was made.
         backends_revision: up to which the sender has seen changes.
+        backends_digest: equal for daemons that know the same entries.
+        watch_served: the sender watches the store and is answered.
         introduced: names and addresses of other daemons.
         body: running totals, opaque here.
     """
@@ -66,6 +68,8 @@
     configuration_revision: int
     confirmation_age: float
     backends_revision: int
+    backends_digest: int
+    watch_served: bool
     introduced: tuple[tuple[str, str, int], ...]
     body: msgspec.Raw
 
@@ -81,6 +85,8 @@
         heard_at: age clock of the last datagram; -inf when never heard.
         last_stamp: the newest stamp of its own that it sent.
         confirmation_age: of its configuration when it last spoke, seconds.
+        clock_offset: this VM's age clock less the member's, at the least: a stamp
+            that the member has seen came before the one that it answers with.
         wall_offset: its time of day less this VM's age clock.
     """
 
@@ -96,6 +102,8 @@
     leaving: bool = False
     ready: bool = False
     confirmation_age: float = float("inf")
+    watch_served: bool = False
+    clock_offset: float = float("-inf")
 
 
 class Members:
@@ -107,9 +115,10 @@
         make_body: makes the running totals for a round.
         take_body: called with a member and its decoded totals.
         read_progress: configuration revision, its confirmation's age, and the
-            revision of the backend servers, as held here.
+            revision and digest of the backend servers, as held here.
         on_progress: called with a member's configuration revision, the age clock at
-            which that was confirmed at the earliest, and its backends' revision.
+            which that was confirmed at the earliest, and its backends' revision and
+            digest.
     """
 
     def __init__(
@@ -119,12 +128,13 @@
         incarnation: int,
         make_body: Callable[[], bytes],
         take_body: Callable[[Member, Any], None],
-        read_progress: Callable[[], tuple[int, float, int]],
-        on_progress: Callable[[Member, int, float | None, int], None],
+        read_progress: Callable[[], tuple[int, float, int, int]],
+        on_progress: Callable[[Member, int, float, int, int], None],
     ) -> None:
         self.members: dict[str, Member] = {}
         self.leaving = False
         self.ready = False
+        self.watch_served = False
         self.n_bytes = 0
         self._settings = settings
         self._incarnation = incarnation
@@ -305,7 +315,7 @@
             return
         settings = self._settings
         body = msgspec.Raw(self._make_body())
-        configuration_revision, age, backends_revision = self._read_progress()
+        configuration_revision, age, backends_revision, digest = self._read_progress()
         alive = self.list_alive()
         picked = random.sample(alive, min(N_INTRODUCED, len(alive)))
         introduced = tuple((m.name, m.ip, m.address.port) for m in picked)
@@ -324,6 +334,8 @@
                     configuration_revision=configuration_revision,
                     confirmation_age=age,
                     backends_revision=backends_revision,
+                    backends_digest=digest,
+                    watch_served=self.watch_served,
                     introduced=introduced,
                     body=body,
                 )
@@ -352,18 +364,23 @@
         member.leaving = gossip.leaving
         member.ready = gossip.ready
         member.confirmation_age = gossip.confirmation_age
+        member.watch_served = gossip.watch_served
         member.wall_offset = gossip.wall - now
         for name, ip, port in gossip.introduced:
             self._introduce(name, ip, port)
-        confirmed_at = None
         if gossip.echo:
-            # The sender had my stamp when it made this, so it was made after it.
-            confirmed_at = gossip.echo - gossip.confirmation_age
+            offset = gossip.echo - gossip.stamp
+            member.clock_offset = max(member.clock_offset, offset)
+        else:
+            # It has not heard this daemon yet; its answer will tell the clocks apart.
+            self._send_to([member])
+        sent_at = gossip.stamp + member.clock_offset
         self._on_progress(
             member,
             gossip.configuration_revision,
-            confirmed_at,
+            sent_at - gossip.confirmation_age,
             gossip.backends_revision,
+            gossip.backends_digest,
         )
         try:
             body = msgspec.msgpack.decode(gossip.body)
--- a/berylpost/edge/metrics.py
+++ b/berylpost/edge/metrics.py
@@ -63,7 +63,7 @@
         "berylpost_edge_busy_connections": daemon.front.count_busy(),
     }
     counters = {
-        "berylpost_edge_store_watches": daemon.catalogue.n_calls,
+        "berylpost_edge_store_watches": daemon.watch.n_calls,
         "berylpost_edge_peer_bytes": daemon.members.n_bytes,
         "berylpost_edge_upstream_connections": sum(
             slot.pool.n_opened for slot in daemon.table.slots.values()
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -130,8 +130,8 @@
     return None
 
 
-def parse_directory_query(target: bytes) -> dict[str, str]:
-    """Parses the query of a directory call into lower-case names and values."""
+def parse_query(target: bytes) -> dict[str, str]:
+    """Parses the query of a call into lower-case names and values."""
     query = target.partition(b"?")[2].decode("latin-1")
     pairs = (pair.partition("=") for pair in query.split("&") if pair)
     return {unquote(name).lower(): unquote(value) for name, _, value in pairs}
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -668,13 +668,13 @@
 def step_take_old_state(context: Context) -> None:
     catalogue = first_daemon(context).catalogue
     before = context.before
-    later = before["backends_revision"] + 10
+    later = before["revision"] + 10
     spec = {**context.world.replicas[1].spec, "Service": "app", "Zone": "a"}
     spec |= {"State": "ready", "Address": "127.0.0.1:9"}
     state = {
         **before,
-        "backends_revision": later,
-        "backends": [*before["backends"], ["r-later", later, spec]],
+        "revision": later,
+        "entries": [*before["entries"], ["r-later", later, spec]],
     }
 
     async def take():
