Test the decisions and shared bounds of the entry daemon in virtual time

Change: features/entry_policy.feature: 10,000 interleavings of three would-be holders with frozen, killed, cut and lost writes against a judge of holders; repeats and quotas over fleets, cuts and restarts; the queue's bound against none; fleet plans; events cut anywhere; settings; no name of the wire outside its folder. The rest of a former holder moved into the lease. The log scenario failed first: lines that nobody reads moved into an unbounded rest; they now wait where their number is bounded.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -47,6 +47,7 @@
 )
 IDLE_LOAD: Final = 0.01  # server-seconds a second; less is no traffic yet
 SWITCH_S: Final = 6.0  # fewer servers are ordered only after the load was low so long
+SETTLE_S: Final = 1.0  # four gossip rounds, so that a daemon knows its rank
 HOLD_MARGIN_S: Final = 0.3  # after another's hold; clocks and gossip are finer
 FAILURES_TO_DROP: Final = 2  # of calls in a row while others reach the store
 SERVED_AGE_S: Final = 2.0  # a configuration confirmed since then shows a served store
@@ -102,7 +103,6 @@
         self._low_since: dict[str, float] = {}
         self._heard: HeardHold | None = None
         self._n_failed = 0
-        self._may_retake_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -149,7 +149,6 @@
                 if self.lease.is_held():
                     await self._act()
                     self._n_failed = 0
-                    self._may_retake_at = self._find_retake_time()
                 elif self._may_try():
                     self._forget_orders()
                     await self.lease.try_take(self._heard)
@@ -170,26 +169,17 @@
     def _may_try(self) -> bool:
         """Tells whether this daemon is among those that should try now."""
         now = read_age_clock()
-        if self._members.leaving or now < self._may_retake_at:
+        if self._members.leaving:
             return False
         heard = self._heard
         if heard is not None and now < heard.until + HOLD_MARGIN_S:
             return False
-        settled = now - self._started_at > self._settings.bounds.lease_s / 2
-        if not settled:
+        if now - self._started_at < SETTLE_S:
             return False
         names = [m.name for m in self._members.list_alive() if not m.leaving]
         rank = sorted([*names, self._settings.name]).index(self._settings.name)
         return rank < N_CANDIDATES
 
-    def _find_retake_time(self) -> float:
-        """Returns when this daemon may hold again after its hold, at the earliest.
-
-        Two daemons that take turns within the shortest lease could not be told from
-        two that both believe they hold it.
-        """
-        return read_age_clock() + self._settings.bounds.lease_s + HOLD_MARGIN_S
-
     def _is_another_served(self) -> bool:
         """Tells whether the store answers another daemon."""
         return any(
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -24,6 +24,7 @@
 TERM_EXTRA_S: Final = 1.5  # beyond the platform's bound, so that renewals are rarer
 HOLD_SHARE: Final = 0.75  # of the term in which the holder acts; the rest is margin
 RENEW_SHARE: Final = 0.35  # of the term after which it renews; two tries fit
+REST_MARGIN_S: Final = 0.3  # of a former holder, beyond the shortest lease
 N_KEPT_REPORTS: Final = 3
 
 
@@ -59,6 +60,7 @@
         holder: this daemon's name.
         incarnation: of this daemon.
         shortest_s: the platform's shortest time between two holders.
+        clock: seconds of the age clock.
         export_counts: usage counts, saved with each renewal.
         import_counts: takes the counts that the holder before had saved.
     """
@@ -72,6 +74,7 @@
         shortest_s: float,
         export_counts: Callable[[], list[Any]],
         import_counts: Callable[[list[Any]], None],
+        clock: Callable[[], float] = read_age_clock,
     ) -> None:
         self.fence = 0
         self.held_until = float("-inf")
@@ -81,6 +84,10 @@
         self._incarnation = incarnation
         self._export_counts = export_counts
         self._import_counts = import_counts
+        self._clock = clock
+        self._shortest_s = shortest_s
+        # A daemon that restarted may have held until just before.
+        self._last_end = clock()
         self._term_s = shortest_s + TERM_EXTRA_S
         self._sequence = 0
         self._held_sequence = 0  # of the last renewal known to be stored
@@ -90,15 +97,15 @@
 
     def is_held(self) -> bool:
         """Tells whether this daemon may act now."""
-        return read_age_clock() < self.held_until
+        return self._clock() < self.held_until
 
     def read_left_s(self) -> float:
         """Returns for how long this daemon may act, seconds."""
-        return max(0.0, self.held_until - read_age_clock())
+        return max(0.0, self.held_until - self._clock())
 
     def needs_renewal(self) -> bool:
         """Tells whether it is time to renew."""
-        return read_age_clock() >= self._renew_at
+        return self._clock() >= self._renew_at
 
     def export_hold(self) -> list[float]:
         """Returns the sequence of the last renewal and how long it may be acted on."""
@@ -115,12 +122,14 @@
             PlatformError: the store did not answer or refused.
         """
         stored = await self._store.read(names.KIND_LEASES, LEASE_NAME)
-        now = read_age_clock()
+        now = self._clock()
         if stored is None:
             return await self._write(None)
         if self._seen is None or stored.revision != self._seen.revision:
             self._seen, self._seen_at = stored, now
         holder = _read_holder(stored)
+        if holder != self._holder and now < self._last_end + self._find_rest():
+            return False
         lapsed = now - self._seen_at > self._term_s
         if ended is not None and ended.is_of(stored):
             lapsed = True
@@ -171,7 +180,7 @@
         """
         if not self.is_held() or self._seen is None:
             return
-        self.held_until = float("-inf")
+        self.drop()
         spec = dict(self._make_spec(), holder="")
         revision = self._seen.revision
         await self._store.replace(
@@ -180,11 +189,20 @@
 
     def drop(self) -> None:
         """Stops acting without a word to the store."""
+        self._last_end = min(self._last_end, self._clock())
         self.held_until = float("-inf")
 
+    def _find_rest(self) -> float:
+        """Returns for how long a former holder leaves the lease to others.
+
+        Two daemons that take turns within the shortest lease could not be told from
+        two that both believe they hold it.
+        """
+        return self._shortest_s + REST_MARGIN_S
+
     async def _write(self, over: StoredObject | None) -> bool:
         """Writes the lease for this daemon over what was seen."""
-        asked_at = read_age_clock()
+        asked_at = self._clock()
         taking = not self.is_held()
         if taking and over is not None:
             self.reports = _read_reports(over)
@@ -196,7 +214,7 @@
         except ConflictError as conflict:
             self.drop()
             if conflict.current is not None:
-                self._seen, self._seen_at = conflict.current, read_age_clock()
+                self._seen, self._seen_at = conflict.current, self._clock()
             return False
         except LostAnswerError:
             found = await self._store.read(names.KIND_LEASES, LEASE_NAME)
@@ -204,12 +222,13 @@
                 self.drop()
                 raise
             stored = found
-        self._seen, self._seen_at = stored, read_age_clock()
+        self._seen, self._seen_at = stored, self._clock()
         if taking:
             self.fence = stored.revision
             log_event(LOGGER, "duties_taken", fence=self.fence, term_s=self._term_s)
         self.held_until = asked_at + self._term_s * HOLD_SHARE
         self._held_sequence = self._sequence
+        self._last_end = self.held_until
         self._renew_at = asked_at + self._term_s * RENEW_SHARE
         return self.is_held()
 
--- a/berylpost/edge/log_stream.py
+++ b/berylpost/edge/log_stream.py
@@ -26,6 +26,7 @@
     def __init__(self, *, descriptor: int) -> None:
         super().__init__()
         self.n_dropped = 0
+        self.n_dropped_in_all = 0
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
         self._rest = b""
@@ -38,6 +39,7 @@
         urgent = record.levelno >= logging.WARNING
         if len(self._lines) >= MAX_WAITING_LINES or (over and not urgent):
             self.n_dropped += 1
+            self.n_dropped_in_all += 1
             return
         self._n_in_round += 1
         self._lines.append(self.format(record).encode("utf-8", "replace") + b"\n")
@@ -45,21 +47,29 @@
     def flush_lines(self) -> None:
         """Writes what the descriptor takes without blocking."""
         self._n_in_round = 0
+        if self._rest:
+            self._rest = self._write(self._rest)
+        if self._rest:
+            return  # the lines wait where their number is bounded
         if self.n_dropped:
             line = format_pairs({"event": "lines_dropped", "n_lines": self.n_dropped})
             self._lines.append(line.encode() + b"\n")
             self.n_dropped = 0
-        data = self._rest + b"".join(self._lines)
+        data = b"".join(self._lines)
         self._lines.clear()
-        self._rest = b""
+        self._rest = self._write(data)
+
+    def _write(self, data: bytes) -> bytes:
+        """Writes without blocking; returns what the descriptor did not take."""
         try:
             while data:
                 data = data[os.write(self._descriptor, data) :]
         except BlockingIOError:
-            self._rest = data
+            return data
         except OSError:
             # Nobody reads any more; there is no other place to say so.
-            self._rest = b""
+            return b""
+        return b""
 
 
 def install_log_stream(*, level: str) -> LogStream:
--- /dev/null
+++ b/features/steps/entry_policy_steps.py
@@ -0,0 +1,483 @@
+"""Steps over decisions and shared bounds, without sockets and in virtual time."""
+
+import heapq
+import itertools
+import json
+import logging
+import os
+import random
+import re
+import time
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as given_examples
+from hypothesis import settings
+from hypothesis import strategies as st
+from steps.shared import FIXED, Bytes
+
+import berylpost
+from berylpost.edge.duty_lease import DutyLease, HeardHold
+from berylpost.edge.event_stream import EventCutter
+from berylpost.edge.log_stream import MAX_WAITING_LINES, LogStream
+from berylpost.errors import LostAnswerError, PlatformError, SettingsError
+from berylpost.fakes.duty_api import DutyJudge
+from berylpost.platform import names
+from berylpost.platform.boot import decode_boot_settings
+from berylpost.platform.object_wire import ConflictError, StoredObject
+from berylpost.policy.fleet_size import (
+    ZoneFleet,
+    count_firm,
+    count_needed,
+    plan_on_demand,
+    plan_spot,
+)
+from berylpost.policy.placement import BASE_FIRST_TOKEN_S
+from berylpost.policy.prompt_admission import judge_queue
+from berylpost.policy.sharing import (
+    QuotaState,
+    RepeatBudget,
+    admit_units,
+    earn_repeats,
+    refill_quota,
+    take_repeat,
+)
+
+LEASE_S = 3.0
+
+
+def run_now(work):
+    """Runs a coroutine that never really waits."""
+    try:
+        work.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the coroutine waited")
+
+
+class LeaseStore:
+    """One object with a revision; a call may be refused, lost, or land late."""
+
+    def __init__(self):
+        self.stored = None
+        self.revision = 0
+        self.fault = 0
+        self.late = []
+
+    async def read(self, _kind, _name):
+        if self.fault in (1, 2):
+            raise PlatformError("refused")
+        return self.stored
+
+    async def create(self, _kind, name, spec):
+        return self._write(name, spec, 0)
+
+    async def replace(self, _kind, name, spec, *, revision):
+        return self._write(name, spec, revision)
+
+    def _write(self, name, spec, revision):
+        fault, self.fault = self.fault, 0
+        if fault == 1:
+            raise PlatformError("refused")
+        if fault == 2:
+            self.fault = 2  # the answer to the check that follows is lost too
+            self.late.append((name, spec, revision))
+            raise LostAnswerError("on its way")
+        if fault == 3:
+            self._apply(name, spec, revision)
+            self.fault = 2
+            raise LostAnswerError("lost after its effect")
+        return self._apply(name, spec, revision)
+
+    def _apply(self, name, spec, revision):
+        current = self.stored.revision if self.stored else 0
+        if current != revision:
+            raise ConflictError("changed", self.stored)
+        self.revision += 1
+        spec = json.loads(json.dumps(spec))
+        self.stored = StoredObject(
+            name=name, revision=self.revision, created_revision=1, spec=spec
+        )
+        return self.stored
+
+    def land(self):
+        for late in self.late:
+            try:
+                self._apply(*late)
+            except ConflictError:
+                pass
+        self.late.clear()
+
+
+class Holder:
+    """A daemon that wants to hold the duties."""
+
+    def __init__(self, name, world):
+        self.name = name
+        self.world = world
+        self.incarnation = 0
+        self.heard = None
+        self.restart()
+
+    def restart(self):
+        self.incarnation += 1
+        self.heard = None
+        self.lease = DutyLease(
+            store=self.world.store,
+            holder=self.name,
+            incarnation=self.incarnation,
+            shortest_s=LEASE_S,
+            export_counts=list,
+            import_counts=lambda _saved: None,
+            clock=lambda: self.world.now,
+        )
+
+    def step(self, choice):
+        lease = self.lease
+        try:
+            if not lease.is_held():
+                heard = self.heard
+                if heard is None or self.world.now >= heard.until + 0.3:
+                    run_now(lease.try_take(heard))
+            elif choice % 3 == 0:
+                run_now(lease.renew())
+            elif choice % 3 == 1:
+                window = int(self.world.now / 5)
+                counts = lease.reports.get(window)
+                if counts is None:
+                    counts = {"one": self.world.now}
+                    if not run_now(lease.record_report(window, counts)):
+                        return
+                if lease.is_held():
+                    self.world.judge.act(
+                        "usage", self.name, lease.fence, self.world.now
+                    )
+                    self.world.judge.report(window, counts)
+            if lease.is_held():
+                self.world.judge.act("zone", self.name, lease.fence, self.world.now)
+        except PlatformError:
+            if choice % 5 == 0:
+                lease.drop()
+
+
+class LeaseWorld:
+    """Three daemons, a store and virtual time."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.store = LeaseStore()
+        self.judge = DutyJudge(lease_s=LEASE_S)
+        self.holders = [Holder(name, self) for name in ("a", "b", "c")]
+
+    def play(self, choices):
+        while not choices.is_used_up():
+            choice = choices.take()
+            holder = self.holders[choice % 3]
+            kind = choice // 3 % 8
+            if kind < 3:
+                self.store.fault = choices.take() % 8
+                holder.step(choices.take())
+                self.store.fault = 0
+            elif kind == 3:
+                self.now += (choices.take() % 40) / 10
+            elif kind == 4:
+                self.store.land()
+            elif kind == 5:
+                holder.restart()
+            else:
+                self._gossip(holder)
+            self.now += 0.05
+
+    def _gossip(self, sender):
+        sequence, left_s = sender.lease.export_hold()
+        for holder in self.holders:
+            known = holder.heard and holder.heard.holder == sender.name
+            if holder is not sender and sequence and (left_s > 0 or known):
+                holder.heard = HeardHold(
+                    holder=sender.name,
+                    incarnation=sender.incarnation,
+                    sequence=sequence,
+                    until=self.now + left_s,
+                )
+
+
+@then(
+    "over {n:d} interleavings of takes, renewals, reports, freezes, kills and lost "
+    "answers no rule of holders is broken"
+)
+def step_lease(context: Context, n: int) -> None:
+    n_acts = 0
+
+    @settings(FIXED, max_examples=n)
+    @given_examples(st.binary(min_size=30, max_size=120))
+    def play(data):
+        nonlocal n_acts
+        world = LeaseWorld()
+        world.play(Bytes(data))
+        n_acts += world.judge.n_calls
+        assert not world.judge.breaches, world.judge.breaches
+
+    play()
+    assert n_acts > n, f"only {n_acts} acts were judged"
+
+
+@then(
+    "over {n:d} fleets and loads no window has more repeats than the ratio and the "
+    "extra allow"
+)
+def step_repeats(context: Context, n: int) -> None:
+    ratio, extra, window_s = 0.2, 52.0, 10.0
+    for seed in range(n):
+        stream = random.Random(seed)
+        n_members = stream.choice((1, 6, 9, 30))
+        budgets = [RepeatBudget(tokens=1.0, updated_at=0.0) for _ in range(n_members)]
+        events = []
+        rate = stream.choice((5, 60, 400))
+        now = 0.0
+        while now < 40.0:
+            now += stream.expovariate(rate)
+            budget = stream.choice(budgets)
+            earn_repeats(budget, ratio=ratio)
+            events.append((now, 0))
+            while take_repeat(
+                budget, now=now, extra=extra, window_s=window_s, n_members=n_members
+            ):
+                events.append((now, 1))
+        for start in range(0, 30, 2):
+            inside = [r for at, r in events if start <= at < start + window_s]
+            before = [r for at, r in events if start - window_s <= at < start]
+            n_requests = max(inside.count(0), before.count(0))
+            allowed = ratio * n_requests + extra
+            assert sum(inside) <= allowed, (seed, start, sum(inside), allowed)
+
+
+@then(
+    "over {n:d} histories of cuts and restarts no window has more units than the quota "
+    "and its slack allow"
+)
+def step_quota(context: Context, n: int) -> None:
+    rate, burst, window_s, overshoot = 1_000.0, 1_400.0, 8.0, 0.1
+    extra = 2_400.0  # as large against the rate as at the small site
+    slack = 0.4 * extra
+    for seed in range(n):
+        stream = random.Random(seed)
+        n_members = stream.choice((6, 9))
+        states = [QuotaState(level=burst / 2, updated_at=0.0) for _ in range(n_members)]
+        told = [[0.0] * n_members for _ in range(n_members)]
+        side = [0] * n_members
+        cut_from = stream.uniform(2, 15)
+        cut_until = cut_from + stream.uniform(1, 10)
+        admitted = []
+        now = 0.0
+        while now < 30.0:
+            now += 0.05
+            cut = cut_from < now < cut_until
+            if not cut:
+                side = [stream.randrange(2) for _ in range(n_members)]
+            if int(now * 20) % 5 == 0:
+                for a, b in itertools.permutations(range(n_members), 2):
+                    if cut and side[a] != side[b]:
+                        continue
+                    states[b].level -= states[a].used - told[b][a]
+                    told[b][a] = states[a].used
+            for number, state in enumerate(states):
+                heard = side.count(side[number]) if cut else n_members
+                silent = 1 - heard / n_members
+                refill_quota(
+                    state, now=now, rate=rate, burst=burst, silent_share=silent
+                )
+                units = stream.uniform(20, 200)
+                if admit_units(state, units, slack * (1 - silent)):
+                    admitted.append((now, units))
+        for start in range(0, 22):
+            used = sum(u for at, u in admitted if start <= at < start + window_s)
+            allowed = (rate * window_s + burst) * (1 + overshoot) + extra
+            assert used <= allowed, (seed, start, used, allowed)
+
+
+@when(
+    "{n:d} engines get prompts for {percent:d}% of what they can read for {seconds:d} s"
+)
+def step_prompts(context: Context, n: int, percent: int, seconds: int) -> None:
+    context.with_bound = play_prompts(n, percent / 100, seconds, bounded=True)
+    context.without = play_prompts(n, percent / 100, seconds, bounded=False)
+
+
+def play_prompts(n_engines, load, seconds, *, bounded):
+    """Plays arrivals against engines that read prompts one after another."""
+    stream = random.Random(7)
+    objective_s, now = 1.0, 0.0
+    free_at = [0.0] * n_engines
+    heapq.heapify(free_at)
+    n_sent = n_on_time = 0
+    while now < seconds:
+        own_s = min(1.5, stream.lognormvariate(-2.2, 0.8))
+        now += stream.expovariate(load * n_engines / 0.153)
+        queue_s = max(0.0, free_at[0] - now)
+        refused = judge_queue(
+            queue_s=queue_s, own_s=own_s, objective_s=objective_s, waited_s=0.0
+        )
+        if bounded and refused is not None:
+            continue
+        n_sent += 1
+        heapq.heapreplace(free_at, max(now, free_at[0]) + own_s)
+        n_on_time += queue_s + own_s + BASE_FIRST_TOKEN_S <= objective_s
+    return n_sent, n_on_time
+
+
+@then("of the prompts that were sent {percent:d}% begin within the objective")
+def step_on_time(context: Context, percent: int) -> None:
+    n_sent, n_on_time = context.with_bound
+    assert n_on_time >= n_sent * percent / 100, context.with_bound
+
+
+@then("more prompts begin within the objective than with every prompt sent")
+def step_more_on_time(context: Context) -> None:
+    assert context.with_bound[1] > 2 * context.without[1], (
+        context.with_bound,
+        context.without,
+    )
+
+
+@given(
+    "zones with {spot} reclaimable and {on_demand} on-demand servers, "
+    'refusing in "{refusing}"'
+)
+def step_zones(context: Context, spot: str, on_demand: str, refusing: str) -> None:
+    context.zones = {}
+    counts = zip("abcd", spot.split(","), on_demand.split(","), strict=True)
+    for place, (zone, n_spot, n_on_demand) in enumerate(counts):
+        context.zones[zone] = ZoneFleet(
+            zone=zone,
+            price=1.0 + place / 10,
+            n_spot=int(n_spot),
+            n_on_demand=int(n_on_demand),
+            n_spot_ready=int(n_spot),
+            spot_refused=zone in refusing.split(","),
+        )
+
+
+@then(
+    "{needed:d} servers are planned as reclaimable {plan_spots} "
+    "and on-demand {plan_on_demands}"
+)
+def step_plan(
+    context: Context, needed: int, plan_spots: str, plan_on_demands: str
+) -> None:
+    load = float(context.active_outline["load"])
+    n_needed = count_needed(load, 0)
+    assert n_needed == needed, n_needed
+    spot = plan_spot(context.zones, n_needed=n_needed, n_min=1, n_max=3)
+    n_firm = count_firm(load, n_needed)
+    on_demand = plan_on_demand(context.zones, n_firm=n_firm, n_max=3)
+    found = ",".join(str(spot[zone]) for zone in "abcd")
+    assert found == plan_spots, found
+    found = ",".join(str(on_demand[zone]) for zone in "abcd")
+    assert found == plan_on_demands, found
+
+
+@then(
+    "over {n:d} ways to cut a stream the pieces passed on end at events and the last "
+    "id is right"
+)
+def step_cut_events(context: Context, n: int) -> None:
+    for seed in range(n):
+        stream = random.Random(seed)
+        events = [b"id: %d\ndata: id: 7 x\n\n" % number for number in range(1, 12)]
+        data = b"".join(events)[: stream.randrange(1, 200)]
+        cutter = EventCutter()
+        passed = b""
+        while data:
+            cut = stream.randrange(1, 12)
+            piece = cutter.feed(data[:cut])
+            data = data[cut:]
+            assert not piece or piece.endswith(b"\n\n"), piece
+            passed += piece
+        n_whole = passed.count(b"\n\n")
+        assert passed == b"".join(events[:n_whole]), passed
+        assert cutter.last_id == (str(n_whole) if n_whole else ""), cutter.last_id
+
+
+@when("{n:d} lines are logged into a pipe that nobody reads")
+def step_log(context: Context, n: int) -> None:
+    read, write = os.pipe()
+    stream = LogStream(descriptor=write)
+    began_at = time.monotonic()
+    record = logging.makeLogRecord({"msg": "x" * 200, "levelno": logging.INFO})
+    for number in range(n):
+        stream.emit(record)
+        if number % 100 == 0:
+            stream.flush_lines()
+    context.took_s = time.monotonic() - began_at
+    context.log_stream = stream
+    os.close(read)
+    os.close(write)
+
+
+@then("it took under {seconds:d} s and the dropped lines are counted")
+def step_log_bounded(context: Context, seconds: int) -> None:
+    assert context.took_s < seconds, context.took_s
+    held = len(context.log_stream._lines)
+    assert held <= MAX_WAITING_LINES, held
+    assert context.log_stream.n_dropped_in_all > 0
+
+
+@then(
+    "no module outside the platform's folder and the stand-ins has a header or field "
+    "of its wire"
+)
+def step_names(context: Context) -> None:
+    root = Path(berylpost.__file__).parent
+    wire = re.compile(
+        r"x-berylpost-|kv-from|\"(Metadata|Spec|StoreRevision|WaitMs|ApiKeys|Desired"
+        r"|WindowId|RequestCounts|PathPrefix|TrafficSplit|ColdLeftMs)\""
+        r"|BERYLPOST_BOOT|\btenant",
+        re.IGNORECASE,
+    )
+    found = []
+    for path in root.rglob("*.py"):
+        part = path.relative_to(root).parts[0]
+        if part in ("platform", "fakes"):
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if wire.search(line):
+                found.append(f"{path.name}:{number}: {line.strip()}")
+    assert not found, found
+    assert names.SETTINGS_VARIABLE == "BERYLPOST_BOOT"
+
+
+SETTINGS = {
+    "Node": "entry-1",
+    "Ip": "10.1.0.14",
+    "Zone": "a",
+    "Listen": {
+        "Front": "10.1.0.14:1",
+        "Readiness": "10.1.0.14:2",
+        "Directory": "10.1.0.14:3",
+    },
+    "PortRange": [7600, 7615],
+    "Platform": {"Address": "10.200.1.7:8225"},
+    "Bounds": {"LeaseMs": 3000},
+}
+CHANGES = {
+    "no change": lambda spec: spec,
+    "an unknown field": lambda spec: {**spec, "Later": {"More": 1}},
+    "no Node": lambda spec: {n: v for n, v in spec.items() if n != "Node"},
+    "no Listen": lambda spec: {n: v for n, v in spec.items() if n != "Listen"},
+    "a wrong Platform": lambda spec: {**spec, "Platform": {"Address": "nowhere"}},
+    "no JSON": lambda spec: None,
+}
+
+
+@then("a settings file with {change} is {outcome}")
+def step_settings(context: Context, change: str, outcome: str) -> None:
+    spec = CHANGES[change](dict(SETTINGS))
+    data = b"{" if spec is None else json.dumps(spec).encode()
+    try:
+        decode_boot_settings(data)
+    except SettingsError as error:
+        named = outcome.split('"')[1] if '"' in outcome else "nothing"
+        assert named.lower() in str(error).lower(), error
+    else:
+        assert outcome == "accepted", outcome
