--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -4,6 +4,7 @@
 parts it was sent, and its connections. `policy.placement` decides on views of it.
 """
 
+import asyncio
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
@@ -26,6 +27,7 @@
 CONNECTION_SHARE: Final = 0.9  # of a server's limit, for daemons not yet counted
 PARTS_TOLD_S: Final = 0.8  # a sent part is told in three gossip rounds, so one may go
 MAX_PARTS_TOLD: Final = 64  # in one datagram, 1.5 KB; a daemon's peak is 40 a second
+RETURNED_S: Final = 5.0  # a server that is still listed then did not go
 SPEED_WEIGHT: Final = 0.1  # of one answer in the moving speed
 
 
@@ -45,7 +47,8 @@
         self.answer_s = 0.0
         self.parts: OrderedDict[str, int] = OrderedDict()
         self.n_part_tokens = 0
-        self.seen_at = read_age_clock()
+        self.goes_at: float | None = None
+        self.leaving = asyncio.Event()
 
 
 class BackendTable:
@@ -53,12 +56,16 @@
 
     Args:
         zone: of this daemon.
+        drain_s: for how long a leaving server serves on when it does not say.
         count_fleet: how many daemons share the servers' connections.
     """
 
-    def __init__(self, *, zone: str, count_fleet: Callable[[], int]) -> None:
+    def __init__(
+        self, *, zone: str, drain_s: float, count_fleet: Callable[[], int]
+    ) -> None:
         self.slots: dict[str, Slot] = {}
         self._zone = zone
+        self._drain_s = drain_s
         self._count_fleet = count_fleet
         self._by_service: dict[str, list[Slot]] = {}
         self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
@@ -82,30 +89,69 @@
                 n_connections = self._share_connections(service)
                 slot = Slot(backend=backend, n_connections=n_connections)
                 self.slots[name] = slot
-            elif slot.backend.born_ms != backend.born_ms:
+            elif self._has_returned(slot, backend):
                 # The server started again under its id; it holds nothing of before.
-                slot.parts.clear()
-                slot.n_part_tokens = 0
+                slot.pool.close()
+                n_connections = self._share_connections(service)
+                slot = Slot(backend=backend, n_connections=n_connections)
+                self.slots[name] = slot
             slot.backend = backend
+            self._note_leaving(slot)
             by_service.setdefault(backend.service, []).append(slot)
         self._by_service = by_service
 
+    def _has_returned(self, slot: Slot, backend: Backend) -> bool:
+        """Tells whether a server has started again under the id that it had."""
+        if slot.backend.born_ms != backend.born_ms:
+            return True
+        if slot.goes_at is None or backend.state is not BackendState.READY:
+            return False
+        # After its own notice the entry may still say for a while that it is ready.
+        overdue_s = read_age_clock() - slot.goes_at
+        return slot.backend.state is BackendState.LEAVING or overdue_s > RETURNED_S
+
+    def _note_leaving(self, slot: Slot) -> None:
+        """Notes when a server that says it is leaving is going to be gone."""
+        backend = slot.backend
+        if backend.state is BackendState.READY or slot.goes_at is not None:
+            return
+        left_s = backend.leaves_in_s
+        self._set_leaving(slot, left_s)
+
+    def note_notice(self, slot: Slot, left_s: float | None) -> None:
+        """Takes a server's own word that it is leaving."""
+        if slot.goes_at is None:
+            self._set_leaving(slot, left_s)
+
+    def _set_leaving(self, slot: Slot, left_s: float | None) -> None:
+        slot.goes_at = read_age_clock() + (self._drain_s if left_s is None else left_s)
+        slot.leaving.set()
+        log_event(LOGGER, "backend_leaving", backend=slot.backend.id, goes_in_s=left_s)
+
+    def list_engines(self) -> list[Slot]:
+        """Lists the model engines that are not known to be leaving."""
+        return [
+            slot
+            for slot in self.slots.values()
+            if slot.goes_at is None and self._is_engine(slot)
+        ]
+
+    def _is_engine(self, slot: Slot) -> bool:
+        service = self._services.get(slot.backend.service)
+        return service is not None and service.engine is not None
+
     def list_usable(self, service: str, tried: Iterable[str] = ()) -> list[Slot]:
         """Lists the servers of a service that may be sent new requests."""
         avoided = set(tried)
         return [
             slot
             for slot in self._by_service.get(service, ())
-            if slot.backend.state is BackendState.READY
-            and slot.backend.id not in avoided
+            if slot.goes_at is None and slot.backend.id not in avoided
         ]
 
     def is_usable(self, slot: Slot) -> bool:
         """Tells whether a server may still be sent to, right before sending."""
-        return (
-            self.slots.get(slot.backend.id) is slot
-            and slot.backend.state is BackendState.READY
-        )
+        return self.slots.get(slot.backend.id) is slot and slot.goes_at is None
 
     def view_loads(self, slots: Iterable[Slot]) -> list[BackendLoad]:
         """Makes the views that the placement decision takes."""
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -22,6 +22,7 @@
 from .catalogue import Catalogue
 from .clock import read_age_clock
 from .duties import Duties
+from .engine_notices import EngineNotices
 from .forwarding import Forwarder
 from .http_channel import HttpChannel
 from .log_stream import FLUSH_S, LogStream, install_log_stream
@@ -82,7 +83,12 @@
         )
         self.work = WorkMeter()
         self.table = BackendTable(
-            zone=settings.zone, count_fleet=self.members.count_fleet
+            zone=settings.zone,
+            drain_s=bounds.drain_s,
+            count_fleet=self.members.count_fleet,
+        )
+        self.notices = EngineNotices(
+            table=self.table, read_store_age=self.catalogue.read_confirmation_age
         )
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
@@ -142,6 +148,7 @@
             await self._listen({"/metrics": self._answer_metrics}, settings.metrics)
         await self.members.start()
         self.watch.start()
+        self.notices.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -189,6 +196,7 @@
                 break
             await asyncio.sleep(0.1)
         self.watch.stop()
+        self.notices.stop()
         self.members.announce()
         self.members.stop()
         for task in self._tasks:
@@ -201,6 +209,7 @@
     def kill(self) -> None:
         """Drops everything at once, as the end of the process does."""
         self.watch.stop()
+        self.notices.stop()
         self.members.stop()
         if self.duties is not None:
             self.duties.kill()
--- /dev/null
+++ b/berylpost/edge/engine_notices.py
@@ -0,0 +1,71 @@
+"""Asks engines for their end while the store cannot tell of it.
+
+A reclaim during an outage of the store is seen nowhere else. Only engines with
+streams of this daemon are asked, and only while nobody reaches the store.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from ..errors import PlatformError
+from ..logs import log_event
+from ..platform.engine_calls import read_notice
+from .backend_table import BackendTable, Slot
+from .http_channel import HttpChannel
+
+LOGGER: Final = logging.getLogger(__name__)
+
+ASK_EVERY_S: Final = 0.6  # a notice gives two seconds, of which a move takes one
+ASK_TIMEOUT_S: Final = 0.4
+BLIND_AFTER_S: Final = 2.2  # a confirmation is never older while a watch is served
+
+
+class EngineNotices:
+    """The questions of one daemon to its engines.
+
+    Args:
+        table: backend servers.
+        read_store_age: seconds since the store was last known to answer anybody.
+    """
+
+    def __init__(
+        self, *, table: BackendTable, read_store_age: Callable[[], float]
+    ) -> None:
+        self.n_asked = 0
+        self._table = table
+        self._read_store_age = read_store_age
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts; from the event loop."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Ends."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(ASK_EVERY_S)
+            if self._read_store_age() < BLIND_AFTER_S:
+                continue
+            asked = [slot for slot in self._table.list_engines() if slot.n_outstanding]
+            await asyncio.gather(*(self._ask(slot) for slot in asked))
+
+    async def _ask(self, slot: Slot) -> None:
+        self.n_asked += 1
+        channel = HttpChannel(
+            address=slot.backend.address, connect_timeout_s=ASK_TIMEOUT_S
+        )
+        try:
+            notice = await read_notice(channel, timeout_s=ASK_TIMEOUT_S)
+        except PlatformError as error:
+            log_event(LOGGER, "ask_failed", backend=slot.backend.id, cause=error)
+            return
+        finally:
+            channel.close()
+        if notice.leaving:
+            self._table.note_notice(slot, notice.goes_in_s)
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -12,9 +12,10 @@
 from enum import StrEnum
 from typing import Final
 
-from ..errors import BerylpostError, ErrorKind
+from ..errors import BerylpostError, ErrorKind, PlatformError
 from ..logs import log_event
 from ..platform import names
+from ..platform.engine_calls import move_run
 from ..platform.headers import (
     decode_request,
     keep_answer_headers,
@@ -29,11 +30,13 @@
     rank_homes,
 )
 from ..policy.prompt_admission import judge_queue
+from ..policy.run_move import find_move_delay
 from .backend_table import BackendTable, Slot
 from .callers import CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_age_clock
 from .event_stream import EventCutter
+from .http_channel import HttpChannel
 from .model import Customer, RequestHead, Route, RouteKind, ServingConfiguration
 from .quotas import Quotas
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
@@ -53,6 +56,9 @@
     1.5  # pause in a stream before it goes on elsewhere; callers leave at 2
 )
 HOME_SHARE: Final = 0.4  # of unread shared parts that a prompt's home is spared
+MAX_MOVES: Final = 2  # of one run; more than two reclaims in its time are rare
+MOVE_TIMEOUT_S: Final = 0.8  # within the last moments of a server; a copy takes 0.05
+LAST_EVENTS_S: Final = 0.3  # from a stopped run's last event to the end of its stream
 EVENT_STREAM: Final = b"text/event-stream"
 FULL_RETRY_S: Final = 0.3  # a full server has free places after about one request
 NO_BACKEND_RETRY_S: Final = 0.5
@@ -81,6 +87,8 @@
         counted: it is in the customer's usage.
         metered: it is in the work that the fleet's size follows.
         started: the answer's head went to the caller.
+        kv_source: where the KV cache of the stopped run lies; empty for none.
+        moved_to: the server that takes the run up, empty for any.
     """
 
     request: CallerRequest
@@ -101,6 +109,9 @@
     started: bool = False
     cutter: EventCutter = field(default_factory=EventCutter)
     state: AttemptState = AttemptState.WAITING
+    kv_source: str = ""
+    moved_to: str = ""
+    n_moves: int = 0
     first_byte_s: float = -1.0
     wait_s: float = 0.0
 
@@ -110,6 +121,10 @@
         return self.expires_at - read_age_clock()
 
 
+class RunMoved(Exception):
+    """A run was stopped at its engine so that it goes on at another."""
+
+
 class AttemptFailed(Exception):
     """An attempt ended without an answer for the caller.
 
@@ -263,6 +278,8 @@
             try:
                 await self._attempt(work, caller, slot, connection)
                 return
+            except RunMoved:
+                continue
             except AttemptFailed as failure:
                 if failure.ran:
                     work.maybe_run = True
@@ -286,6 +303,10 @@
     def _may_repeat(self, work: Work) -> bool:
         if work.left_s < MIN_LEFT_S:
             return False
+        if work.kv_source:
+            # The cache may have been taken up; only a repeatable run may start anew.
+            work.kv_source = work.moved_to = ""
+            return work.route.can_resume
         if not work.maybe_run:
             return work.n_sent <= work.route.max_attempts
         return work.route.repeatable and work.n_run < work.route.max_attempts
@@ -311,6 +332,10 @@
         Raises:
             BerylpostError: there is none.
         """
+        if work.moved_to:
+            slot = self._table.slots.get(work.moved_to)
+            if slot is not None:
+                return slot, Choice(id=slot.backend.id, queue_s=0.0, own_s=0.0)
         slots = self._table.list_usable(work.service, work.tried)
         if not slots:
             if work.maybe_run:
@@ -396,7 +421,7 @@
                     cause=error,
                 )
                 continue
-            if self._table.is_usable(slot):
+            if self._table.is_usable(slot) or work.moved_to == slot.backend.id:
                 return slot, connection
             slot.pool.release(connection)
         if work.maybe_run:
@@ -430,6 +455,7 @@
             deadline_s=work.left_s,
             last_event_id=work.cutter.last_id or work.head.last_event_id,
             urgency=find_urgency(work),
+            kv_source=work.kv_source,
         )
         slot.n_outstanding += 1
         slot.pending_tokens += uncached
@@ -457,8 +483,9 @@
                 first = await self._await_first_event(work, exchange)
                 slot.pending_tokens -= pending
                 pending = 0.0
+                work.kv_source = work.moved_to = ""
                 await self._relay_stream(
-                    work, caller, connection, exchange, head, first
+                    work, caller, slot, connection, exchange, head, first
                 )
                 whole = True
                 self._table.note_success(slot, None)
@@ -565,6 +592,7 @@
         self,
         work: Work,
         caller: CallerConnection,
+        slot: Slot,
         connection: Connection,
         exchange: Exchange,
         head: AnswerHead,
@@ -573,6 +601,7 @@
         """Passes whole events on as they come.
 
         Raises:
+            RunMoved: the run was stopped and goes on at another server.
             AttemptFailed: it broke and may go on at another server.
             BerylpostError: it broke and the caller's answer ends unfinished.
         """
@@ -603,13 +632,15 @@
                 limit_s = min(work.left_s, stall_s if may_move else work.left_s)
                 if limit_s <= 0:
                     break
-                await asyncio.wait((exchange.end,), timeout=limit_s)
+                await self._await_end(work, slot, exchange, head, limit_s)
             if not exchange.end.done():
                 raise TimeoutError
             exchange.end.result()
         except (UpstreamError, TimeoutError) as error:
             exchange.sink = None
             cutter.drop_rest()
+            if work.kv_source:
+                raise RunMoved from error
             if may_move and work.left_s > MIN_LEFT_S and head.length is None:
                 raise
             work.maybe_run = True
@@ -618,6 +649,81 @@
         caller.send(cutter.take_rest())
         caller.finish()
 
+    async def _await_end(
+        self,
+        work: Work,
+        slot: Slot,
+        exchange: Exchange,
+        head: AnswerHead,
+        limit_s: float,
+    ) -> None:
+        """Waits for the stream's end, and moves it when its server is going."""
+        may_leave = work.n_moves < MAX_MOVES and head.length is None
+        if slot.goes_at is not None and may_leave:
+            delay_s = find_move_delay(slot.goes_at - read_age_clock())
+            if delay_s is not None:
+                await asyncio.wait((exchange.end,), timeout=min(limit_s, delay_s))
+                if not exchange.end.done() and delay_s <= limit_s:
+                    await self._move_run(work, slot)
+                    # The engine closes the stream after its last event.
+                    limit_s = LAST_EVENTS_S if work.kv_source else limit_s
+                    await asyncio.wait((exchange.end,), timeout=limit_s)
+                return
+            may_leave = False
+        if not may_leave:
+            await asyncio.wait((exchange.end,), timeout=limit_s)
+            return
+        leaving = asyncio.ensure_future(slot.leaving.wait())
+        try:
+            await asyncio.wait(
+                (exchange.end, leaving),
+                timeout=limit_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            leaving.cancel()
+
+    async def _move_run(self, work: Work, slot: Slot) -> None:
+        """Stops the run at a server that is going and copies its KV cache.
+
+        Sets where the cache lies and who takes it up; changes nothing on failure.
+        """
+        work.n_moves += 1
+        others = self._table.list_usable(work.service, (slot.backend.id,))
+        loads = self._table.view_loads(others)
+        choice = choose_engine(loads, [0.0] * len(loads))
+        if choice is None:
+            return
+        target = self._table.slots[choice.id]
+        channel = HttpChannel(
+            address=slot.backend.address, connect_timeout_s=MOVE_TIMEOUT_S
+        )
+        try:
+            moved = await move_run(
+                channel, work.head.id, target.backend.address, timeout_s=MOVE_TIMEOUT_S
+            )
+        except PlatformError as error:
+            moved = None
+            log_event(LOGGER, "move_failed", id=work.head.id, cause=error)
+        finally:
+            channel.close()
+        if moved is None:
+            return
+        holder = target if moved.copied else slot
+        work.kv_source = f"{slot.backend.address}/{moved.handle}"
+        work.moved_to = holder.backend.id
+        log_event(
+            LOGGER,
+            "run_moved",
+            id=work.head.id,
+            backend=slot.backend.id,
+            to=work.moved_to,
+            n_events=moved.n_events,
+            n_passed=work.cutter.n_events,
+            copied=moved.copied,
+            goes_in_s=(slot.goes_at or 0.0) - read_age_clock(),
+        )
+
     def _log_request(
         self,
         head: RequestHead,
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -38,6 +38,7 @@
     Attributes:
         lease_s: shortest time between two holders of one duty.
         grace_s: from SIGTERM to SIGKILL.
+        drain_s: for how long a leaving backend server serves on, at the least.
         revoke_s: age of a configuration at which its keys must not be trusted.
         address_ttl_s: longest time to live of a directory answer.
         usage_window_s: length of one usage report.
@@ -52,6 +53,7 @@
 
     lease_s: float
     grace_s: float
+    drain_s: float
     revoke_s: float
     address_ttl_s: float
     usage_window_s: float
--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -27,6 +27,7 @@
 BOUNDS: Final = Bounds(
     lease_s=1.0,
     grace_s=3.0,
+    drain_s=2.0,
     revoke_s=5.0,
     address_ttl_s=5.0,
     usage_window_s=5.0,
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import struct
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 import httptools
@@ -60,6 +61,7 @@
         self.runs: Counter[str] = Counter()
         self.seen: list[_Incoming] = []
         self.methods: list[str] = []
+        self.stopped: set[str] = set()
         self.n_working = 0
         self.n_connections = 0
         self.open = 0
@@ -113,6 +115,12 @@
             if not data:
                 return False
             parser.feed_data(data)
+        if incoming.target == b"/v1/kv-move":
+            moved = json.loads(incoming.body)
+            self.stopped.add(moved["Id"])
+            body = json.dumps({"Handle": "h1", "CreateRevision": 0}).encode()
+            _write(writer, 200, {}, body)
+            return True
         self.methods.append(parser.get_method().decode())
         self.seen.append(incoming)
         if incoming.headers.get("x-berylpost-expect-replica") != self.id:
@@ -175,7 +183,9 @@
     """Runs the request and answers it whole."""
     _run(replica, incoming)
     if _is_stream(incoming):
-        return await _stream(incoming, writer, n_events=N_EVENTS)
+        return await _stream(
+            incoming, writer, n_events=N_EVENTS, stopped=replica.stopped
+        )
     await asyncio.sleep(replica.work_s)
     _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
     return True
@@ -188,6 +198,7 @@
     n_events: int,
     whole: bool = True,
     rest: bytes = b"",
+    stopped: Collection[str] = (),
 ) -> bool:
     head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
     head += [f"{name}: {value}" for name, value in _make_headers(incoming).items()]
@@ -201,6 +212,9 @@
             writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
+        if incoming.headers.get("x-berylpost-attempt-id") in stopped:
+            writer.close()
+            return False
     if rest:
         writer.write(b"%x\r\n" % len(rest) + rest + b"\r\n")
     if whole:
--- a/berylpost/platform/boot.py
+++ b/berylpost/platform/boot.py
@@ -36,6 +36,7 @@
 
     lease_ms: float = 3_000
     grace_s: float = 8
+    drain_ms: float = 2_000
     revoke_ms: float = 5_000
     ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
     report_window_s: float = 5
@@ -125,6 +126,7 @@
         bounds=Bounds(
             lease_s=bounds.lease_ms / _MS,
             grace_s=bounds.grace_s,
+            drain_s=bounds.drain_ms / _MS,
             revoke_s=bounds.revoke_ms / _MS,
             address_ttl_s=bounds.ttl_max_s,
             usage_window_s=bounds.report_window_s,
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -71,6 +71,7 @@
     deadline_s: float,
     last_event_id: str,
     urgency: int | None,
+    kv_source: str = "",
 ) -> bytes:
     """Renders a request for one backend server.
 
@@ -83,6 +84,7 @@
         deadline_s: time left for the server.
         last_event_id: after which a stream goes on; empty for from the start.
         urgency: 0 for first to 9, None for the server's default.
+        kv_source: where the run's KV cache lies, `IP:PORT/HANDLE`; empty for none.
     """
     deadline = b"%d" % max(1, int(deadline_s * 1_000))
     lines = [head.method + b" " + head.target + b" HTTP/1.1", b"Host: " + host]
@@ -95,6 +97,8 @@
         lines.append(names.LAST_EVENT_ID + b": " + last_event_id.encode("latin-1"))
     if urgency is not None:
         lines.append(names.URGENCY + b": %d" % urgency)
+    if kv_source:
+        lines.append(names.KV_SOURCE + b": " + kv_source.encode("latin-1"))
     if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/berylpost/platform/names.py
+++ b/berylpost/platform/names.py
@@ -16,6 +16,7 @@
 CUSTOMER: Final = b"x-berylpost-tenant"
 EXPECTED_BACKEND: Final = b"x-berylpost-expect-replica"
 URGENCY: Final = b"x-berylpost-urgency-class"
+KV_SOURCE: Final = b"kv-from"
 SYSTEM_HEADERS: Final = frozenset(
     {
         CUSTOMER,
@@ -28,7 +29,7 @@
         b"x-berylpost-hold",
         b"x-berylpost-pin-ms",
         b"x-berylpost-kv-backup",
-        b"kv-from",
+        KV_SOURCE,
         b"kv-fetch",
     }
 )
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -53,6 +53,16 @@
     When callers send "stream" requests until the first server was asked
     Then every answer holds the events 1 to 8 once each and ends whole
 
+  Scenario Outline: A run moves off a server that is about to go
+    When a caller's "<kind>" request runs and its server says that it goes in 0.9 s
+    Then the caller gets the events 1 to 8 once each and the end
+    And the other server went on from the moved run's cache
+
+    Examples:
+      | kind        |
+      | stream      |
+      | stream/once |
+
   Scenario: What came after a whole answer reaches no other caller
     Given every server's fault is "extra"
     When a caller sends 20 "read" requests on one connection
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -687,3 +687,39 @@
 def step_check_merged(context: Context) -> None:
     known = sorted(first_daemon(context).table.slots)
     assert known == ["r-1", "r-later"], known
+
+
+@when(
+    'a caller\'s "{kind}" request runs and its server says that it goes '
+    "in {seconds:f} s"
+)
+def step_reclaim(context: Context, kind: str, seconds: float) -> None:
+    world = context.world
+
+    async def send():
+        caller = await connect(first_daemon(context))
+        caller.send(make_line(kind), "id-1")
+        await asyncio.sleep(0.08)
+        runs = [replica for replica in world.replicas if replica.runs]
+        await world.put_replica(
+            runs[0], State="draining", Spot=True, leaves_ms=seconds * 1_000
+        )
+        answer = await caller.read()
+        caller.close()
+        return answer
+
+    context.answer = world.run(send())
+
+
+@then("the caller gets the events 1 to 8 once each and the end")
+def step_check_moved(context: Context) -> None:
+    answer = context.answer
+    assert answer.whole and answer.body == make_events(N_EVENTS), answer
+
+
+@then("the other server went on from the moved run's cache")
+def step_check_cache(context: Context) -> None:
+    seen = [s for r in context.world.replicas for s in r.seen if r.runs]
+    sources = [s.headers.get("kv-from", "") for s in seen]
+    assert sorted(bool(source) for source in sources)[-1], sources
+    assert max(sources).endswith("/h1"), sources
