--- /dev/null
+++ b/berylpost/edge/work.py
@@ -0,0 +1,92 @@
+"""One request on its way, and how its attempts may end."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final
+
+from ..errors import BerylpostError, ErrorKind
+from .callers import CallerRequest
+from .clock import read_age_clock
+from .event_stream import EventCutter
+from .model import Customer, RequestHead, Route, ServingConfiguration
+from .upstream import AnswerHead
+
+MIN_LEFT_S: Final = 0.02  # less is no time for a backend server to start
+
+
+class AttemptState(StrEnum):
+    """How far an attempt got."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    NOT_EXECUTED = "not_executed"
+    ANSWERING = "answering"
+
+
+@dataclass(slots=True, kw_only=True)
+class Work:
+    """One request on its way.
+
+    Attributes:
+        expires_at: age clock at which it is answered at the latest.
+        maybe_run: an attempt may have run.
+        n_sent: attempts that were sent.
+        last_answer: a backend server's failure, told if nothing better comes.
+        counted: it is in the customer's usage.
+        metered: it is in the work that the fleet's size follows.
+        started: the answer's head went to the caller.
+        kv_source: where the KV cache of the stopped run lies; empty for none.
+        moved_to: the server that takes the run up, empty for any.
+    """
+
+    request: CallerRequest
+    head: RequestHead
+    route: Route
+    customer: Customer | None
+    configuration: ServingConfiguration
+    service: str
+    units: float
+    expires_at: float
+    maybe_run: bool = False
+    n_sent: int = 0
+    n_run: int = 0
+    counted: bool = False
+    metered: bool = False
+    tried: list[str] = field(default_factory=list)
+    last_answer: tuple[AnswerHead, bytes] | None = None
+    started: bool = False
+    cutter: EventCutter = field(default_factory=EventCutter)
+    state: AttemptState = AttemptState.WAITING
+    kv_source: str = ""
+    moved_to: str = ""
+    n_moves: int = 0
+    first_byte_s: float = -1.0
+    wait_s: float = 0.0
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until the request expires."""
+        return self.expires_at - read_age_clock()
+
+
+class RunMoved(Exception):
+    """A run was stopped at its engine so that it goes on at another."""
+
+
+class AttemptFailed(Exception):
+    """An attempt ended without an answer for the caller.
+
+    Attributes:
+        ran: whether the backend server may have run the request.
+        gone: whether the server may not be there any more.
+    """
+
+    def __init__(self, detail: str, *, ran: bool, gone: bool) -> None:
+        super().__init__(detail)
+        self.ran = ran
+        self.gone = gone
+
+
+def refuse(kind: ErrorKind, detail: str, retry_after_s: float) -> BerylpostError:
+    """Makes the refusal of a request that has not run."""
+    return BerylpostError(kind, detail, retry_after_s=retry_after_s)
