Count a neighbour's state as news only if its entries differ

Ruled out: watches that were really silent (their next call answered at once). Change: a list counts up to its newest entry; news are a configuration or a digest that differs.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -110,20 +110,19 @@
         }
 
     def import_state(self, state: Mapping[str, Any]) -> bool:
-        """Takes a neighbour's state where it is ahead; tells whether it was.
+        """Takes a neighbour's state where it is ahead; tells whether it had news.
 
         A whole state of the same revision is taken too: the two may differ in what
         they keep of servers that went while the store was away.
         """
-        before = (self.configuration, self.backends_revision, self.backends_digest)
+        before = (self.configuration, self.backends_digest)
         configuration = state["configuration"]
         if configuration:
             self._set_configuration(configuration[0], configuration[1], "neighbour")
         ahead = state["revision"] - self.backends_revision
         if ahead > 0 or (ahead == 0 and state["whole"]):
             self._merge_backends(state)
-        after = (self.configuration, self.backends_revision, self.backends_digest)
-        return before != after
+        return before != (self.configuration, self.backends_digest)
 
     def take_configuration_list(self, listing: Listing, asked_at: float) -> None:
         """Takes the list of the configuration's kind, asked for at a time."""
@@ -177,7 +176,8 @@
             self._vanish(name, listing.revision, keep=keep)
         for item in listing.items:
             self._set_backend(item.name, item.revision, item.spec)
-        self.backends_revision = max(self.backends_revision, listing.revision)
+            # Not the listing's own revision, which changes of other kinds move too.
+            self.backends_revision = max(self.backends_revision, item.revision)
         self._notify()
 
     def take_backend_changes(self, changes: Changes) -> None:
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -141,3 +141,6 @@
     When the first server's entry is removed
     And a neighbour's state from before that, but with a later change, is taken
     Then the daemon knows only the second server and the later one
+
+  Scenario: A neighbour that has seen other kinds change has no news
+    Then a state with the same entries and a higher revision counts as no news
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -723,3 +723,15 @@
     sources = [s.headers.get("kv-from", "") for s in seen]
     assert sorted(bool(source) for source in sources)[-1], sources
     assert max(sources).endswith("/h1"), sources
+
+
+@then("a state with the same entries and a higher revision counts as no news")
+def step_check_no_news(context: Context) -> None:
+    catalogue = first_daemon(context).catalogue
+    state = catalogue.export_state()
+    state["revision"] += 100
+
+    async def take():
+        return catalogue.import_state(state)
+
+    assert context.world.run(take()) is False
