Add `berylpost explain`; name the server in a request's line; check both settings forms

Cause: a request's line named only servers that had failed, and nothing led from an id to what else happened in its time. Change: the line has the last server; `explain ID FILE...` prints a request's lines with the state changes of its servers and of the store around it; `check` takes the platform's settings file too.

--- a/berylpost/application.py
+++ b/berylpost/application.py
@@ -15,6 +15,7 @@
     book,
     check_settings,
     drain_daemon,
+    explain,
     get_configuration,
     init_configuration,
     make_command,
@@ -46,6 +47,15 @@
             [argument("file", "Settings, YAML")],
             [JSON],
         ),
+        make_command(
+            "explain",
+            "Print the log lines that explain a request",
+            explain,
+            [
+                argument("id", "Id that the caller sent"),
+                argument("files", "Logs of the daemons", multiple=True),
+            ],
+        ),
         make_command("keys new", "Make a CURVE key pair", make_keys, [], [JSON]),
         make_command(
             "keys hash",
--- a/berylpost/commands.py
+++ b/berylpost/commands.py
@@ -26,6 +26,8 @@
 from .configuration import JSON_PATCH, MERGE_PATCH, hash_token
 from .configurations import create_configuration
 from .errors import BerylpostError, PlatformError, SettingsError
+from .explain import explain_request
+from .platform.boot import decode_boot_settings
 from .platform.objects import HttpObjects
 from .settings import load_settings
 from .writer import ConditionalWriter
@@ -135,9 +137,33 @@
 # Settings and keys.
 
 
+def explain(command: _Command) -> int:
+    """Prints the log lines that explain one request."""
+    lines: list[str] = []
+    for name in command.argument("files"):
+        try:
+            lines += Path(name).read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise InputError(f"{name}: {error}") from error
+    found = explain_request(lines, str(command.argument("id")))
+    if not found:
+        raise InputError(f"no line has the id {command.argument('id')}")
+    for line in found:
+        command.line(line, style=None)
+    return 0
+
+
 def check_settings(command: _Command) -> int:
-    """Checks a settings file."""
-    settings = load_settings(Path(str(command.argument("file"))))
+    """Checks a settings file, of our own form or of the platform's."""
+    path = Path(str(command.argument("file")))
+    if path.suffix == ".json":
+        try:
+            entry = decode_boot_settings(path.read_bytes())
+        except OSError as error:
+            raise InputError(f"{path}: {error}") from error
+        command.line(f"{path}: valid, entry daemon {entry.name} in {entry.zone}")
+        return 0
+    settings = load_settings(path)
     if command.option("json"):
         _print_json(command, msgspec.to_builtins(settings))
     else:
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -204,6 +204,7 @@
         self._table.note_prompt(slot, work.head.parts)
         sent_at = read_age_clock()
         work.n_sent += 1
+        work.backend = slot.backend.id
         work.state = AttemptState.SENT
         connection.send(data, exchange)
         whole = False
@@ -351,6 +352,7 @@
             detail=detail,
             route=work.route.name if work else "",
             customer=work.customer.name if work and work.customer else "",
+            backend=work.backend if work else "",
             tried=",".join(work.tried) if work else "",
             n_sent=work.n_sent if work else 0,
             predicted_s=work.wait_s if work else 0.0,
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -35,6 +35,7 @@
         counted: it is in the customer's usage.
         metered: it is in the work that the fleet's size follows.
         started: the answer's head went to the caller.
+        backend: the server of the last attempt.
         kv_source: where the KV cache of the stopped run lies; empty for none.
         moved_to: the server that takes the run up, empty for any.
     """
@@ -60,6 +61,7 @@
     kv_source: str = ""
     moved_to: str = ""
     n_moves: int = 0
+    backend: str = ""
     first_byte_s: float = -1.0
     wait_s: float = 0.0
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -144,3 +144,7 @@
 
   Scenario: A neighbour that has seen other kinds change has no news
     Then a state with the same entries and a higher revision counts as no news
+
+  Scenario: A log leads from a request's id to its cause
+    Then in a log of a cut stream the id leads to the server that went
+    And an id that is not there leads to nothing
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from berylpost.explain import explain_request
 from berylpost.fakes.entry_world import HOST, KEY, EntryWorld, make_configuration
 from berylpost.fakes.replica import N_EVENTS, SIGNATURE
 
@@ -735,3 +736,25 @@
         return catalogue.import_state(state)
 
     assert context.world.run(take()) is False
+
+
+LOG = """\
+time=2026-10-01 03:32:40,000 level=INFO part=a event=backend_gone backend=i-2
+time=2026-10-01 03:32:49,000 level=INFO part=a event=backend_gone backend=i-3
+time=2026-10-01 03:32:50,000 level=INFO part=a event=backend_leaving backend=i-1 goes_in_s=2
+time=2026-10-01 03:32:51,000 level=INFO part=a event=request id=other outcome=answered backend=i-1
+time=2026-10-01 03:32:52,204 level=INFO part=a event=request id=9edf outcome=answer_cut detail="stream broke" backend=i-1 tried="" total_s=1.5
+not a line of ours
+"""  # noqa: E501
+
+
+@then("in a log of a cut stream the id leads to the server that went")
+def step_check_explained(context: Context) -> None:
+    found = explain_request(LOG.splitlines(), "9edf")
+    events = [line.split("event=")[1].split()[0] for line in found]
+    assert events == ["backend_leaving", "request"], found
+
+
+@then("an id that is not there leads to nothing")
+def step_check_unexplained(context: Context) -> None:
+    assert not explain_request(LOG.splitlines(), "none")
