--- a/berylpost/__init__.py
+++ b/berylpost/__init__.py
@@ -6,7 +6,8 @@
 (membership and news), `configurations` (the numbered documents), `backends` (what
 can serve), `relay` (open streams), `ledger` and `services` (calls that run at most
 once, owner's and entry's side), `drain` (leaving), `planner` (the fleet) and `web`
-(HTTP). `policy` holds the decisions as pure functions, `platform` the interfaces to
+(HTTP). `edge` is the daemon for the users' own platform; its `__init__` names an order
+too. `policy` holds the decisions as pure functions, `platform` the interfaces to
 what the platform gives, `fakes` small stand-ins and `bench` the measurements.
 """
 
