--- a/features/entry.feature
+++ b/features/entry.feature
@@ -132,6 +132,11 @@
     Then that answer is 200 and ends the connection
     And the daemon is not ready while it leaves
 
+  Scenario: A daemon that leaves refuses what it could not finish
+    When the daemon is told to stop and a caller on an open connection sends a "stream/once" request
+    Then the answer is 503
+    And no server was asked and the answer ends the connection
+
   Scenario: Bytes that are no request get an answer and no forwarding
     When a caller sends bytes that are no request
     Then the answer is 400
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -758,3 +758,28 @@
 @then("an id that is not there leads to nothing")
 def step_check_unexplained(context: Context) -> None:
     assert not explain_request(LOG.splitlines(), "none")
+
+
+@when(
+    "the daemon is told to stop and a caller on an open connection sends a "
+    '"{kind}" request'
+)
+def step_send_while_leaving(context: Context, kind: str) -> None:
+    daemon = first_daemon(context)
+
+    async def send():
+        caller = await connect(daemon)
+        leaving = asyncio.create_task(daemon.leave())
+        await asyncio.sleep(1.6)  # less is left than the route's time-out
+        caller.send(make_line(kind), "id-1")
+        answer = await caller.read()
+        await leaving
+        return answer
+
+    context.answer = context.world.run(send())
+
+
+@then("no server was asked and the answer ends the connection")
+def step_check_refused(context: Context) -> None:
+    step_check_nothing(context)
+    assert context.answer.closes, context.answer
