Hold on to vanished servers only over an outage that all daemons see

Change: an outage is 3.4 s without a confirmation by anybody; differing digests are timed by neighbour; a watch role that begins again has not been served yet. The wait for urgencies: engines' pending prompts are told apart by urgency, and in fleets beyond twelve the loads heard stand for all daemons.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -13,6 +13,7 @@
 from ..logs import log_event
 from ..policy.placement import BackendLoad
 from .clock import read_age_clock
+from .members import FAN_OUT, FULL_MESH, ROUND_S
 from .model import Backend, BackendState, PromptPart, Service
 from .upstream import ConnectionPool
 
@@ -21,10 +22,13 @@
 FAILURE_WEIGHT: Final = 0.15  # of one outcome in the moving failure rate
 FIRST_SUSPECT_S: Final = 0.8  # a connection that was reset is tried again after this
 MAX_SUSPECT_S: Final = 6.0  # below the outages of seconds that servers come back from
-REPORT_TTL_S: Final = 1.5  # six gossip rounds; older load reports are dropped
+REPORT_TTL_S: Final = 1.5  # six gossip rounds; older load reports do not count
+REPORT_ROUNDS: Final = 1.5  # of a large fleet's turn, in which four of five are heard
+REPORT_KEPT_S: Final = 10.0  # longer than any fleet's turn of gossip
 CACHE_SHARE: Final = 0.8  # of an engine's memory is taken to hold prompt parts
 MIN_CONNECTIONS: Final = 4  # however many daemons share a server's limit
 CONNECTION_SHARE: Final = 0.9  # of a server's limit, for daemons not yet counted
+N_URGENCIES: Final = 4  # told apart in loads; the sheets have three, the rest is one
 PARTS_TOLD_S: Final = 0.8  # a sent part is told in three gossip rounds, so one may go
 MAX_PARTS_TOLD: Final = 64  # in one datagram, 1.5 KB; a daemon's peak is 40 a second
 RETURNED_S: Final = 5.0  # a server that is still listed then did not go
@@ -40,7 +44,7 @@
             backend=backend, n_max=n_connections, clock=read_age_clock
         )
         self.n_outstanding = 0
-        self.pending_tokens = 0.0
+        self.pending_tokens = [0.0] * N_URGENCIES
         self.failure_rate = 0.0
         self.n_failures_in_row = 0
         self.suspect_until = 0.0
@@ -153,21 +157,31 @@
         """Tells whether a server may still be sent to, right before sending."""
         return self.slots.get(slot.backend.id) is slot and slot.goes_at is None
 
-    def view_loads(self, slots: Iterable[Slot]) -> list[BackendLoad]:
-        """Makes the views that the placement decision takes."""
+    def view_loads(
+        self, slots: Iterable[Slot], urgency: int = N_URGENCIES - 1
+    ) -> list[BackendLoad]:
+        """Makes the views that the placement decision takes.
+
+        Args:
+            slots: the servers.
+            urgency: of the request; engines read what is more urgent before it.
+        """
         now = read_age_clock()
-        reports = [r for at, r in self._reports.values() if now - at < REPORT_TTL_S]
+        reports, scale = self._read_reports(now)
         usual = self._find_usual_speed(slots)
         views = []
         for slot in slots:
             backend = slot.backend
             n_outstanding = slot.n_outstanding
-            pending = slot.pending_tokens
+            pending = sum(slot.pending_tokens[: urgency + 1])
+            n_others = pending_others = 0.0
             for report in reports:
                 entry = report.get(backend.id)
                 if entry is not None:
-                    n_outstanding += entry[0]
-                    pending += entry[1]
+                    n_others += entry[0]
+                    pending_others += sum(entry[1 : urgency + 2])
+            n_outstanding += round(n_others * scale)
+            pending += pending_others * scale
             slow = slot.answer_s / usual if usual and slot.answer_s else 1.0
             views.append(
                 BackendLoad(
@@ -183,6 +197,24 @@
             )
         return views
 
+    def count_daemons(self) -> int:
+        """Counts the daemons that share the servers."""
+        return self._count_fleet()
+
+    def _read_reports(self, now: float) -> tuple[list[Mapping[str, Any]], float]:
+        """Returns the others' loads heard lately and what each stands for.
+
+        In a large fleet a round reaches some; those heard stand for all.
+        """
+        n_others = self._count_fleet() - 1
+        if n_others <= FULL_MESH:
+            recent = [r for at, r in self._reports.values() if now - at < REPORT_TTL_S]
+            return recent, 1.0
+        rounds_s = ROUND_S * n_others / FAN_OUT
+        ttl_s = max(REPORT_TTL_S, REPORT_ROUNDS * rounds_s)
+        reports = [r for at, r in self._reports.values() if now - at < ttl_s]
+        return reports, max(1.0, n_others / len(reports)) if reports else 1.0
+
     def count_uncached(self, slot: Slot, parts: tuple[PromptPart, ...]) -> float:
         """Counts prompt tokens that an engine would have to read.
 
@@ -264,7 +296,7 @@
     def export_loads(self) -> dict[str, list[float]]:
         """Returns this daemon's load on each server, for the other daemons."""
         return {
-            name: [slot.n_outstanding, round(slot.pending_tokens)]
+            name: [slot.n_outstanding, *map(round, slot.pending_tokens)]
             for name, slot in self.slots.items()
             if slot.n_outstanding
         }
@@ -282,7 +314,7 @@
             if service is not None:
                 slot.pool.n_max = self._share_connections(service)
         for member in [
-            m for m, (at, _) in self._reports.items() if now - at > REPORT_TTL_S
+            m for m, (at, _) in self._reports.items() if now - at > REPORT_KEPT_S
         ]:
             del self._reports[member]
 
--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -21,6 +21,9 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
+# Entries lapse after three heartbeats, 3.6 s, and a confirmation may be 2.8 s old where
+# watches were deaf for a second and then cut, which is no outage.
+OUTAGE_S: Final = 3.4
 RETURN_GRACE_S: Final = 2.0  # entries lapsed in an outage are written again by then
 GRACE_RETRY_S: Final = 0.25  # between two looks at an outage that has not ended
 TRUST_SHARE: Final = 0.95  # of revoke_s; the rest is for clocks that run apart
@@ -44,7 +47,6 @@
         self.backends_digest = 0  # of names and revisions of all entries
         self.confirmed_at = -1e9
         self.store_back_at = -1e9
-        self.is_store_lost = False
         self._trust_s = revoke_s * TRUST_SHARE
         self._entries: dict[str, tuple[int, Any]] = {}
         # Of entries that are gone: their last revision, and that of their end.
@@ -74,14 +76,8 @@
             confirmed_at: of this VM's age clock, not later than the confirmation.
         """
         held = self.configuration.revision if self.configuration else 0
-        if revision == held and confirmed_at > self.confirmed_at:
-            self.confirmed_at = confirmed_at
-
-    def note_store(self, *, lost: bool) -> None:
-        """Notes that the store of the backend servers was lost or is back."""
-        if self.is_store_lost and not lost:
-            self.store_back_at = read_age_clock()
-        self.is_store_lost = lost
+        if revision == held:
+            self._confirm(confirmed_at)
 
     def export_state(
         self, configuration_since: int = 0, backends_since: int = 0
@@ -147,7 +143,13 @@
 
     def _confirm_own(self, proven_at: float) -> None:
         if self.configuration is not None:
-            self.confirmed_at = max(self.confirmed_at, proven_at)
+            self._confirm(proven_at)
+
+    def _confirm(self, proven_at: float) -> None:
+        if proven_at - self.confirmed_at > OUTAGE_S:
+            # Nobody has reached the store for so long that entries may have lapsed.
+            self.store_back_at = read_age_clock()
+        self.confirmed_at = max(self.confirmed_at, proven_at)
 
     def _set_configuration(self, revision: int, spec: Any, source: str) -> None:
         if self.configuration is not None and revision <= self.configuration.revision:
@@ -215,7 +217,7 @@
 
     def _is_store_unsteady(self) -> bool:
         recent = read_age_clock() - self.store_back_at < RETURN_GRACE_S
-        return recent or self.is_store_lost
+        return recent or self.read_confirmation_age() > OUTAGE_S
 
     def _set_backend(self, name: str, revision: int, spec: Any) -> None:
         known = self._entries.get(name)
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -40,7 +40,7 @@
 STATE_PATH: Final = "/state"
 STATE_TIMEOUT_S: Final = 1.0  # a megabyte between neighbours at 10 Mbit/s
 BRIDGE_AFTER_S: Final = 0.6  # a watch that answers brings the change sooner
-DIFFERS_S: Final = 0.8  # three gossip rounds, in which a change may be on its way
+DIFFERS_S: Final = 0.4  # two gossip rounds, in which a change may be on its way
 DIRECTORY_TTL_S: Final = 2.0  # below the platform's longest; a leave is seen sooner
 MIN_LEAVE_S: Final = 4.5  # answers of the directory older than that are few
 EXIT_MARGIN_S: Final = 0.7  # before SIGKILL
@@ -106,7 +106,7 @@
                 members=self.members,
                 catalogue=self.catalogue,
                 usage=self.usage,
-                read_work=self.work.total,
+                read_work=lambda: self.work.total(self.members.count_fleet()),
             )
         self.front = CallerServer(
             handler=self.forwarder.serve, read_limits=self._read_limits
@@ -114,7 +114,7 @@
         self._control: list[CallerServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._behind_since: float | None = None
-        self._differs_since: float | None = None
+        self._differs_since: dict[str, float] = {}
         self._bridge: asyncio.Task[None] | None = None
         self._stop = asyncio.Event()
 
@@ -347,11 +347,11 @@
                 and backends_digest != own_digest
             )
             if not differs:
-                self._differs_since = None
-            elif self._differs_since is None:
-                self._differs_since = now
-            elif now - self._differs_since > DIFFERS_S and self._bridge is None:
-                self._differs_since = None
+                self._differs_since.pop(member.name, None)
+                return
+            since = self._differs_since.setdefault(member.name, now)
+            if now - since > DIFFERS_S and self._bridge is None:
+                del self._differs_since[member.name]
                 self._bridge = asyncio.create_task(self._fetch_state(member, 0))
             return
         if self._behind_since is None:
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -21,7 +21,7 @@
 )
 from ..policy.repeat import Ending, may_go_on
 from .acceptance import Acceptance
-from .backend_table import BackendTable, Slot
+from .backend_table import N_URGENCIES, BackendTable, Slot
 from .callers import CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_age_clock
@@ -31,7 +31,14 @@
 from .stream_relay import StreamRelay
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
 from .usage import Usage
-from .work import MIN_LEFT_S, AttemptFailed, AttemptState, RunMoved, Work, refuse
+from .work import (
+    MIN_LEFT_S,
+    AttemptFailed,
+    AttemptState,
+    RunMoved,
+    Work,
+    refuse,
+)
 from .work_meter import WorkMeter
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -195,11 +202,12 @@
             customer=work.customer.name if work.customer else "",
             deadline_s=work.left_s,
             last_event_id=work.cutter.last_id or work.head.last_event_id,
-            urgency=find_urgency(work),
+            urgency=work.urgency if work.head.parts else None,
             kv_source=work.kv_source,
         )
         slot.n_outstanding += 1
-        slot.pending_tokens += uncached
+        urgency = min(N_URGENCIES - 1, work.urgency)
+        slot.pending_tokens[urgency] += uncached
         pending = uncached
         self._table.note_prompt(slot, work.head.parts)
         sent_at = read_age_clock()
@@ -223,7 +231,7 @@
                 if not work.route.repeatable:
                     work.maybe_run = True
                 first = await self._await_first_event(work, exchange)
-                slot.pending_tokens -= pending
+                slot.pending_tokens[urgency] -= pending
                 pending = 0.0
                 work.kv_source = work.moved_to = ""
                 await self._relay.relay(
@@ -242,7 +250,7 @@
             raise AttemptFailed("no answer in time", ran=True, gone=True) from error
         finally:
             slot.n_outstanding -= 1
-            slot.pending_tokens -= pending
+            slot.pending_tokens[urgency] -= pending
             if whole:
                 slot.pool.release(connection)
             else:
@@ -362,13 +370,3 @@
             configuration=held.number if held else 0,
             confirmed_s=catalogue.read_confirmation_age(),
         )
-
-
-def find_urgency(work: Work) -> int | None:
-    """Finds the urgency for a model engine, 0 to 9; None for plain services."""
-    if not work.head.parts:
-        return None
-    customer = work.customer
-    if customer is not None and customer.priority is not None:
-        return max(0, min(9, customer.priority))
-    return max(0, min(9, work.route.priority))
--- a/berylpost/edge/selection.py
+++ b/berylpost/edge/selection.py
@@ -10,9 +10,15 @@
 
 from ..errors import BerylpostError, ErrorKind
 from ..logs import log_event
-from ..policy.placement import Choice, choose_engine, choose_server, rank_homes
+from ..policy.placement import (
+    Choice,
+    choose_engine,
+    choose_server,
+    find_home_share,
+    rank_homes,
+)
 from ..policy.prompt_admission import judge_queue
-from .backend_table import BackendTable, Slot
+from .backend_table import N_URGENCIES, BackendTable, Slot
 from .clock import read_age_clock
 from .upstream import Connection, UpstreamError
 from .work import MIN_LEFT_S, Work, refuse
@@ -23,7 +29,6 @@
 FRESH_IDLE_S: Final = 0.5  # a call that may not repeat takes no longer idle connection
 ANY_IDLE_S: Final = 3_600.0
 CONNECT_TRIES: Final = 4  # servers tried for a connection before giving up
-HOME_SHARE: Final = 0.4  # of unread shared parts that a prompt's home is spared
 NO_BACKEND_RETRY_S: Final = 0.5  # a suspect server is tried again in about that
 DEFAULT_WORK_S: Final = 0.06  # of a plain call until answers have shown it
 
@@ -92,7 +97,7 @@
             raise refuse(
                 ErrorKind.NO_BACKEND, "no backend server is ready", NO_BACKEND_RETRY_S
             )
-        loads = self._table.view_loads(slots)
+        loads = self._table.view_loads(slots, min(N_URGENCIES - 1, work.urgency))
         parts = work.head.parts
         if parts:
             uncached = [self._table.count_uncached(slot, parts) for slot in slots]
@@ -135,7 +140,8 @@
         own = work.head.parts[-1].n_tokens
         if not shared or min(uncached) <= own:
             return
+        share = find_home_share(self._table.count_daemons())
         home = rank_homes(shared[-1].id, [slot.backend.id for slot in slots])[0]
         for index, slot in enumerate(slots):
             if slot.backend.id == home:
-                uncached[index] -= HOME_SHARE * (uncached[index] - own)
+                uncached[index] -= share * (uncached[index] - own)
--- a/berylpost/edge/store_watch.py
+++ b/berylpost/edge/store_watch.py
@@ -26,7 +26,7 @@
 N_WATCHERS: Final = 3  # two may go at once and the third still confirms in time
 CONFIGURATION_WAIT_S: Final = 1.5  # two waits stay well under the shortest revoke_s
 BACKENDS_WAIT_S: Final = 4.0  # gossip tells of missed changes sooner
-RETRY_PAUSE_S: Final = 0.25  # first pause after a failed call; doubles
+RETRY_PAUSE_S: Final = 0.1  # first pause after a failed call; doubles
 MAX_RETRY_PAUSE_S: Final = 1.0  # finds a returned store within its two seconds' grace
 MAX_PAUSE_S: Final = 8.0  # for daemons far back in the order
 STAGGER_S: Final = 0.5  # each further group of watchers waits longer before it begins
@@ -111,13 +111,12 @@
             return
         self.is_watching = wanted
         log_event(LOGGER, "watching" if wanted else "watching_ended")
-        if wanted:
-            self._wanted.set()
-            return
-        self._wanted.clear()
         for kind in _WAITS:
             self._failing[kind] = self._served[kind] = False
-        self._catalogue.note_store(lost=False)
+        if wanted:
+            self._wanted.set()
+        else:
+            self._wanted.clear()
 
     async def _follow(self, kind: str) -> None:
         store = ObjectStore(address=self._address)
@@ -204,16 +203,12 @@
         if self._failing[kind]:
             self._failing[kind] = False
             log_event(LOGGER, "store_regained", kind=kind)
-        if kind == names.KIND_BACKENDS:
-            self._catalogue.note_store(lost=False)
 
     def _note_failure(self, kind: str, error: PlatformError) -> None:
         self._served[kind] = False
         if not self._failing[kind]:
             self._failing[kind] = True
             log_event(LOGGER, "store_lost", logging.WARNING, kind=kind, error=error)
-        if kind == names.KIND_BACKENDS:
-            self._catalogue.note_store(lost=True)
 
 
 _WAITS: Final = {
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -65,6 +65,14 @@
     first_byte_s: float = -1.0
     wait_s: float = 0.0
 
+    @property
+    def urgency(self) -> int:
+        """How urgent the request is, 0 for first to 9."""
+        customer = self.customer
+        if customer is not None and customer.priority is not None:
+            return max(0, min(9, customer.priority))
+        return max(0, min(9, self.route.priority))
+
     @property
     def left_s(self) -> float:
         """Seconds until the request expires."""
--- a/berylpost/edge/work_meter.py
+++ b/berylpost/edge/work_meter.py
@@ -40,12 +40,13 @@
         """Takes another daemon's rates."""
         self._reports[member] = (read_age_clock(), rates)
 
-    def total(self) -> dict[str, float]:
-        """Sums the rates over the daemons heard lately."""
+    def total(self, n_daemons: int) -> dict[str, float]:
+        """Sums the rates over all daemons; those heard lately stand for the rest."""
         now = read_age_clock()
         sums = self.export_rates()
-        for at, rates in self._reports.values():
-            if now - at < REPORT_TTL_S:
-                for service, rate in rates.items():
-                    sums[service] = sums.get(service, 0.0) + rate
+        heard = [r for at, r in self._reports.values() if now - at < REPORT_TTL_S]
+        scale = max(1.0, (n_daemons - 1) / len(heard)) if heard else 1.0
+        for rates in heard:
+            for service, rate in rates.items():
+                sums[service] = sums.get(service, 0.0) + rate * scale
         return sums
--- a/berylpost/policy/placement.py
+++ b/berylpost/policy/placement.py
@@ -15,8 +15,12 @@
 # tokens/ms for a 1,024-token chunk, in steps that also decode a middling batch.
 PREFILL_TOKENS_PER_S: Final = 36_000.0
 BASE_FIRST_TOKEN_S: Final = 0.1  # the sheets' first token of an empty engine
+RUN_S: Final = 1.5  # usual time of a run on the sheets, for engines without a free slot
 FAILURE_COST_S: Final = 2.0  # a failed attempt costs about an objective twice
 FAR_ZONE_S: Final = 0.002  # two one-way trips between availability zones
+HOME_SHARE_FEW: Final = 0.4  # of unread shared parts, where all hear of each other
+HOME_SHARE_MANY: Final = 0.85  # where a daemon hears of a fifth of what others send
+FEW_DAEMONS: Final = 12  # up to which gossip reaches everyone in each round
 SUSPECT_COST_S: Final = 30.0  # used only when every server is suspect
 
 
@@ -62,6 +66,15 @@
         return self.queue_s + self.own_s
 
 
+def find_home_share(n_daemons: int) -> float:
+    """Returns how far an unread part is taken as read at its home.
+
+    Few daemons tell each other what they have sent; among many most of that is not
+    heard, and the home is the best guess.
+    """
+    return HOME_SHARE_FEW if n_daemons <= FEW_DAEMONS else HOME_SHARE_MANY
+
+
 def rank_homes(key: str, ids: Iterable[str]) -> list[str]:
     """Orders servers by rendezvous hashing: every daemon finds the same order."""
     return sorted(ids, key=lambda name: hash_text(f"{key}/{name}"), reverse=True)
@@ -87,7 +100,10 @@
     best: Choice | None = None
     best_cost = 0.0
     for load, n_uncached in zip(loads, uncached, strict=True):
-        queue_s = predict_reading(load, load.pending_tokens)
+        n_over = max(0, load.n_outstanding + 1 - load.slots)
+        queue_s = max(
+            predict_reading(load, load.pending_tokens), n_over / load.slots * RUN_S
+        )
         own_s = predict_reading(load, n_uncached)
         cost = queue_s + own_s + _penalty(load)
         if best is None or cost < best_cost:
--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -26,3 +26,13 @@
     When 4.0 s pass
     And a customer with 40 requests a second and a burst of 40 asks for 300 a second for 4 s
     Then between 190 and 220 of its requests ran
+
+  Scenario: A server that went during an outage goes everywhere after it
+    Given 5 entry daemons with duties
+    When the store is down for 4.0 s and the first server's entry is gone on its return
+    Then within 5 s no daemon sends to the first server
+
+  Scenario: A server that goes while one daemon is refused goes at once
+    Given 5 entry daemons with duties
+    When the store refuses the watching daemons for 4 s and then the first server's entry goes
+    Then within 1.5 s no daemon sends to the first server
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -783,3 +783,42 @@
 def step_check_refused(context: Context) -> None:
     step_check_nothing(context)
     assert context.answer.closes, context.answer
+
+
+@when(
+    "the store is down for {seconds:f} s and the first server's entry is gone "
+    "on its return"
+)
+def step_lapse(context: Context, seconds: float) -> None:
+    world = context.world
+    world.store.server.faults.down = True
+    time.sleep(seconds)
+    world.run(world.store.remove("servers", world.replicas[0].id))
+    world.store.server.faults.down = False
+
+
+@when(
+    "the store refuses the watching daemons for {seconds:d} s and then the first "
+    "server's entry goes"
+)
+def step_refuse_watching(context: Context, seconds: int) -> None:
+    world = context.world
+    time.sleep(3.0)  # the first watchers settle
+    watching = [d for d in world.daemons.values() if d.watch.is_served]
+    assert 0 < len(watching) < len(world.daemons), len(watching)
+    world.store.server.refused_ips = {d.settings.ip for d in watching}
+    time.sleep(seconds)
+    world.store.server.refused_ips = set()
+    time.sleep(1.5)  # they watch again, and a grace of their own would still run
+    world.run(world.store.remove("servers", world.replicas[0].id))
+
+
+@then("within {seconds:g} s no daemon sends to the first server")
+def step_check_none_sends(context: Context, seconds: float) -> None:
+    gone = context.world.replicas[0].id
+
+    def check():
+        left = [n for n, d in context.world.daemons.items() if gone in d.table.slots]
+        return not left or left
+
+    wait_for(seconds, check)
