--- a/berylpost/bench/catalogue.py
+++ b/berylpost/bench/catalogue.py
@@ -27,6 +27,7 @@
     from .chaos import run_chaos
     from .cost import run_cost
     from .decisions import run_decisions
+    from .entry import run_entry
     from .gossip import run_gossip
     from .handover import run_handover
     from .limits import run_limits
@@ -40,6 +41,7 @@
         "chaos": run_chaos,
         "cost": run_cost,
         "decisions": run_decisions,
+        "entry": run_entry,
         "gossip": run_gossip,
         "handover": run_handover,
         "limits": run_limits,
