Spread directory answers over the whole fleet

Cause: a directory answer holds 64 addresses and always the first ones: of 82 daemons some were never named, and a daemon that takes no callers breaks a rule.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 import time
@@ -17,6 +18,7 @@
 from ..platform import names
 from ..platform.boot import load_boot_settings
 from ..platform.headers import parse_query
+from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
 from .catalogue import Catalogue
@@ -41,6 +43,8 @@
 STATE_TIMEOUT_S: Final = 1.0  # a megabyte between neighbours at 10 Mbit/s
 BRIDGE_AFTER_S: Final = 0.6  # a watch that answers brings the change sooner
 DIFFERS_S: Final = 0.4  # two gossip rounds, in which a change may be on its way
+MAX_TOLD_AGE_S: Final = 1e6  # stands for never in the metrics
+MAX_ADDRESSES: Final = 64  # more in one answer are not read by callers
 DIRECTORY_TTL_S: Final = 2.0  # below the platform's longest; a leave is seen sooner
 MIN_LEAVE_S: Final = 4.5  # answers of the directory older than that are few
 EXIT_MARGIN_S: Final = 0.7  # before SIGKILL
@@ -111,6 +115,7 @@
         self.front = CallerServer(
             handler=self.forwarder.serve, read_limits=self._read_limits
         )
+        self._random = random.Random()
         self._control: list[CallerServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._behind_since: float | None = None
@@ -269,8 +274,14 @@
         if self.is_ready or not entries:
             entries.append((self.settings.zone, self.settings.front))
         # Every daemon is near: availability zones are a millisecond apart.
+        chosen = spread_over_zones(
+            entries,
+            find_zone=lambda entry: entry[0],
+            n_wanted=MAX_ADDRESSES,
+            random_state=self._random,
+        )
         document = {
-            "Addresses": [str(address) for _, address in entries[:64]],
+            "Addresses": [str(address) for _, address in chosen],
             "TtlS": min(DIRECTORY_TTL_S, self.settings.bounds.address_ttl_s),
         }
         self._answer_json(caller, document)
@@ -282,7 +293,23 @@
         self._answer_json(caller, self.catalogue.export_state(*revisions))
 
     def _answer_metrics(self, request: CallerRequest, caller: CallerConnection) -> None:
-        body = render_metrics(self)
+        held = self.catalogue.configuration
+        age_s = min(MAX_TOLD_AGE_S, self.catalogue.read_confirmation_age())
+        gauges = {
+            "members": len(self.members.list_alive()) + 1,
+            "backends": len(self.catalogue.backends),
+            "configuration_number": held.number if held else 0,
+            "confirmation_age_seconds": round(age_s, 3),
+            "busy_connections": self.front.count_busy(),
+        }
+        opened = sum(slot.pool.n_opened for slot in self.table.slots.values())
+        counters = {
+            "store_watches": self.watch.n_calls,
+            "peer_bytes": self.members.n_bytes,
+            "upstream_connections": opened,
+            "engine_probes": self.notices.n_asked,
+        }
+        body = render_metrics(gauges, counters)
         caller.answer(200, b"", ((b"content-type", b"text/plain"),), body)
 
     def _answer_json(self, caller: CallerConnection, document: Any) -> None:
@@ -385,6 +412,7 @@
             self.table.sweep()
             self.watch.tend()
             self.members.watch_served = self.watch.is_served
+            self.members.ready = self.is_ready
 
     async def _flush_logs(self) -> None:
         while True:
--- a/berylpost/edge/metrics.py
+++ b/berylpost/edge/metrics.py
@@ -5,13 +5,11 @@
 """
 
 from bisect import bisect_left
-from typing import TYPE_CHECKING, Final
+from collections.abc import Mapping
+from typing import Final
 
 from .model import Route
 
-if TYPE_CHECKING:
-    from .daemon import EdgeDaemon
-
 BUCKETS_S: Final = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.3, 2.0, 5.0, 15.0)
 
 _outcomes: dict[tuple[str, str], int] = {}
@@ -30,8 +28,13 @@
     _sums[route.kind.value] = _sums.get(route.kind.value, 0.0) + first_s
 
 
-def render_metrics(daemon: "EdgeDaemon") -> bytes:
-    """Renders all metrics."""
+def render_metrics(gauges: Mapping[str, float], counters: Mapping[str, float]) -> bytes:
+    """Renders all metrics.
+
+    Args:
+        gauges: by name, what stands at present.
+        counters: by name, what only grows.
+    """
     lines = ["# TYPE berylpost_edge_requests counter"]
     for (outcome, kind), n_requests in sorted(_outcomes.items()):
         labels = f'outcome="{outcome}",kind="{kind}"'
@@ -52,24 +55,8 @@
         lines.append(
             f'berylpost_edge_first_byte_seconds_sum{{kind="{kind}"}} {seconds}'
         )
-    held = daemon.catalogue.configuration
-    gauges = {
-        "berylpost_edge_members": len(daemon.members.list_alive()) + 1,
-        "berylpost_edge_backends": len(daemon.catalogue.backends),
-        "berylpost_edge_configuration_number": held.number if held else 0,
-        "berylpost_edge_confirmation_age_seconds": round(
-            min(1e6, daemon.catalogue.read_confirmation_age()), 3
-        ),
-        "berylpost_edge_busy_connections": daemon.front.count_busy(),
-    }
-    counters = {
-        "berylpost_edge_store_watches": daemon.watch.n_calls,
-        "berylpost_edge_peer_bytes": daemon.members.n_bytes,
-        "berylpost_edge_upstream_connections": sum(
-            slot.pool.n_opened for slot in daemon.table.slots.values()
-        ),
-    }
     for kind, figures in (("gauge", gauges), ("counter", counters)):
         for name, value in figures.items():
-            lines += [f"# TYPE {name} {kind}", f"{name} {value}"]
+            full = f"berylpost_edge_{name}"
+            lines += [f"# TYPE {full} {kind}", f"{full} {value}"]
     return "\n".join(lines).encode() + b"\n"
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -158,3 +158,7 @@
     When a neighbour answers with a stamp of the daemon's former start, far ahead of its clock
     Then the configuration's confirmation is not in the future
     And within 6 s without the store a caller's "read" request is answered 503
+
+  Scenario: Metrics tell what happened
+    When a caller sends a "read" request
+    Then the metrics have 1 answered idempotent request and 2 backends
--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -52,3 +52,6 @@
       | no Listen         | refused, naming "Listen" |
       | a wrong Platform  | refused, naming "Platform" |
       | no JSON           | refused, naming "settings file" |
+
+  Scenario: Each daemon of a large fleet is in some directory answers
+    Then of 82 daemons in 5 zones each is in some of 200 answers of 64
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -26,6 +26,7 @@
 from berylpost.platform import names
 from berylpost.platform.boot import decode_boot_settings
 from berylpost.platform.object_wire import ConflictError, StoredObject
+from berylpost.policy.addresses import spread_over_zones
 from berylpost.policy.fleet_size import (
     ZoneFleet,
     count_firm,
@@ -481,3 +482,19 @@
         assert named.lower() in str(error).lower(), error
     else:
         assert outcome == "accepted", outcome
+
+
+@then(
+    "of {n:d} daemons in {zones:d} zones each is in some of {answers:d} answers of 64"
+)
+def step_directory(context: Context, n: int, zones: int, answers: int) -> None:
+    daemons = [(f"zone-{number % zones}", number) for number in range(n)]
+    stream = random.Random(3)
+    seen = set()
+    for _ in range(answers):
+        chosen = spread_over_zones(
+            daemons, find_zone=lambda d: d[0], n_wanted=64, random_state=stream
+        )
+        assert len(set(chosen)) == 64, chosen
+        seen.update(chosen)
+    assert len(seen) == n, sorted(set(daemons) - seen)
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -875,3 +875,20 @@
 ) -> None:
     context.world.store.server.faults.down = True
     step_check_within(context, seconds, kind, status)
+
+
+@then("the metrics have 1 answered idempotent request and 2 backends")
+def step_check_metrics(context: Context) -> None:
+    daemon = first_daemon(context)
+
+    async def read():
+        reader, writer = await asyncio.open_connection(*daemon.settings.metrics)
+        caller = Caller(reader, writer)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+        answer = await caller.read()
+        caller.close()
+        return answer.body.decode()
+
+    text = context.world.run(read())
+    assert 'berylpost_edge_requests{outcome="answered",kind="idempotent"}' in text
+    assert "berylpost_edge_backends 2" in text, text
