Keep the duties while only the cloud API fails

Cause: found by reading: two failed calls in a row let the lease go if the store answers another daemon, also when it was the cloud API that failed, where no other does better. Change: a failed duty call has an error of its own and does not count toward letting go. Its new scenario (10 s without the cloud API) passed before the change too, so it guards the outcome and did not show the fault.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
-from ..errors import PlatformError
+from ..errors import DutyCallError, PlatformError
 from ..logs import log_event
 from ..platform.object_store import ObjectStore
 from ..platform.orders import (
@@ -156,7 +156,10 @@
                         pause_s = TRY_PAUSE_S
             except PlatformError as error:
                 log_event(LOGGER, "duty_failed", logging.WARNING, error=error)
-                self._n_failed += 1
+                # Another daemon may do better at the store, hardly at the cloud API.
+                of_cloud = isinstance(error, DutyCallError)
+                self._n_failed += 0 if of_cloud else 1
+                pause_s = TRY_PAUSE_S if of_cloud else TICK_S
                 if self._n_failed >= FAILURES_TO_DROP and self._is_another_served():
                     # Another daemon reaches the store; it need not wait for the term.
                     self.lease.drop()
--- a/berylpost/errors.py
+++ b/berylpost/errors.py
@@ -160,6 +160,10 @@
     """The platform's answer was lost after the request may have taken effect."""
 
 
+class DutyCallError(PlatformError):
+    """A call of a duty to the cloud API failed; the store may be well."""
+
+
 Headers: TypeAlias = list[tuple[str, str]]
 
 
--- a/berylpost/platform/orders.py
+++ b/berylpost/platform/orders.py
@@ -8,7 +8,7 @@
 
 from ..edge.http_channel import HttpChannel
 from ..edge.model import Endpoint
-from ..errors import PlatformError
+from ..errors import DutyCallError, PlatformError
 from . import names
 
 CALL_TIMEOUT_S: Final = 1.0  # below the shortest lease, so that a holder's call ends
@@ -49,8 +49,7 @@
         """Reports the requests of each customer that began in a window.
 
         Raises:
-            PlatformError: refused, or not connected.
-            LostAnswerError: the effect is unknown.
+            DutyCallError: refused, not connected, or without an answer.
         """
         document = {"WindowId": window, "RequestCounts": counts}
         await self._post(names.USAGE_PATH, document, fence, timeout_s)
@@ -68,8 +67,7 @@
         """Orders a number of servers of one kind in a zone.
 
         Raises:
-            PlatformError: refused, or not connected.
-            LostAnswerError: the effect is unknown.
+            DutyCallError: refused, not connected, or without an answer.
         """
         document: dict[str, Any] = {
             "Service": service,
@@ -97,13 +95,19 @@
         timeout_s: float,
         accept: tuple[int, ...] = (),
     ) -> int:
-        answer = await self._channel.call(
-            "POST",
-            path,
-            timeout_s=timeout_s,
-            body=msgspec.json.encode(document),
-            headers={names.DUTY_HOLDER: self._holder, names.DUTY_FENCE: str(fence)},
-        )
+        try:
+            answer = await self._channel.call(
+                "POST",
+                path,
+                timeout_s=timeout_s,
+                body=msgspec.json.encode(document),
+                headers={
+                    names.DUTY_HOLDER: self._holder,
+                    names.DUTY_FENCE: str(fence),
+                },
+            )
+        except PlatformError as error:
+            raise DutyCallError(str(error)) from error
         if answer.status >= 300 and answer.status not in accept:
-            raise PlatformError(f"POST {path}: status {answer.status}")
+            raise DutyCallError(f"POST {path}: status {answer.status}")
         return answer.status
--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -36,3 +36,8 @@
     Given 5 entry daemons with duties
     When the store refuses the watching daemons for 4 s and then the first server's entry goes
     Then within 1.5 s no daemon sends to the first server
+
+  Scenario: Duties stay with their holder while the cloud API is away
+    Given 3 entry daemons with duties
+    When the cloud API is down for 10 s
+    Then the same daemon holds the duties as before
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -892,3 +892,18 @@
     text = context.world.run(read())
     assert 'berylpost_edge_requests{outcome="answered",kind="idempotent"}' in text
     assert "berylpost_edge_backends 2" in text, text
+
+
+@when("the cloud API is down for {seconds:d} s")
+def step_cloud_down(context: Context, seconds: int) -> None:
+    context.holder = find_holder(context)
+    context.world.duty_api.server.faults.down = True
+    # A daemon that lost its calls' answers would give up its hold for the others.
+    time.sleep(seconds)
+
+
+@then("the same daemon holds the duties as before")
+def step_check_holder(context: Context) -> None:
+    holder = find_holder(context)
+    fences = {d.duties.lease.fence for d in context.world.daemons.values()}
+    assert holder is context.holder and len(fences - {0}) == 1, fences
