Name the entry daemon's parts by the field's terms; drop settings nobody reads

Cause: acceptance and selection are admission and routing; three settings were decoded and never used. Change: the modules and classes are named so; the settings are gone. Conclusion: behaviour unchanged.

--- a/berylpost/edge/acceptance.py
+++ b/berylpost/edge/admission.py
@@ -15,7 +15,7 @@
 NO_STATE_RETRY_S: Final = 0.5  # a store or a neighbour is found again in about that
 
 
-class Acceptance:
+class Admission:
     """Takes or refuses requests before any backend server is asked.
 
     Args:
@@ -29,7 +29,7 @@
         self._quotas = quotas
         self._random = random.Random()
 
-    def accept(self, request: CallerRequest, head: RequestHead) -> Work:
+    def admit(self, request: CallerRequest, head: RequestHead) -> Work:
         """Finds route, customer and quota.
 
         Raises:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -188,7 +188,7 @@
         log_event(LOGGER, "daemon_leaving", n_busy=self.front.count_busy())
         self.members.leaving = True
         self.front.leaving = True
-        self.forwarder.acceptance.ends_at = ends_at
+        self.forwarder.admission.ends_at = ends_at
         self.members.announce()
         if self.duties is not None:
             await self.duties.stop()
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -1,6 +1,6 @@
 """Carries one request from a caller through its attempts to an answer.
 
-`acceptance` takes it, `selection` finds a server, `stream_relay` passes streams on and
+`admission` takes it, `routing` finds a server, `stream_relay` passes streams on and
 `policy.repeat` says what may follow a failed attempt. "Not run" is answered only while
 no attempt can have run.
 """
@@ -20,14 +20,14 @@
     render_request,
 )
 from ..policy.repeat import Ending, may_go_on
-from .acceptance import Acceptance
+from .admission import Admission
 from .backend_table import N_URGENCIES, BackendTable, Slot
 from .callers import CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_age_clock
 from .model import RequestHead, Route, RouteKind
 from .quotas import Quotas
-from .selection import Selection
+from .routing import Router
 from .stream_relay import StreamRelay
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
 from .usage import Usage
@@ -72,8 +72,8 @@
         work: WorkMeter,
         observe: Callable[[str, Route, float, float], None],
     ) -> None:
-        self.acceptance = Acceptance(catalogue=catalogue, quotas=quotas)
-        self._selection = Selection(table=table, work=work)
+        self.admission = Admission(catalogue=catalogue, quotas=quotas)
+        self._router = Router(table=table, work=work)
         self._relay = StreamRelay(table=table)
         self._catalogue = catalogue
         self._table = table
@@ -88,7 +88,7 @@
         outcome = "answered"
         detail = ""
         try:
-            work = self.acceptance.accept(request, head)
+            work = self.admission.admit(request, head)
             await self._run_attempts(work, caller)
         except BerylpostError as error:
             outcome = error.kind.value
@@ -113,7 +113,7 @@
         """
         while True:
             try:
-                slot, connection = await self._selection.connect(work)
+                slot, connection = await self._router.connect(work)
             except BerylpostError as error:
                 if work.last_answer is None:
                     raise
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -78,8 +78,6 @@
         metrics: where metrics are served, None for nowhere.
         store: the platform's object API.
         cloud: the platform's cloud API, None where there is no duty.
-        heartbeat_s: how often backend servers renew their entries.
-        max_descriptors: limit of open files of this process.
     """
 
     name: str
@@ -94,9 +92,6 @@
     store: Endpoint
     cloud: Endpoint | None
     duties: frozenset[str]
-    heartbeat_s: float
-    max_descriptors: int
-    memory_mb: int
     bounds: Bounds
 
 
--- a/berylpost/edge/selection.py
+++ b/berylpost/edge/routing.py
@@ -33,7 +33,7 @@
 DEFAULT_WORK_S: Final = 0.06  # of a plain call until answers have shown it
 
 
-class Selection:
+class Router:
     """Chooses servers for one daemon.
 
     Args:
--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -143,9 +143,6 @@
             store=Endpoint(f"{self._network}.1", self._ports[0]),
             cloud=cloud if self._duties else None,
             duties=self._duties,
-            heartbeat_s=1.2,
-            max_descriptors=1_024,
-            memory_mb=300,
             bounds=BOUNDS,
         )
 
--- a/berylpost/platform/boot.py
+++ b/berylpost/platform/boot.py
@@ -26,11 +26,6 @@
     directory: _Address
 
 
-class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
-    memory_mb: float = 300
-    max_fds: int = 1_024
-
-
 class _Bounds(msgspec.Struct, frozen=True, rename="pascal"):
     """Defaults are the strictest figures of today's deployments."""
 
@@ -62,8 +57,6 @@
     platform: _Remote
     port_range: tuple[int, int]
     region: str = ""
-    heartbeat_ms: float = 1_200
-    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     cloud: _Remote | None = None
 
@@ -120,9 +113,6 @@
         store=parse_endpoint(boot.platform.address),
         cloud=parse_endpoint(boot.cloud.address) if boot.cloud else None,
         duties=frozenset(boot.cloud.duties if boot.cloud else ()),
-        heartbeat_s=boot.heartbeat_ms / _MS,
-        max_descriptors=boot.limits.max_fds,
-        memory_mb=int(boot.limits.memory_mb),
         bounds=Bounds(
             lease_s=bounds.lease_ms / _MS,
             grace_s=bounds.grace_s,
