Drop an attempt's state and a constant that nothing reads

Cause: found on re-reading: `AttemptState` was written at each step and read nowhere; `policy.repeat` decides from what may have run. `SILENT_AFTER_S` was left over. Change: both are gone. Conclusion: behaviour unchanged.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -34,7 +34,6 @@
 from .work import (
     MIN_LEFT_S,
     AttemptFailed,
-    AttemptState,
     RunMoved,
     Work,
     refuse,
@@ -213,19 +212,16 @@
         sent_at = read_age_clock()
         work.n_sent += 1
         work.backend = slot.backend.id
-        work.state = AttemptState.SENT
         connection.send(data, exchange)
         whole = False
         try:
             head = await self._await_head(work, exchange)
             answer_s = read_age_clock() - sent_at
             if head.status == 421 or head.find(names.NOT_EXECUTED):
-                work.state = AttemptState.NOT_EXECUTED
                 await self._finish_body(work, exchange)
                 whole = True
                 detail = f"not executed, status {head.status}"
                 raise AttemptFailed(detail, ran=False, gone=head.status == 421)
-            work.state = AttemptState.ANSWERING
             self._count_run(work)
             if EVENT_STREAM in head.find(b"content-type") and head.status < 300:
                 if not work.route.repeatable:
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -1,7 +1,6 @@
 """One request on its way, and how its attempts may end."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Final
 
 from ..errors import BerylpostError, ErrorKind
@@ -14,15 +13,6 @@
 MIN_LEFT_S: Final = 0.02  # less is no time for a backend server to start
 
 
-class AttemptState(StrEnum):
-    """How far an attempt got."""
-
-    WAITING = "waiting"
-    SENT = "sent"
-    NOT_EXECUTED = "not_executed"
-    ANSWERING = "answering"
-
-
 @dataclass(slots=True, kw_only=True)
 class Work:
     """One request on its way.
@@ -57,7 +47,6 @@
     last_answer: tuple[AnswerHead, bytes] | None = None
     started: bool = False
     cutter: EventCutter = field(default_factory=EventCutter)
-    state: AttemptState = AttemptState.WAITING
     kv_source: str = ""
     moved_to: str = ""
     n_moves: int = 0
--- a/berylpost/policy/sharing.py
+++ b/berylpost/policy/sharing.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 REPEAT_SHARE: Final = 0.7  # of the allowed repeats, room for requests not yet counted
-SILENT_AFTER_S: Final = 1.0  # four gossip rounds
 
 
 @dataclass(slots=True, kw_only=True)
