Tell every daemon of every other one in rounds that grow with their number

Cause: beyond 12 daemons each round reached 8 drawn ones, so that with 90 a daemon heard each other one every 2.8 s while 1.6 s of silence counted as a loss.

Change: policy.rounds. Everyone tells everyone once a round, rounds are 0.25 s up to 25 daemons and then grow so that a daemon sends 100 datagrams a second; a member is lost after 3.5 rounds. Totals that did not change lately are left out, except towards a daemon that has not answered yet and in one tick of eight. Registration has its own module.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -13,7 +13,6 @@
 from ..logs import log_event
 from ..policy.placement import BackendLoad
 from .clock import read_age_clock
-from .members import FAN_OUT, FULL_MESH, ROUND_S
 from .model import Backend, BackendState, PromptPart, Service
 from .upstream import ConnectionPool
 
@@ -22,14 +21,14 @@
 FAILURE_WEIGHT: Final = 0.15  # of one outcome in the moving failure rate
 FIRST_SUSPECT_S: Final = 0.8  # a connection that was reset is tried again after this
 MAX_SUSPECT_S: Final = 6.0  # below the outages of seconds that servers come back from
-REPORT_TTL_S: Final = 1.5  # six gossip rounds; older load reports do not count
-REPORT_ROUNDS: Final = 1.5  # of a large fleet's turn, in which four of five are heard
-REPORT_KEPT_S: Final = 10.0  # longer than any fleet's turn of gossip
+REPORT_TTL_S: Final = 1.5  # of a load report, six of the shortest rounds
+REPORT_ROUNDS: Final = 2.2  # of longer rounds, so that a lost datagram loses no load
 CACHE_SHARE: Final = 0.8  # of an engine's memory is taken to hold prompt parts
 MIN_CONNECTIONS: Final = 4  # however many daemons share a server's limit
 CONNECTION_SHARE: Final = 0.9  # of a server's limit, for daemons not yet counted
 N_URGENCIES: Final = 4  # told apart in loads; the sheets have three, the rest is one
-PARTS_TOLD_S: Final = 0.8  # a sent part is told in three gossip rounds, so one may go
+PARTS_TOLD_S: Final = 0.8  # a sent part is told in three rounds, so one may be lost
+PARTS_TOLD_ROUNDS: Final = 1.6  # of longer rounds; most parts are told twice
 MAX_PARTS_TOLD: Final = 64  # in one datagram, 1.5 KB; a daemon's peak is 40 a second
 RETURNED_S: Final = 5.0  # a server that is still listed then did not go
 SPEED_WEIGHT: Final = 0.1  # of one answer in the moving speed
@@ -62,15 +61,22 @@
         zone: of this daemon.
         drain_s: for how long a leaving server serves on when it does not say.
         count_fleet: how many daemons share the servers' connections.
+        find_round: seconds in which the daemons hear each other once.
     """
 
     def __init__(
-        self, *, zone: str, drain_s: float, count_fleet: Callable[[], int]
+        self,
+        *,
+        zone: str,
+        drain_s: float,
+        count_fleet: Callable[[], int],
+        find_round: Callable[[], float],
     ) -> None:
         self.slots: dict[str, Slot] = {}
         self._zone = zone
         self._drain_s = drain_s
         self._count_fleet = count_fleet
+        self._find_round = find_round
         self._by_service: dict[str, list[Slot]] = {}
         self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
         self._services: Mapping[str, Service] = {}
@@ -167,7 +173,7 @@
             urgency: of the request; engines read what is more urgent before it.
         """
         now = read_age_clock()
-        reports, scale = self._read_reports(now)
+        reports = self._list_reports(now)
         usual = self._find_usual_speed(slots)
         views = []
         for slot in slots:
@@ -180,8 +186,8 @@
                 if entry is not None:
                     n_others += entry[0]
                     pending_others += sum(entry[1 : urgency + 2])
-            n_outstanding += round(n_others * scale)
-            pending += pending_others * scale
+            n_outstanding += round(n_others)
+            pending += pending_others
             slow = slot.answer_s / usual if usual and slot.answer_s else 1.0
             views.append(
                 BackendLoad(
@@ -201,19 +207,10 @@
         """Counts the daemons that share the servers."""
         return self._count_fleet()
 
-    def _read_reports(self, now: float) -> tuple[list[Mapping[str, Any]], float]:
-        """Returns the others' loads heard lately and what each stands for.
-
-        In a large fleet a round reaches some; those heard stand for all.
-        """
-        n_others = self._count_fleet() - 1
-        if n_others <= FULL_MESH:
-            recent = [r for at, r in self._reports.values() if now - at < REPORT_TTL_S]
-            return recent, 1.0
-        rounds_s = ROUND_S * n_others / FAN_OUT
-        ttl_s = max(REPORT_TTL_S, REPORT_ROUNDS * rounds_s)
-        reports = [r for at, r in self._reports.values() if now - at < ttl_s]
-        return reports, max(1.0, n_others / len(reports)) if reports else 1.0
+    def _list_reports(self, now: float) -> list[Mapping[str, Any]]:
+        """Lists the other daemons' loads that are not too old to count."""
+        ttl_s = max(REPORT_TTL_S, REPORT_ROUNDS * self._find_round())
+        return [r for at, r in self._reports.values() if now - at < ttl_s]
 
     def count_uncached(self, slot: Slot, parts: tuple[PromptPart, ...]) -> float:
         """Counts prompt tokens that an engine would have to read.
@@ -236,7 +233,8 @@
 
     def export_parts(self) -> dict[str, list[PromptPart]]:
         """Returns the shared parts sent lately, by engine, for the other daemons."""
-        horizon = read_age_clock() - PARTS_TOLD_S
+        told_s = max(PARTS_TOLD_S, PARTS_TOLD_ROUNDS * self._find_round())
+        horizon = read_age_clock() - told_s
         while self._sent_parts and (
             self._sent_parts[0][0] < horizon or len(self._sent_parts) > MAX_PARTS_TOLD
         ):
@@ -313,9 +311,8 @@
             service = self._services.get(slot.backend.service)
             if service is not None:
                 slot.pool.n_max = self._share_connections(service)
-        for member in [
-            m for m, (at, _) in self._reports.items() if now - at > REPORT_KEPT_S
-        ]:
+        kept_s = 2 * max(REPORT_TTL_S, REPORT_ROUNDS * self._find_round())
+        for member in [m for m, (at, _) in self._reports.items() if now - at > kept_s]:
             del self._reports[member]
 
     def _share_connections(self, service: Service) -> int:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -32,6 +32,7 @@
 from .metrics import observe_request, render_metrics
 from .model import CallerLimits, EdgeSettings, Endpoint
 from .quotas import Quotas
+from .registration import Registration
 from .store_watch import StoreWatch
 from .usage import Usage
 from .work_meter import WorkMeter
@@ -43,6 +44,7 @@
 STATE_TIMEOUT_S: Final = 1.0  # a megabyte between neighbours at 10 Mbit/s
 BRIDGE_AFTER_S: Final = 0.6  # a watch that answers brings the change sooner
 DIFFERS_S: Final = 0.4  # two gossip rounds, in which a change may be on its way
+RECENT_ROUNDS: Final = 3.0  # in which a changed total is told, so two may be lost
 MAX_TOLD_AGE_S: Final = 1e6  # stands for never in the metrics
 MAX_ADDRESSES: Final = 64  # more in one answer are not read by callers
 DIRECTORY_TTL_S: Final = 2.0  # below the platform's longest; a leave is seen sooner
@@ -75,6 +77,7 @@
             on_progress=self._note_progress,
         )
         self.quotas.bind(self.members)
+        self.registration = Registration(settings=settings, members=self.members)
         self.watch = StoreWatch(
             name=settings.name,
             address=settings.store,
@@ -90,6 +93,7 @@
             zone=settings.zone,
             drain_s=bounds.drain_s,
             count_fleet=self.members.count_fleet,
+            find_round=self.members.find_round,
         )
         self.notices = EngineNotices(
             table=self.table, read_store_age=self.catalogue.read_confirmation_age
@@ -108,6 +112,7 @@
                 settings=settings,
                 incarnation=self._incarnation,
                 members=self.members,
+                remove_lost=self.registration.remove_lost,
                 catalogue=self.catalogue,
                 usage=self.usage,
                 read_work=lambda: self.work.total(self.members.count_fleet()),
@@ -152,6 +157,7 @@
         if settings.metrics is not None:
             await self._listen({"/metrics": self._answer_metrics}, settings.metrics)
         await self.members.start()
+        self.registration.start()
         self.watch.start()
         self.notices.start()
         if self.duties is not None:
@@ -189,10 +195,10 @@
         self.members.leaving = True
         self.front.leaving = True
         self.forwarder.admission.ends_at = ends_at
-        self.members.announce()
+        self.members.announce(everyone=True)
         if self.duties is not None:
             await self.duties.stop()
-        await self.members.deregister()
+        await self.registration.deregister()
         while read_age_clock() < ends_at:
             elapsed_s = read_age_clock() - began_at
             if elapsed_s > IDLE_CLOSE_S:
@@ -202,7 +208,7 @@
             await asyncio.sleep(0.1)
         self.watch.stop()
         self.notices.stop()
-        self.members.announce()
+        self.members.announce(everyone=True)
         self.members.stop()
         for task in self._tasks:
             task.cancel()
@@ -215,6 +221,7 @@
         """Drops everything at once, as the end of the process does."""
         self.watch.stop()
         self.notices.stop()
+        self.registration.stop()
         self.members.stop()
         if self.duties is not None:
             self.duties.kill()
@@ -318,24 +325,27 @@
 
     # What goes between daemons.
 
-    def _make_gossip(self) -> bytes:
+    def _make_gossip(self, whole: bool) -> bytes:
         hold = self.duties.export_hold() if self.duties is not None else [0, 0]
+        recent_s = RECENT_ROUNDS * self.members.find_round()
+        used_since = float("-inf") if whole else read_age_clock() - recent_s
         return msgspec.msgpack.encode(
             [
+                whole,
                 self.table.export_loads(),
                 self.table.export_parts(),
-                self.quotas.export_totals(),
-                self.usage.export_counts(),
+                self.quotas.export_totals(used_since),
+                self.usage.export_counts(whole=whole),
                 self.work.export_rates(),
                 hold,
             ]
         )
 
     def _take_gossip(self, member: Member, body: Any) -> None:
-        loads, parts, totals, counts, rates, hold = body
+        whole, loads, parts, totals, counts, rates, hold = body
         self.table.import_loads(member.name, loads)
         self.table.import_parts(parts)
-        self.quotas.import_totals(member, totals)
+        self.quotas.import_totals(member, totals, whole=whole)
         self.usage.import_counts(member.name, member.incarnation, counts)
         self.work.import_rates(member.name, rates)
         if self.duties is not None:
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Final
 
 from ..errors import DutyCallError, PlatformError
@@ -61,6 +61,7 @@
         settings: of this daemon.
         incarnation: of this daemon.
         members: who else may hold them.
+        remove_lost: takes daemons that are gone for good out of the store.
         catalogue: services and backend servers.
         usage: counts to report.
         read_work: server-seconds of work a second by service, over all daemons.
@@ -72,6 +73,7 @@
         settings: EdgeSettings,
         incarnation: int,
         members: Members,
+        remove_lost: Callable[[], Awaitable[None]],
         catalogue: Catalogue,
         usage: Usage,
         read_work: Callable[[], Mapping[str, float]],
@@ -90,6 +92,7 @@
         )
         self._settings = settings
         self._members = members
+        self._remove_lost = remove_lost
         self._catalogue = catalogue
         self._usage = usage
         self._read_work = read_work
@@ -163,7 +166,7 @@
                 if self._n_failed >= FAILURES_TO_DROP and self._is_another_served():
                     # Another daemon reaches the store; it need not wait for the term.
                     self.lease.drop()
-                    self._members.announce()
+                    self._members.announce(everyone=True)
             except Exception:
                 LOGGER.exception("event=duty_error")
                 pause_s = TRY_PAUSE_S
@@ -205,7 +208,7 @@
         if DUTY_FLEET in duties and read_age_clock() - self._planned_at > FLEET_PAUSE_S:
             self._planned_at = read_age_clock()
             await self._order_fleet()
-            await self._members.remove_lost()
+            await self._remove_lost()
 
     def _find_call_time(self) -> float:
         """Returns the time-out for a duty call; 0 when the hold is too short."""
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -1,9 +1,9 @@
 """Membership of the entry daemons and what they tell each other.
 
-Each daemon writes itself into the store when it starts and reads the list once; from
-then on datagrams carry liveness, the revisions seen, usage, quotas and load. A lost
-datagram costs one round: every figure is a running total. Datagrams fit here better
-than ZeroMQ's streams, which hold back and deliver old state after a cut.
+Datagrams carry liveness, the revisions seen, usage, quotas and load, to every other
+daemon in turn. A lost datagram costs one round: every figure is a running total.
+Datagrams fit here better than ZeroMQ's streams, which hold back and deliver old state
+after a cut. `registration` brings the first addresses.
 """
 
 import asyncio
@@ -17,22 +17,16 @@
 
 import msgspec
 
-from ..errors import PlatformError
 from ..logs import log_event
-from ..platform import names
-from ..platform.object_store import ObjectStore
-from ..platform.object_wire import ConflictError
+from ..policy.rounds import TICK_S, count_in_tick, find_round_s, find_silence_s
 from .clock import read_age_clock
 from .model import EdgeSettings, Endpoint
 
 LOGGER: Final = logging.getLogger(__name__)
 
-ROUND_S: Final = 0.25  # four rounds fit into the second after which callers give up
-FULL_MESH: Final = 12  # daemons up to which every round reaches everyone
-FAN_OUT: Final = 8  # daemons reached in a round beyond that
-ALIVE_S: Final = 1.6  # six rounds without a datagram; loses none to chance at 3% loss
+FAN_OUT: Final = 8  # daemons told at once of news; they tell on, so few are left out
+WHOLE_SHARE: Final = 0.125  # of ticks that tell all totals, for what was lost before
 FORGET_S: Final = 20.0  # a VM that is suspended or cut off for less comes back as known
-RELIST_S: Final = 5.0  # how often a daemon that hears nobody lists the others again
 N_INTRODUCED: Final = 4  # other daemons named in each datagram
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
@@ -87,6 +81,7 @@
         heard_at: age clock of the last datagram; -inf when never heard.
         last_stamp: the newest stamp of its own that it sent.
         confirmation_age: of its configuration when it last spoke, seconds.
+        knows_us: it has answered a datagram of this start, so it has all totals.
         clock_offset: this VM's age clock less the member's, at the least: a stamp
             that the member has seen came before the one that it answers with.
         wall_offset: its time of day less this VM's age clock.
@@ -105,6 +100,7 @@
     ready: bool = False
     confirmation_age: float = float("inf")
     watch_served: bool = False
+    knows_us: bool = False
     clock_offset: float = float("-inf")
 
 
@@ -114,7 +110,7 @@
     Args:
         settings: of this daemon.
         incarnation: higher at each start on the same VM.
-        make_body: makes the running totals for a round.
+        make_body: makes the running totals: all, or those that changed lately.
         take_body: called with a member and its decoded totals.
         read_progress: configuration revision, its confirmation's age, and the
             revision and digest of the backend servers, as held here.
@@ -128,7 +124,7 @@
         *,
         settings: EdgeSettings,
         incarnation: int,
-        make_body: Callable[[], bytes],
+        make_body: Callable[[bool], bytes],
         take_body: Callable[[Member, Any], None],
         read_progress: Callable[[], tuple[int, float, int, int]],
         on_progress: Callable[[Member, int, float, int, int], None],
@@ -145,8 +141,9 @@
         self._read_progress = read_progress
         self._on_progress = on_progress
         self._transport: asyncio.DatagramTransport | None = None
-        self._tasks: list[asyncio.Task[None]] = []
-        self._revision = 0
+        self._task: asyncio.Task[None] | None = None
+        self._turn: list[Member] = []
+        self._silence_s = find_silence_s(0)
 
     async def start(self) -> None:
         """Opens the socket and starts the rounds.
@@ -162,23 +159,24 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(self._receive), sock=sock
         )
-        self._tasks = [
-            asyncio.create_task(self._run_rounds()),
-            asyncio.create_task(self._register()),
-        ]
+        self._task = asyncio.create_task(self._run_rounds())
 
     def stop(self) -> None:
         """Ends the rounds and closes the socket."""
-        for task in self._tasks:
-            task.cancel()
+        if self._task is not None:
+            self._task.cancel()
         if self._transport is not None:
             self._transport.close()
 
     def list_alive(self) -> list[Member]:
         """Lists the daemons that were heard lately."""
-        horizon = read_age_clock() - ALIVE_S
+        horizon = read_age_clock() - self._silence_s
         return [m for m in self.members.values() if m.heard_at >= horizon]
 
+    def find_round(self) -> float:
+        """Returns seconds in which the daemons hear each other once."""
+        return find_round_s(len(self._list_current()))
+
     def count_fleet(self) -> int:
         """Counts daemons that may be serving, this one and silent ones included."""
         horizon = read_age_clock() - FORGET_S
@@ -205,84 +203,36 @@
             return now + offsets[middle]
         return now + (offsets[middle - 1] + offsets[middle]) / 2
 
-    def announce(self) -> None:
-        """Sends a round at once."""
-        self._send_round()
+    def announce(self, *, everyone: bool = False) -> None:
+        """Tells some other daemons at once, or all of them."""
+        current = self._list_current()
+        if not everyone and len(current) > FAN_OUT:
+            current = random.sample(current, FAN_OUT)
+        self._send_to(current)
 
-    async def deregister(self) -> None:
-        """Takes this daemon out of the store; failure leaves it to the others."""
-        store = ObjectStore(address=self._settings.store)
-        try:
-            await store.delete(names.KIND_MEMBERS, self._settings.name)
-        except PlatformError as error:
-            log_event(LOGGER, "deregister_failed", logging.WARNING, error=error)
-        finally:
-            store.close()
-
-    async def remove_lost(self) -> None:
-        """Takes daemons that were silent for long out of the store; duty of one."""
-        now = read_age_clock()
-        lost = [
-            m
-            for m in self.members.values()
-            if now - max(m.heard_at, m.listed_at) > FORGET_S
-        ]
-        if not lost:
-            return
-        store = ObjectStore(address=self._settings.store)
-        try:
-            for member in lost:
-                await store.delete(names.KIND_MEMBERS, member.name)
-                self.members.pop(member.name, None)
-                log_event(LOGGER, "member_removed", member=member.name)
-        except PlatformError as error:
-            log_event(LOGGER, "remove_member_failed", logging.WARNING, error=error)
-        finally:
-            store.close()
-
-    async def _register(self) -> None:
-        """Writes this daemon into the store, then reads the others until heard."""
-        settings = self._settings
-        store = ObjectStore(address=settings.store)
-        spec = {
-            "ip": settings.ip,
-            "port": settings.peer.port,
-            "zone": settings.zone,
-            "incarnation": self.incarnation,
-        }
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    registered = await self._write_entry(store, spec)
-                listing = await store.list_objects(names.KIND_MEMBERS)
-                for item in listing.items:
-                    self._introduce_entry(item.name, item.spec)
-            except PlatformError as error:
-                log_event(LOGGER, "register_failed", logging.WARNING, error=error)
-                await asyncio.sleep(random.uniform(0.3, 0.8))
-                continue
-            await asyncio.sleep(RELIST_S * random.uniform(0.8, 1.2))
-            while self.list_alive():
-                await asyncio.sleep(RELIST_S)
-
-    async def _write_entry(self, store: ObjectStore, spec: Any) -> bool:
-        name = self._settings.name
-        try:
-            await store.create(names.KIND_MEMBERS, name, spec)
-        except ConflictError as conflict:
-            if conflict.current is not None and conflict.current.spec != spec:
-                revision = conflict.current.revision
-                await store.replace(names.KIND_MEMBERS, name, spec, revision=revision)
-        return True
-
-    def _introduce_entry(self, name: str, spec: Any) -> None:
-        if name == self._settings.name or not isinstance(spec, dict):
+    def introduce_entry(self, name: str, spec: Any) -> None:
+        """Takes a daemon's entry in the store."""
+        if not isinstance(spec, dict):
             return
         ip, port = spec.get("ip"), spec.get("port")
         if isinstance(ip, str) and isinstance(port, int):
             self._introduce(name, ip, port)
 
+    def list_lost(self) -> list[str]:
+        """Lists the daemons that were silent for so long that they are given up."""
+        current = {member.name for member in self._list_current()}
+        return [name for name in self.members if name not in current]
+
+    def forget(self, name: str) -> None:
+        """Drops a daemon that was given up."""
+        self.members.pop(name, None)
+
+    def _list_current(self) -> list[Member]:
+        horizon = read_age_clock() - FORGET_S
+        return [
+            m for m in self.members.values() if max(m.heard_at, m.listed_at) >= horizon
+        ]
+
     def _introduce(self, name: str, ip: str, port: int) -> None:
         known = self.members.get(name)
         if known is not None or name == self._settings.name:
@@ -296,32 +246,39 @@
     async def _run_rounds(self) -> None:
         while True:
             try:
-                self._send_round()
+                self._send_to(self._take_turn())
             except Exception:
                 LOGGER.exception("event=gossip_error")
-            await asyncio.sleep(ROUND_S * random.uniform(0.9, 1.1))
-
-    def _send_round(self) -> None:
-        now = read_age_clock()
-        current = [
-            m
-            for m in self.members.values()
-            if now - max(m.heard_at, m.listed_at) <= FORGET_S
-        ]
-        if len(current) > FULL_MESH:
-            current = random.sample(current, FAN_OUT)
-        self._send_to(current)
+            await asyncio.sleep(TICK_S * random.uniform(0.9, 1.1))
+
+    def _take_turn(self) -> list[Member]:
+        """Returns the daemons to tell in this tick; a round tells each of them once."""
+        current = self._list_current()
+        self._silence_s = find_silence_s(len(current))
+        n_told = count_in_tick(len(current))
+        if n_told >= len(current):
+            return current
+        if len(self._turn) < n_told:
+            random.shuffle(current)
+            told = {member.name for member in self._turn}
+            self._turn += [member for member in current if member.name not in told]
+        told_now, self._turn = self._turn[:n_told], self._turn[n_told:]
+        return [m for m in told_now if self.members.get(m.name) is m]
 
     def _send_to(self, members: list[Member]) -> None:
         if self._transport is None or not members:
             return
         settings = self._settings
-        body = msgspec.Raw(self._make_body())
+        bodies: dict[bool, msgspec.Raw] = {}
+        tell_all = random.random() < WHOLE_SHARE
         configuration_revision, age, backends_revision, digest = self._read_progress()
         alive = self.list_alive()
         picked = random.sample(alive, min(N_INTRODUCED, len(alive)))
         introduced = tuple((m.name, m.ip, m.address.port) for m in picked)
         for member in members:
+            whole = tell_all or not member.knows_us
+            if whole not in bodies:
+                bodies[whole] = msgspec.Raw(self._make_body(whole))
             data = _ENCODER.encode(
                 Gossip(
                     name=settings.name,
@@ -340,7 +297,7 @@
                     backends_digest=digest,
                     watch_served=self.watch_served,
                     introduced=introduced,
-                    body=body,
+                    body=bodies[whole],
                 )
             )
             self.n_bytes += len(data)
@@ -359,7 +316,9 @@
         if member is None:
             return
         now = read_age_clock()
-        if now - member.heard_at > ALIVE_S:
+        if now - member.heard_at > self._silence_s:
+            # What changed meanwhile was told to others only.
+            member.knows_us = False
             log_event(LOGGER, "member_heard", member=gossip.name, zone=gossip.zone)
         member.heard_at = now
         member.last_stamp = gossip.stamp
@@ -374,7 +333,9 @@
         if gossip.echo and gossip.echo_incarnation == self.incarnation:
             offset = gossip.echo - gossip.stamp
             member.clock_offset = max(member.clock_offset, offset)
+            member.knows_us = True
         else:
+            member.knows_us = False
             # It has not heard this start of the daemon; the age clock may have begun
             # anew since. Its answer will tell the clocks apart.
             self._send_to([member])
@@ -396,7 +357,9 @@
     def _find_sender(self, gossip: Gossip, address: tuple[str, int]) -> Member | None:
         """Finds or adds the member; None for a datagram older than what is known."""
         member = self.members.get(gossip.name)
-        silent = member is not None and (read_age_clock() - member.heard_at > ALIVE_S)
+        silent = member is not None and (
+            read_age_clock() - member.heard_at > self._silence_s
+        )
         # A restarted VM whose clock was set back has a lower incarnation.
         if (
             member is None
--- a/berylpost/edge/quotas.py
+++ b/berylpost/edge/quotas.py
@@ -11,6 +11,7 @@
     admit_units,
     earn_repeats,
     refill_quota,
+    return_units,
     take_repeat,
     wait_for_units,
 )
@@ -74,9 +75,7 @@
         """Returns units of a request that did not run."""
         if customer.rate <= 0:
             return
-        state = self._refresh(customer)
-        state.level += units
-        state.used -= units
+        return_units(self._refresh(customer), units)
 
     def note_request(self, service: str) -> None:
         """Counts a request for a service toward its repeat budget."""
@@ -93,17 +92,32 @@
             n_members=self._members.count_fleet(),
         )
 
-    def export_totals(self) -> dict[str, list[float]]:
-        """Returns units used since the start and the level seen, by customer."""
+    def export_totals(self, used_since: float) -> dict[str, list[float]]:
+        """Returns units used since the start and the level seen, by customer.
+
+        Args:
+            used_since: age clock; customers that used nothing since are left out.
+        """
         return {
             name: [round(state.used), round(state.level)]
             for name, state in self._states.items()
+            if state.used_at >= used_since
         }
 
-    def import_totals(self, member: Member, totals: Mapping[str, Any]) -> None:
-        """Takes what another daemon used since it was last heard."""
+    def import_totals(
+        self, member: Member, totals: Mapping[str, Any], *, whole: bool
+    ) -> None:
+        """Takes what another daemon used since it was last heard.
+
+        Args:
+            member: the other daemon.
+            totals: as it exported them.
+            whole: whether all its customers are among them.
+        """
         key = (member.name, member.incarnation)
         known = self._seen.get(key)
+        if known is None and not whole:
+            return
         if known is None:
             # Its use before this daemon knew it is in its level already.
             for stale in [k for k in self._seen if k[0] == member.name]:
--- /dev/null
+++ b/berylpost/edge/registration.py
@@ -0,0 +1,109 @@
+"""Writes this daemon into the store and finds the others there.
+
+The list is read once at the start, and again while nobody is heard; from then on the
+daemons introduce each other.
+"""
+
+import asyncio
+import logging
+import random
+from typing import Any, Final
+
+from ..errors import PlatformError
+from ..logs import log_event
+from ..platform import names
+from ..platform.object_store import ObjectStore
+from ..platform.object_wire import ConflictError
+from .members import Members
+from .model import EdgeSettings
+
+LOGGER: Final = logging.getLogger(__name__)
+
+RELIST_S: Final = 5.0  # how often a daemon that hears nobody lists the others again
+RETRY_S: Final = (0.3, 0.8)  # drawn, so that daemons that start together spread
+
+
+class Registration:
+    """This daemon's entry in the store.
+
+    Args:
+        settings: of this daemon.
+        members: gets the daemons that are listed.
+    """
+
+    def __init__(self, *, settings: EdgeSettings, members: Members) -> None:
+        self._settings = settings
+        self._members = members
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts; from the event loop."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Ends without a word to the store."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def deregister(self) -> None:
+        """Takes this daemon out of the store; failure leaves it to the others."""
+        self.stop()
+        store = ObjectStore(address=self._settings.store)
+        try:
+            await store.delete(names.KIND_MEMBERS, self._settings.name)
+        except PlatformError as error:
+            log_event(LOGGER, "deregister_failed", logging.WARNING, error=error)
+        finally:
+            store.close()
+
+    async def remove_lost(self) -> None:
+        """Takes daemons that were silent for long out of the store; duty of one."""
+        lost = self._members.list_lost()
+        if not lost:
+            return
+        store = ObjectStore(address=self._settings.store)
+        try:
+            for name in lost:
+                await store.delete(names.KIND_MEMBERS, name)
+                self._members.forget(name)
+                log_event(LOGGER, "member_removed", member=name)
+        except PlatformError as error:
+            log_event(LOGGER, "remove_member_failed", logging.WARNING, error=error)
+        finally:
+            store.close()
+
+    async def _run(self) -> None:
+        """Writes this daemon into the store, then reads the others until heard."""
+        settings = self._settings
+        store = ObjectStore(address=settings.store)
+        spec = {
+            "ip": settings.ip,
+            "port": settings.peer.port,
+            "zone": settings.zone,
+            "incarnation": self._members.incarnation,
+        }
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    registered = await self._write_entry(store, spec)
+                listing = await store.list_objects(names.KIND_MEMBERS)
+                for item in listing.items:
+                    self._members.introduce_entry(item.name, item.spec)
+            except PlatformError as error:
+                log_event(LOGGER, "register_failed", logging.WARNING, error=error)
+                await asyncio.sleep(random.uniform(*RETRY_S))
+                continue
+            await asyncio.sleep(RELIST_S * random.uniform(0.8, 1.2))
+            while self._members.list_alive():
+                await asyncio.sleep(RELIST_S)
+
+    async def _write_entry(self, store: ObjectStore, spec: Any) -> bool:
+        name = self._settings.name
+        try:
+            await store.create(names.KIND_MEMBERS, name, spec)
+        except ConflictError as conflict:
+            if conflict.current is not None and conflict.current.spec != spec:
+                revision = conflict.current.revision
+                await store.replace(names.KIND_MEMBERS, name, spec, revision=revision)
+        return True
--- a/berylpost/edge/usage.py
+++ b/berylpost/edge/usage.py
@@ -40,9 +40,12 @@
                 del self._own[old]
         counts[customer] = counts.get(customer, 0) + 1
 
-    def export_counts(self) -> dict[int, dict[str, int]]:
-        """Returns this daemon's counts for gossip."""
-        return self._own
+    def export_counts(self, *, whole: bool) -> dict[int, dict[str, int]]:
+        """Returns this daemon's counts for gossip, all or of the last two windows."""
+        if whole:
+            return self._own
+        before = int(self.read_window()) - 1
+        return {window: c for window, c in self._own.items() if window >= before}
 
     def import_counts(
         self, member: str, incarnation: int, counts: Mapping[Any, Mapping[str, int]]
--- a/berylpost/policy/sharing.py
+++ b/berylpost/policy/sharing.py
@@ -20,11 +20,13 @@
             others used more than was known.
         updated_at: seconds of the age clock.
         used: units that this daemon admitted since it started.
+        used_at: when that last changed.
     """
 
     level: float
     updated_at: float
     used: float = 0.0
+    used_at: float = float("-inf")
 
 
 def refill_quota(
@@ -59,9 +61,17 @@
         return False
     state.level -= units
     state.used += units
+    state.used_at = state.updated_at
     return True
 
 
+def return_units(state: QuotaState, units: float) -> None:
+    """Gives units of a request that did not run back to its quota."""
+    state.level += units
+    state.used -= units
+    state.used_at = state.updated_at
+
+
 def wait_for_units(state: QuotaState, units: float, slack: float, rate: float) -> float:
     """Returns seconds until the quota is likely to have the units."""
     return max(0.0, units - slack - state.level) / rate if rate > 0 else 0.0
--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -41,3 +41,8 @@
     Given 3 entry daemons with duties
     When the cloud API is down for 10 s
     Then the same daemon holds the duties as before
+
+  Scenario: Thirty daemons hear all of each other and three of them watch the store
+    Given 30 entry daemons with duties
+    When 9.0 s pass
+    Then during 2 s every daemon hears 29 others and 3 daemons watch the store
--- /dev/null
+++ b/features/steps/entry_round_steps.py
@@ -0,0 +1,23 @@
+"""Steps about what entry daemons tell each other in rounds."""
+
+import time
+from typing import Any
+
+from behave import then
+
+
+@then(
+    "during {seconds:g} s every daemon hears {n_others:d} others"
+    " and {n_watching:d} daemons watch the store"
+)
+def step_all_heard(
+    context: Any, seconds: float, n_others: int, n_watching: int
+) -> None:
+    daemons = context.world.daemons.values()
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        heard = {d.settings.name: len(d.members.list_alive()) for d in daemons}
+        assert set(heard.values()) == {n_others}, heard
+        watching = [d.settings.name for d in daemons if d.watch.is_watching]
+        assert len(watching) == n_watching, watching
+        time.sleep(0.05)
