Watch the store only where others do not, from a daemon's start on

Cause: a daemon that starts has heard nobody, so each of 90 began two watches at once and kept them until it had heard three others for two seconds; and each change of a server ended a watch that was asked for again at once, a zone's notices one by one.

Change: a daemon lists both kinds at its start, hears the others for half a second and only then decides to watch; its first watch asks for an answer at once and, when served, it tells all others so that none begins in its place; after changes it waits 0.08 s for more.

--- a/berylpost/edge/store_watch.py
+++ b/berylpost/edge/store_watch.py
@@ -8,14 +8,14 @@
 import asyncio
 import logging
 import random
-from typing import Any, Final
+from typing import Final
 
 from ..errors import PlatformError
 from ..hashing import hash_text
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import HistoryGoneError
+from ..platform.object_wire import Changes, HistoryGoneError
 from .catalogue import Catalogue
 from .clock import read_age_clock
 from .members import Members
@@ -29,7 +29,9 @@
 RETRY_PAUSE_S: Final = 0.1  # first pause after a failed call; doubles
 MAX_RETRY_PAUSE_S: Final = 1.0  # finds a returned store within its two seconds' grace
 MAX_PAUSE_S: Final = 8.0  # for daemons far back in the order
+HEAR_S: Final = 0.5  # two gossip rounds, in which a daemon hears of those that watch
 STAGGER_S: Final = 0.5  # each further group of watchers waits longer before it begins
+GATHER_S: Final = 0.08  # after changes, so that a zone's notices come in one answer
 SETTLE_S: Final = 2.0  # others' watches have to be served so long before this one ends
 
 
@@ -56,6 +58,7 @@
         self._restart = {kind: asyncio.Event() for kind in _WAITS}
         self._failing = {kind: False for kind in _WAITS}
         self._served = {kind: False for kind in _WAITS}
+        self._began_at = 0.0
         self._lacking_since: float | None = None
         self._enough_since: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -67,7 +70,7 @@
 
     def start(self) -> None:
         """Starts; from the event loop."""
-        self.tend()
+        self._began_at = read_age_clock()
         self._tasks = [asyncio.create_task(self._follow(kind)) for kind in _WAITS]
 
     def stop(self) -> None:
@@ -78,6 +81,8 @@
     def tend(self) -> None:
         """Decides whether to watch; called now and then."""
         now = read_age_clock()
+        if now - self._began_at < HEAR_S:
+            return
         rank, n_before = self._count_before()
         if n_before < N_WATCHERS:
             self._enough_since = None
@@ -119,39 +124,20 @@
             self._wanted.clear()
 
     async def _follow(self, kind: str) -> None:
+        """Lists a kind once, then watches it whenever this daemon is to."""
         store = ObjectStore(address=self._address)
-        wait_s = _WAITS[kind]
         revision: int | None = None
         pause_s = RETRY_PAUSE_S
         while True:
-            if not self._wanted.is_set():
+            if revision is not None and not self._wanted.is_set():
                 store.close()
                 await self._wanted.wait()
                 # What neighbours have brought meanwhile need not be listed again.
                 revision = self._read_revision(kind)
-            asked_at = read_age_clock()
-            self.n_calls += 1
+            # The first answer comes at once and shows that the store serves this one.
+            wait_s = _WAITS[kind] if self._served[kind] else 0.0
             try:
-                if revision is None:
-                    listing = await store.list_objects(kind)
-                    self._note_answer(kind)
-                    revision = listing.revision
-                    if kind == names.KIND_CONFIGURATION:
-                        self._catalogue.take_configuration_list(listing, asked_at)
-                    else:
-                        self._catalogue.take_backend_list(listing)
-                else:
-                    changes = await self._watch(store, kind, revision, wait_s)
-                    if changes is None:
-                        continue
-                    self._note_answer(kind)
-                    revision = changes.revision
-                    if kind == names.KIND_CONFIGURATION:
-                        self._catalogue.take_configuration_changes(
-                            changes, asked_at, wait_s
-                        )
-                    else:
-                        self._catalogue.take_backend_changes(changes)
+                revision = await self._ask(store, kind, revision, wait_s)
                 pause_s = RETRY_PAUSE_S
             except HistoryGoneError:
                 log_event(LOGGER, "history_gone", kind=kind, revision=revision)
@@ -164,14 +150,48 @@
                     1 + self._count_before()[0] // N_WATCHERS
                 )
                 pause_s = min(longest_s, MAX_PAUSE_S, pause_s * 2)
+                if not self._wanted.is_set():
+                    # A neighbour may have brought what the list would have.
+                    revision = self._read_revision(kind)
             except Exception:
                 LOGGER.exception("event=watch_error kind=%s", kind)
                 revision = None
                 await asyncio.sleep(MAX_RETRY_PAUSE_S)
 
+    async def _ask(
+        self, store: ObjectStore, kind: str, revision: int | None, wait_s: float
+    ) -> int | None:
+        """Lists, or watches from a revision; returns the revision to go on from.
+
+        Raises:
+            HistoryGoneError: the changes since the revision are no longer kept.
+            PlatformError: the store did not answer or refused.
+        """
+        asked_at = read_age_clock()
+        self.n_calls += 1
+        if revision is None:
+            listing = await store.list_objects(kind)
+            self._note_answer(kind)
+            if kind == names.KIND_CONFIGURATION:
+                self._catalogue.take_configuration_list(listing, asked_at)
+            else:
+                self._catalogue.take_backend_list(listing)
+            return listing.revision
+        changes = await self._watch(store, kind, revision, wait_s)
+        if changes is None:
+            return revision
+        self._note_answer(kind)
+        if kind == names.KIND_CONFIGURATION:
+            self._catalogue.take_configuration_changes(changes, asked_at, wait_s)
+        else:
+            self._catalogue.take_backend_changes(changes)
+        if changes.changes:
+            await asyncio.sleep(GATHER_S)
+        return changes.revision
+
     async def _watch(
         self, store: ObjectStore, kind: str, revision: int, wait_s: float
-    ) -> Any:
+    ) -> Changes | None:
         """Watches until an answer, or None when the watch is to be dropped."""
         restart = self._restart[kind]
         restart.clear()
@@ -200,6 +220,10 @@
 
     def _note_answer(self, kind: str) -> None:
         self._served[kind] = True
+        if self.is_served and not self._members.watch_served:
+            # Those that would watch in this daemon's place need not begin.
+            self._members.watch_served = True
+            self._members.announce(everyone=True)
         if self._failing[kind]:
             self._failing[kind] = False
             log_event(LOGGER, "store_regained", kind=kind)
--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -110,7 +110,7 @@
         self._n_daemons = n_daemons
 
     def __enter__(self) -> "EntryWorld":
-        """Starts everything and waits until the daemons serve."""
+        """Starts everything; waits until the daemons serve and the store is watched."""
         self._thread.start()
         self.run(self._start())
         return self
@@ -181,10 +181,11 @@
         numbers = range(self._n_daemons)
         await asyncio.gather(*(self.start_daemon(number) for number in numbers))
         async with asyncio.timeout(START_TIMEOUT_S):
+            daemons = self.daemons.values()
             while any(
                 len(daemon.members.list_alive()) < self._n_daemons - 1
-                for daemon in self.daemons.values()
-            ):
+                for daemon in daemons
+            ) or not any(daemon.watch.is_served for daemon in daemons):
                 await asyncio.sleep(0.02)
 
     async def _stop(self) -> None:
--- a/features/entry_fleet.feature
+++ b/features/entry_fleet.feature
@@ -44,5 +44,7 @@
 
   Scenario: Thirty daemons hear all of each other and three of them watch the store
     Given 30 entry daemons with duties
-    When 9.0 s pass
+    When 5.0 s pass
+    Then the store was asked for at most 60 watches
+    When 4.0 s pass
     Then during 2 s every daemon hears 29 others and 3 daemons watch the store
--- a/features/steps/entry_round_steps.py
+++ b/features/steps/entry_round_steps.py
@@ -21,3 +21,9 @@
         watching = [d.settings.name for d in daemons if d.watch.is_watching]
         assert len(watching) == n_watching, watching
         time.sleep(0.05)
+
+
+@then("the store was asked for at most {n:d} watches")
+def step_few_watches(context: Any, n: int) -> None:
+    calls = context.world.store.calls
+    assert calls["watch"] <= n, calls
