Soak the entry daemons as processes under faults from outside

The chaos run that stands (berylpost bench chaos) is of the product's own daemons and their ledger, not of the entry daemon.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint features capacity bench clean
+.PHONY: demo test lint features soak capacity bench clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,7 +21,11 @@
 features: $(VENV)/.installed
 	$(BIN)/python features/run.py
 
-test: lint features
+# A short run of one seed; docs/SOAK.md has the long ones.
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --seed 7 --seconds 15 --logs build/soak
+
+test: lint features soak
 
 capacity: $(VENV)/.installed
 	$(BIN)/python -m berylpost.bench.capacity --output build/capacity
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -346,6 +346,9 @@
         finally:
             if not opened:
                 self._n_open -= 1
+        if not connection.is_open:
+            # The server reset it before this task went on.
+            raise UpstreamError(Failure.NOT_CONNECTED, "reset at once")
         return connection
 
     def release(self, connection: Connection) -> None:
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Final
 
 import httptools
@@ -50,9 +50,18 @@
         id: that it expects to be called by.
         ip: to listen on.
         port: to listen on.
+        on_run: called with the headers of each request that begins to run.
     """
 
-    def __init__(self, *, id: str, ip: str, port: int) -> None:
+    def __init__(
+        self,
+        *,
+        id: str,
+        ip: str,
+        port: int,
+        on_run: Callable[[Mapping[str, str]], None] = lambda _headers: None,
+    ) -> None:
+        self.on_run = on_run
         self.id = id
         self.ip = ip
         self.port = port
@@ -170,6 +179,7 @@
 
 
 def _run(replica: Replica, incoming: _Incoming) -> None:
+    replica.on_run(incoming.headers)
     replica.runs[incoming.headers.get("x-berylpost-attempt-id", "")] += 1
 
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -48,6 +48,15 @@
       | stream/once | cut            | 200 cut         | 1    |
       | stream/once | reset          | 502             | 1    |
 
+  Scenario: A connection that is reset as soon as it is made carries no request
+    Given an entry daemon and two backend servers
+    When each new connection to a server is lost before it is used
+    Then a caller's "book" request is answered 503
+    And the servers were asked nothing
+
+  Scenario: A change of settings while the daemon still starts does not end it
+    Then SIGHUP is ignored when the daemon's own modules are loaded
+
   Scenario: A broken stream goes on at another server in the same answer
     Given one server's fault is "cut" and the other's is "none"
     When callers send "stream" requests until the first server was asked
