Log how a server ended each stream

A stream's log line was the same for a complete answer and for one that its server broke off. The line stream_ended gives the framing of the answer, how it ended, the events passed and the bytes after the last whole event. No decision changes.

--- a/berylpost/edge/event_stream.py
+++ b/berylpost/edge/event_stream.py
@@ -21,6 +21,11 @@
         self.n_events = 0
         self._partial = b""
 
+    @property
+    def n_partial_bytes(self) -> int:
+        """Number of bytes received after the last complete event."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all up to the end of the last complete event.
 
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -94,6 +94,7 @@
             exchange.end.result()
         except (UpstreamError, TimeoutError) as error:
             exchange.sink = None
+            _log_end(context, record, head, error)
             splitter.discard_partial()
             if context.kv_source:
                 raise RunMoved from error
@@ -102,6 +103,7 @@
             context.may_have_run = True
             kind = ErrorKind.ANSWER_CUT
             raise BerylpostError(kind, f"stream broke: {error!r}") from error
+        _log_end(context, record, head, None)
         caller.send(splitter.take_partial())
         caller.finish()
 
@@ -183,3 +185,25 @@
             copied=moved.copied,
             goes_in_s=(record.shutdown_at or 0.0) - read_boottime(),
         )
+
+
+def _log_end(
+    context: RequestContext,
+    record: BackendRecord,
+    head: AnswerHead,
+    error: Exception | None,
+) -> None:
+    """Logs how a server ended a stream; `error` is None for an orderly end."""
+    log_event(
+        LOGGER,
+        "stream_ended",
+        id=context.head.id,
+        backend=record.backend.id,
+        cause="end" if error is None else repr(error),
+        framing=head.framing,
+        n_events=context.splitter.n_events,
+        last_id=context.splitter.last_id,
+        partial_bytes=context.splitter.n_partial_bytes,
+        moved=bool(context.kv_source),
+        n_sent=context.n_sent,
+    )
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -69,6 +69,13 @@
     length: int | None
     framed: bool
 
+    @property
+    def framing(self) -> str:
+        """How the end of the body is marked, for log lines."""
+        if not self.framed:
+            return "close"
+        return "chunked" if self.length is None else "length"
+
     def find(self, name: bytes) -> bytes:
         """Returns the value of a header, empty when there is none."""
         for key, value in self.headers:
