Add failing scenarios for streams that are broken off in good order

The fake server gets streams without a length: whole ones, ones closed gracefully in the middle of an event or before the first, and streams in chunks whose last chunk comes in the middle of an event. On this code 11 scenarios fail: each such stream reaches its caller as complete, is not continued from another server, and a run that moves with its KV cache off such a stream loses its end. Reset streams pass, so the hypothesis of a close seen before the reset is out for this code: a reset arrives as an error.

--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -11,6 +11,7 @@
 import struct
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Mapping
+from enum import StrEnum
 from typing import Final
 
 import httptools
@@ -211,37 +212,65 @@
     return True
 
 
+class StreamEnd(StrEnum):
+    """How a fake server ends a stream."""
+
+    WHOLE = "whole"
+    CLOSED = "closed"
+    RESET = "reset"
+
+
 async def _stream_events(
     incoming: _IncomingRequest,
     writer: asyncio.StreamWriter,
     *,
     n_events: int,
-    complete: bool = True,
+    end: StreamEnd = StreamEnd.WHOLE,
+    chunked: bool = True,
     rest: bytes = b"",
     stopped: Collection[str] = (),
 ) -> bool:
+    """Sends events after the `Last-Event-Id` of the request.
+
+    Args:
+        incoming: the request.
+        writer: where to send the response.
+        n_events: number of the last event.
+        end: how the stream ends; without chunks a whole one ends with its connection.
+        chunked: whether the response has chunks; if not, its end is not marked.
+        rest: part of an event to send after the last event.
+        stopped: attempt ids of the runs that were moved away.
+    """
+
+    def send(data: bytes) -> None:
+        writer.write(b"%x\r\n" % len(data) + data + b"\r\n" if chunked else data)
+
     head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
     head += [f"{name}: {value}" for name, value in _make_headers(incoming).items()]
-    head.append("Transfer-Encoding: chunked")
+    if chunked:
+        head.append("Transfer-Encoding: chunked")
     writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
     first = int(incoming.headers.get("last-event-id", "0") or 0) + 1
     for number in range(first, n_events + 1):
         event = b"id: %d\ndata: w%d\n\n" % (number, number)
         # Each event spans two chunks, since chunks need not end where events do.
         for piece in (event[:9], event[9:]):
-            writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n")
+            send(piece)
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
         if incoming.headers.get("x-berylpost-attempt-id") in stopped:
             writer.close()
             return False
     if rest:
-        writer.write(b"%x\r\n" % len(rest) + rest + b"\r\n")
-    if complete:
+        send(rest)
+    if end is StreamEnd.WHOLE and chunked:
         writer.write(b"0\r\n\r\n")
         return True
     await writer.drain()
-    return _reset_connection(writer)
+    if end is StreamEnd.RESET:
+        return _reset_connection(writer)
+    writer.close()
+    return False
 
 
 async def _run_and_reset(
@@ -260,7 +289,7 @@
     if _is_stream(incoming):
         rest = b"id: 4\ndata: w"
         return await _stream_events(
-            incoming, writer, n_events=3, complete=False, rest=rest
+            incoming, writer, n_events=3, end=StreamEnd.RESET, rest=rest
         )
     headers = {**_make_headers(incoming), "Content-Length": "500"}
     lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
@@ -323,6 +352,14 @@
 ) -> bool:
     """Sends a response without a length and closes the connection gracefully."""
     _record_run(replica, incoming)
+    if _is_stream(incoming):
+        return await _stream_events(
+            incoming,
+            writer,
+            n_events=N_EVENTS,
+            chunked=False,
+            stopped=replica.stopped,
+        )
     lines = ["HTTP/1.1 200 OK"]
     lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:" + incoming.body)
@@ -344,6 +381,51 @@
     return _reset_connection(writer)
 
 
+async def _cut_unframed_stream(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Closes a stream without a length gracefully in the middle of an event."""
+    return await _close_stream(replica, incoming, writer, n_events=3, chunked=False)
+
+
+async def _close_empty_stream(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Closes a stream without a length gracefully before its first event."""
+    return await _close_stream(
+        replica, incoming, writer, n_events=0, chunked=False, rest=b""
+    )
+
+
+async def _end_chunks_in_event(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends the last chunk of a stream in the middle of an event."""
+    return await _close_stream(replica, incoming, writer, n_events=3, chunked=True)
+
+
+async def _close_stream(
+    replica: Replica,
+    incoming: _IncomingRequest,
+    writer: asyncio.StreamWriter,
+    *,
+    n_events: int,
+    chunked: bool,
+    rest: bytes = b"id: 4\ndata: w",
+) -> bool:
+    if not _is_stream(incoming):
+        return await _cut_response(replica, incoming, writer)
+    _record_run(replica, incoming)
+    return await _stream_events(
+        incoming,
+        writer,
+        n_events=n_events,
+        end=StreamEnd.WHOLE if chunked else StreamEnd.CLOSED,
+        chunked=chunked,
+        rest=rest,
+    )
+
+
 async def _send_unsigned(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -375,6 +457,9 @@
     "late extra": _send_misdirected_first,
     "unframed": _send_unframed,
     "unframed reset": _send_unframed_and_reset,
+    "unframed cut": _cut_unframed_stream,
+    "unframed empty": _close_empty_stream,
+    "chunked cut": _end_chunks_in_event,
     "unsigned": _send_unsigned,
     "mute": _stay_silent,
 }
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -62,6 +62,50 @@
     When callers send "stream" requests until the first server receives one
     Then every answer has the events 1 to 8 once each and is complete
 
+  Scenario: A stream without a length is passed on whole
+    Given every server's fault is "unframed"
+    When a caller sends a "stream" request
+    Then its answer is "200 events 1-8" and it ran "1" times
+
+  @known_red
+  Scenario Outline: A stream that its server breaks off with <fault> never looks complete
+    Given every server's fault is "<fault>"
+    When a caller sends a "<kind>" request
+    Then its answer is "<answer>" and it ran "<runs>" times
+
+    Examples:
+      | kind        | fault          | answer  | runs |
+      | stream/once | unframed cut   | 200 cut | 1    |
+      | stream      | unframed cut   | 200 cut | 2    |
+      | stream/once | unframed empty | 502     | 1    |
+      | stream      | unframed empty | 502     | 2    |
+      | stream/once | chunked cut    | 200 cut | 1    |
+      | stream      | chunked cut    | 200 cut | 2    |
+
+  @known_red
+  Scenario Outline: A stream broken off with <fault> continues from another server
+    Given one server's fault is "<fault>" and the other's is "none"
+    When callers send "stream" requests until the first server receives one
+    Then every answer has the events 1 to 8 once each and is complete
+
+    Examples:
+      | fault          |
+      | unframed cut   |
+      | unframed empty |
+      | chunked cut    |
+
+  @known_red
+  Scenario Outline: A run whose stream has no length moves off a server that is about to leave
+    Given every server's fault is "unframed"
+    When a caller's "<kind>" request runs and its server announces that it leaves in 0.9 s
+    Then the caller receives the events 1 to 8 once each and the end of the stream
+    And the other server continued from the moved request's cache
+
+    Examples:
+      | kind        |
+      | stream      |
+      | stream/once |
+
   Scenario Outline: A running request moves off a server that is about to leave
     When a caller's "<kind>" request runs and its server announces that it leaves in 0.9 s
     Then the caller receives the events 1 to 8 once each and the end of the stream
