Recognise events whose lines end in CRLF

The splitter knew only LF LF, so a stream with CRLF lines, which the format allows, was held back until its end, and now that a stream has to end after a whole event it would be aborted. An empty line after either kind of line end closes an event. The scenario on random splits gets a row with CRLF, which failed before, and now also checks that every whole event is passed on.

--- a/berylpost/edge/event_stream.py
+++ b/berylpost/edge/event_stream.py
@@ -2,12 +2,18 @@
 
 from typing import Final
 
-EVENT_END: Final = b"\n\n"
+# An event ends with an empty line; lines end with LF or CRLF.
+EVENT_ENDS: Final = (b"\n\n", b"\n\r\n")
 ID_FIELD: Final = b"id:"
 # Limits the memory that a stream without event boundaries can use.
 MAX_EVENT_BYTES: Final = 1 << 20
 
 
+def find_event_end(data: bytes) -> int:
+    """Returns the offset after the last complete event; 0 if there is none."""
+    return max(data.rfind(end) + len(end) if end in data else 0 for end in EVENT_ENDS)
+
+
 class EventSplitter:
     """Buffers an event until it is complete.
 
@@ -38,15 +44,14 @@
             ValueError: an event is larger than `MAX_EVENT_BYTES`.
         """
         data = self._partial + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
+        end = find_event_end(data)
+        if not end:
             self._partial = data
             if len(data) > MAX_EVENT_BYTES:
                 raise ValueError("server-sent event is too large")
             return b""
-        end += len(EVENT_END)
         complete, self._partial = data[:end], data[end:]
-        self.n_events += complete.count(EVENT_END)
+        self.n_events += sum(complete.count(end) for end in EVENT_ENDS)
         self._read_last_id(complete)
         return complete
 
--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -34,11 +34,12 @@
     And if the quotas are ignored, under 50% of the prompts start within 1.0 s in some second
 
   Scenario Outline: Only whole events are passed on, wherever a stream is split
-    Then over 500 random splits of a stream the data passed on ends at event boundaries and the last id is correct
+    Then over 500 random splits of a stream with lines that end in <line_end> the data passed on ends at event boundaries and the last id is correct
 
     Examples:
-      | any |
-      | 1   |
+      | line_end |
+      | LF       |
+      | CRLF     |
 
   Scenario Outline: The end of a <framing> stream <place> is <verdict>
     Then a "<framing>" stream that ends "<place>" is "<verdict>"
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -404,23 +404,29 @@
 
 
 @then(
-    "over {n:d} random splits of a stream the data passed on ends at event boundaries "
-    "and the last id is correct"
+    "over {n:d} random splits of a stream with lines that end in {line_end} the data "
+    "passed on ends at event boundaries and the last id is correct"
 )
-def step_cut_events(context: Context, n: int) -> None:
+def step_cut_events(context: Context, n: int, line_end: str) -> None:
+    newline = {"LF": b"\n", "CRLF": b"\r\n"}[line_end]
     for seed in range(n):
         random_state = random.Random(seed)
-        events = [b"id: %d\ndata: id: 7 x\n\n" % number for number in range(1, 12)]
+        events = [
+            b"id: %d\ndata: id: 7 x\n\n".replace(b"\n", newline) % number
+            for number in range(1, 12)
+        ]
         data = b"".join(events)[: random_state.randrange(1, 200)]
+        sent = data
         splitter = EventSplitter()
         passed = b""
         while data:
             size = random_state.randrange(1, 12)
             piece = splitter.feed(data[:size])
             data = data[size:]
-            assert not piece or piece.endswith(b"\n\n"), piece
+            assert not piece or piece.endswith(newline * 2), piece
             passed += piece
-        n_complete = passed.count(b"\n\n")
+        n_complete = passed.count(newline * 2)
+        assert n_complete == sent.count(newline * 2), (passed, sent)
         assert passed == b"".join(events[:n_complete]), passed
         assert splitter.last_id == (str(n_complete) if n_complete else ""), (
             splitter.last_id
