Check the end of streams that services answer

The call now counts as cut: an idempotent one goes to another server, one that may run once has an unknown outcome.

The event splitter moves out of edge, since both daemons use it; the content type is compared without regard to case.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -52,7 +52,6 @@
 # request is sent to another server; larger than for other answers, because a queue of
 # prompts is not a failure.
 STREAM_HEAD_TIMEOUT_SHARE: Final = 1.5
-EVENT_STREAM: Final = b"text/event-stream"
 # Retry delay told to callers; a full server has capacity after about one request.
 OVERLOADED_RETRY_S: Final = 0.3
 
@@ -247,7 +246,7 @@
                     detail, may_have_run=False, unreachable=head.status == 421
                 )
             self._record_execution(context)
-            if EVENT_STREAM in head.find(b"content-type") and head.status < 300:
+            if head.is_stream:
                 if not context.route.repeatable:
                     context.may_have_run = True
                 first = await self._await_first_event(context, exchange)
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from ..event_stream import CONTENT_TYPE
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header, parse_keep_alive
@@ -69,6 +70,12 @@
     length: int | None
     framed: bool
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether it is a successful answer of server-sent events."""
+        content_type = self.find(b"content-type").decode("latin-1").lower()
+        return self.status < 300 and CONTENT_TYPE in content_type
+
     @property
     def framing(self) -> str:
         """How the end of the body is marked, for log lines."""
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 from ..errors import BerylpostError, ErrorKind
+from ..event_stream import EventSplitter
 from .callers import CallerRequest
 from .clock import read_boottime
-from .event_stream import EventSplitter
 from .model import Customer, RequestHead, Route, ServingConfiguration
 from .upstream import AnswerHead
 
--- a/berylpost/edge/event_stream.py
+++ b/berylpost/event_stream.py
@@ -4,6 +4,7 @@
 
 # An event ends with an empty line; lines end with LF or CRLF.
 EVENT_ENDS: Final = (b"\n\n", b"\n\r\n")
+CONTENT_TYPE: Final = "text/event-stream"
 ID_FIELD: Final = b"id:"
 # Limits the memory that a stream without event boundaries can use.
 MAX_EVENT_BYTES: Final = 1 << 20
@@ -14,6 +15,11 @@
     return max(data.rfind(end) + len(end) if end in data else 0 for end in EVENT_ENDS)
 
 
+def ends_inside_event(data: bytes) -> bool:
+    """Returns whether the bytes of a stream end in the middle of an event."""
+    return bool(data[find_event_end(data) :].strip(b"\r\n"))
+
+
 class EventSplitter:
     """Buffers an event until it is complete.
 
@@ -35,7 +41,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end in the middle of an event."""
-        return bool(self._partial.strip(b"\r\n"))
+        return ends_inside_event(self._partial)
 
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all up to the end of the last complete event.
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -68,6 +68,10 @@
         cut_after: number of chunks after which streamed responses are cut off; 0 for
             never.
         cuts: number of streamed responses to cut off.
+        closes: whether a response is cut off in the middle of a chunk's data and its
+            connection closed gracefully, instead of reset.
+        framed: whether streamed responses have chunks; if not, they end with their
+            connection.
         match: text that the path of affected requests contains; does not limit cuts.
         methods: methods of affected requests; empty for all; does not limit cuts.
     """
@@ -78,6 +82,8 @@
     refuse: int = 0
     cut_after: int = 0
     cuts: int = 0
+    closes: bool = False
+    framed: bool = True
     match: str = ""
     methods: tuple[str, ...] = ()
 
@@ -180,8 +186,7 @@
             # The request took effect, but the client gets no response.
             writer.transport.abort()
             return False
-        await self._send(writer, reply)
-        return bool(parser.should_keep_alive())
+        return await self._send(writer, reply) and bool(parser.should_keep_alive())
 
     async def _answer(self, request: Request) -> Reply | None:
         faults = self.faults
@@ -205,24 +210,41 @@
         self.faults.cuts -= 1
         return self.faults.cut_after
 
-    async def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> None:
+    async def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> bool:
+        """Sends a response; returns whether the connection may be used again."""
         head = f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Other')}\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
         if reply.stream is None:
             head += f"Content-Length: {len(reply.body)}\r\n\r\n"
             writer.write(head.encode("latin-1") + reply.body)
             await writer.drain()
-            return
-        writer.write(head.encode("latin-1") + b"Transfer-Encoding: chunked\r\n\r\n")
+            return True
+        return await self._send_stream(writer, head.encode("latin-1"), reply.stream)
+
+    async def _send_stream(
+        self, writer: asyncio.StreamWriter, head: bytes, chunks: AsyncIterator[bytes]
+    ) -> bool:
+        framed = self.faults.framed
+
+        def send(data: bytes) -> None:
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data) if framed else data)
+
+        framing = b"Transfer-Encoding: chunked" if framed else b"Connection: close"
+        writer.write(head + framing + b"\r\n\r\n")
         cut_after = self._take_cut_after()
-        async with contextlib.aclosing(reply.stream) as stream:  # type: ignore[type-var]
+        async with contextlib.aclosing(chunks) as stream:  # type: ignore[type-var]
             n_chunks = 0
             async for chunk in stream:
                 n_chunks += 1
                 if cut_after and n_chunks > cut_after:
+                    if self.faults.closes:
+                        send(chunk[: len(chunk) // 2])
+                        break
                     writer.transport.abort()
                     raise ConnectionResetError("response cut off by an injected fault")
-                writer.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+                send(chunk)
                 await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if framed:
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
+        return framed
--- a/berylpost/fakes/service.py
+++ b/berylpost/fakes/service.py
@@ -1,17 +1,27 @@
 """Fake of a service without a model: bookings, which must not be executed twice.
 
 `POST /bookings` executes a booking and returns 201, `GET /bookings` returns how often
-each reference was executed, `GET /count/REFERENCE` returns it for one reference, and
-`GET /load` reports the load.
+each reference was executed, `GET /count/REFERENCE` returns it for one reference,
+`GET /events` streams `N_EVENTS` server-sent events, and `GET /load` reports the load.
 """
 
 import asyncio
 from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Final
 
 import msgspec
 
 from .server import FakeServer, Reply, Request, reply_json
 
+N_EVENTS: Final = 4
+
+
+async def generate_events() -> AsyncIterator[bytes]:
+    """Generates the events of `GET /events`."""
+    for number in range(1, N_EVENTS + 1):
+        yield b"id: %d\ndata: w%d\n\n" % (number, number)
+
 
 class BookingService:
     """Executes each booking it receives, repeated ones too, and counts executions.
@@ -38,6 +48,9 @@
             return await self._book(request)
         if request.path == "/bookings":
             return reply_json(dict(self.executed))
+        if request.path == "/events":
+            headers = (("Content-Type", "text/event-stream"),)
+            return Reply(headers=headers, stream=generate_events())
         if request.path.startswith("/count/"):
             return reply_json({"count": self.executed[request.path[7:]]})
         return reply_json({"error": "no such path"}, 404)
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -20,6 +20,7 @@
 import urllib3
 
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
+from .event_stream import CONTENT_TYPE, ends_inside_event
 from .invariants import check_invariant
 from .kernel import Context, Slot
 from .messages import Backend, IntentAnswer, IntentRequest, Outcome, OutcomeReport
@@ -27,6 +28,7 @@
 from .policy.ledger import choose_shard
 from .policy.retry import Budget, Failure, GiveUp, decide_retry, earn_budget
 from .policy.routing import Replica, choose_plain
+from .policy.stream_end import EndedStream, find_missing_end
 from .services import ReportOutcome, RequestGrant
 
 HOP_HEADERS: Final = frozenset(
@@ -201,6 +203,9 @@
             raise _SendError(Failure.CUT, str(error)) from error
         finally:
             self._outstanding.add(replica.id, -1)
+        missing = _find_missing_end(response)
+        if missing:
+            raise _SendError(Failure.CUT, missing)
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
@@ -326,6 +331,21 @@
         self.failure = failure
 
 
+def _find_missing_end(response: urllib3.BaseHTTPResponse) -> str:
+    """Returns why a response with a stream is not complete; empty if it is."""
+    headers = response.headers
+    if CONTENT_TYPE not in headers.get("content-type", "").lower():
+        return ""
+    return find_missing_end(
+        EndedStream(
+            framed="content-length" in headers or "transfer-encoding" in headers,
+            inside_event=ends_inside_event(response.data),
+            has_events=bool(response.data),
+            may_be_stopped=False,
+        )
+    )
+
+
 def read_key_time(key: str) -> float | None:
     """Reads the creation time of a key that is a UUID of version 7 (RFC 9562).
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -15,6 +15,28 @@
     When 6 summaries of 30 tokens are asked for at once over all daemons
     Then each caller has the whole answer to its own prompt
 
+  Scenario Outline: An engine closes streams <framing> in the middle of an event
+    Given both engines close the next 4 answers <framing> in the middle of event 8
+    When 6 summaries of 30 tokens are asked for at once over all daemons
+    Then each caller has the whole answer to its own prompt
+
+    Examples:
+      | framing          |
+      | in chunks        |
+      | without a length |
+
+  Scenario Outline: A stream of a service that is closed <framing> in the middle of an event
+    Given the intake service closes <n> streams <framing> in the middle of event 3
+    When a caller asks the service for its events
+    Then the service call <result>
+
+    Examples:
+      | framing          | n    | result                    |
+      | without a length | 0    | returns all events        |
+      | without a length | 1    | returns all events        |
+      | in chunks        | 1000 | fails with backend_failed |
+      | without a length | 1000 | fails with backend_failed |
+
   Scenario: Every attempt is cut
     Given both engines cut the next 1000 answers after 3 tokens
     When one summary of 200 tokens is asked for
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -19,9 +19,9 @@
 
 import berylpost
 from berylpost.edge.duty_lease import AnnouncedHold, DutyLease
-from berylpost.edge.event_stream import EventSplitter
 from berylpost.edge.log_stream import MAX_WAITING_LINES, LogStream
 from berylpost.errors import LostAnswerError, PlatformError, SettingsError
+from berylpost.event_stream import EventSplitter
 from berylpost.fakes.duty_api import DutyCallChecker
 from berylpost.platform import names
 from berylpost.platform.boot import decode_boot_settings
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -20,6 +20,7 @@
 from berylpost.demo import expect_text
 from berylpost.errors import ErrorKind
 from berylpost.fakes.engine import generate_words, render_prompt
+from berylpost.fakes.service import N_EVENTS
 from berylpost.streams import (
     Stream,
     StreamRequest,
@@ -101,6 +102,69 @@
     set_engine_faults(context, cuts=n, cut_after=n_tokens)
 
 
+@given(
+    "both engines close the next {n:d} answers {framing} in the middle of event "
+    "{number:d}"
+)
+def close_answers(context: Context, n: int, framing: str, number: int) -> None:
+    set_engine_faults(
+        context,
+        cuts=n,
+        cut_after=number - 1,
+        closes=True,
+        framed=framing == "in chunks",
+    )
+
+
+@given(
+    "the intake service closes {n:d} streams {framing} in the middle of event "
+    "{number:d}"
+)
+def close_service_streams(context: Context, n: int, framing: str, number: int) -> None:
+    services = list(context.fleet.world.world.services.values())
+    # A single fault at one of the servers leaves the others to take the call.
+    for index, service in enumerate(services):
+        context.fleet.set_fault(
+            service.server.endpoint,
+            cuts=n if n != 1 or not index else 0,
+            cut_after=number - 1,
+            closes=True,
+            framed=framing == "in chunks",
+        )
+
+    def end_faults() -> None:
+        for service in services:
+            context.fleet.set_fault(service.server.endpoint)
+
+    context.add_cleanup(end_faults)
+
+
+@when("a caller asks the service for its events")
+def ask_events(context: Context) -> None:
+    daemon = context.fleet.daemons[0]
+    client = Client(addresses=[daemon.http], token="weighbridge-token", timeout_s=15.0)
+    context.results = []
+    for _ in range(4):
+        try:
+            response = client.request(
+                "GET", "/v1/services/intake/events", address=daemon.http
+            )
+            context.results.append(response.data)
+        except Problem as problem:
+            context.results.append(problem.kind)
+
+
+@then("the service call returns all events")
+def check_events(context: Context) -> None:
+    events = b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, N_EVENTS + 1))
+    assert context.results == [events] * 4, context.results
+
+
+@then("the service call fails with {kind}")
+def check_service_error(context: Context, kind: str) -> None:
+    assert context.results == [kind] * 4, context.results
+
+
 @given("both engines refuse the next {n:d} requests")
 def refuse_requests(context: Context, n: int) -> None:
     set_engine_faults(context, refuse=n)
