Log the software versions that a stream meets

The version is decoded from the servers' entries, the attempt from the header Resumes, in the adapter. No decision changes.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -257,6 +257,7 @@
                 backend=name,
                 state=backend.state,
                 zone=backend.zone,
+                version=backend.software_version,
                 spot=backend.spot,
                 address=backend.address,
                 revision=revision,
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -240,6 +240,7 @@
 
     Attributes:
         id: identifies this incarnation of the server.
+        software_version: version of its software; versions may serve side by side.
         slots: maximum number of concurrent requests.
         leaves_in_s: time left after a reclaim notice, None if unknown.
         spot: whether the platform may reclaim it.
@@ -250,6 +251,7 @@
     service: str
     address: Endpoint
     zone: str
+    software_version: str
     slots: int
     state: BackendState
     spot: bool = False
@@ -276,6 +278,8 @@
         output_tokens: maximum tokens to generate; 0 if not given.
         parts: parts of the prompt, in order.
         last_event_id: event after which a stream is to continue, empty for all events.
+        resumed_id: id of the caller's attempt that brought the first event of the
+            stream to continue; empty if it names none.
         headers: headers to forward, in order and as sent.
     """
 
@@ -290,6 +294,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     last_event_id: str
+    resumed_id: str
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/berylpost/platform/entries.py
+++ b/berylpost/platform/entries.py
@@ -243,6 +243,7 @@
         service=wire.service,
         address=address,
         zone=wire.zone,
+        software_version=wire.version,
         slots=wire.slots,
         state=_BACKEND_STATES[wire.state],
         spot=wire.spot,
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -57,6 +57,7 @@
         output_tokens=output_tokens,
         parts=_parse_parts(by_name.get(names.PROMPT_PARTS, b"")),
         last_event_id=by_name.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
+        resumed_id=by_name.get(names.RESUMED_ID, b"").decode("latin-1"),
         headers=tuple((n, v) for n, v in headers if n not in dropped),
     )
 
--- a/berylpost/platform/names.py
+++ b/berylpost/platform/names.py
@@ -13,6 +13,7 @@
 TOKEN_COUNTS: Final = b"x-berylpost-token-counts"
 PROMPT_PARTS: Final = b"x-berylpost-prompt-prefix"
 LAST_EVENT_ID: Final = b"last-event-id"
+RESUMED_ID: Final = b"resumes"
 AUTHORIZATION: Final = b"authorization"
 
 # Headers that only this system sets on requests to backend servers.
