--- a/soak/world.py
+++ b/soak/world.py
@@ -306,9 +306,12 @@
             await daemon.process.wait()
 
     def read_peak_mb(self, daemon: Daemon) -> float:
-        """Reads the peak resident memory of a running daemon, in megabytes."""
+        """Reads the peak resident memory of a daemon, in megabytes; 0 if it exited."""
         assert daemon.process is not None
-        status = Path(f"/proc/{daemon.process.pid}/status").read_text()
+        try:
+            status = Path(f"/proc/{daemon.process.pid}/status").read_text()
+        except FileNotFoundError:
+            return 0.0  # `unexpected_exits` reports it
         line = next(x for x in status.splitlines() if x.startswith("VmHWM:"))
         return int(line.split()[1]) / 1_024
 
