--- a/berylpost/bench/entry.py
+++ b/berylpost/bench/entry.py
@@ -18,7 +18,7 @@
 
 def measure_world(n_daemons: int) -> dict[str, float]:
     """Measures `n_daemons` idle entry daemons."""
-    with EntryWorld(n_daemons=n_daemons, n_replicas=12, duties=DUTIES) as world:
+    with EntryWorld(n_daemons=n_daemons, versions=("v1",) * 12, duties=DUTIES) as world:
         time.sleep(SETTLE_S)
         calls = world.store.calls.total()
         sent = sum(d.members.n_bytes for d in world.daemons.values())
--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -11,7 +11,7 @@
 import random
 import socket
 import threading
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any, Final, TypeVar
 
 from ..edge.daemon import EdgeDaemon
@@ -84,7 +84,7 @@
 
     Args:
         n_daemons: number of entry daemons to start.
-        n_replicas: number of backend servers of the service `app`.
+        versions: software version of each backend server of the service `app`.
         duties: duties that the platform assigns to the daemons.
     """
 
@@ -92,7 +92,7 @@
         self,
         *,
         n_daemons: int = 1,
-        n_replicas: int = 2,
+        versions: Sequence[str] = ("v1", "v1"),
         duties: frozenset[str] = frozenset(),
     ) -> None:
         self._network = f"127.{next(_networks) % 250 + 2}.{random.randrange(250)}"
@@ -104,8 +104,13 @@
         self.store = ObjectStore(endpoint=store)
         self.duty_api = DutyApi(endpoint=f"{self._network}.2:{self._ports[0]}")
         self.replicas = [
-            Replica(id=f"r-{n}", ip=f"{self._network}.{100 + n}", port=self._ports[0])
-            for n in range(n_replicas)
+            Replica(
+                id=f"r-{n}",
+                ip=f"{self._network}.{100 + n}",
+                port=self._ports[0],
+                version=version,
+            )
+            for n, version in enumerate(versions)
         ]
         self.daemons: dict[str, EdgeDaemon] = {}
         self._n_daemons = n_daemons
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -51,6 +51,7 @@
         id: server id that requests have to name; others get 421.
         ip: IP address to listen on.
         port: port to listen on.
+        version: version of its software.
         on_run: called with the headers of each request that begins to run.
 
     Attributes:
@@ -71,12 +72,14 @@
         id: str,
         ip: str,
         port: int,
+        version: str = "v1",
         on_run: Callable[[Mapping[str, str]], None] = lambda _headers: None,
     ) -> None:
         self.on_run = on_run
         self.id = id
         self.ip = ip
         self.port = port
+        self.version = version
         self.fault = "none"
         self.work_s = 0.0
         self.loses_moves = False
@@ -95,7 +98,7 @@
         """The server's entry in the store, without service, zone and state."""
         return {
             "Address": f"{self.ip}:{self.port}",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": 8,
             "ColdLeftMs": 0,
             "Seq": 1,
--- /dev/null
+++ b/features/entry_versions.feature
@@ -0,0 +1,69 @@
+Feature: A stream goes on only at the software version that began it
+
+  @known_red
+  Scenario: A broken stream continues at a server of its version
+    Given 1 entry daemons and servers of the versions v1,v1,v2,v2
+    And the servers of version v1 break off every other stream
+    When callers send 24 streams
+    Then every answer is whole and no stream ran at two versions
+
+  @known_red
+  Scenario: A broken stream without another server of its version is cut
+    Given 1 entry daemons and servers of the versions v1,v2
+    And the servers of version v1 break off every stream
+    When callers send 12 streams
+    Then the streams of version v1 are cut and no stream ran at two versions
+
+  @known_red
+  Scenario Outline: A run moves only to a server of its version
+    Given 1 entry daemons and servers of the versions <versions>
+    When a stream runs at version v1 and its server announces that it leaves in 0.9 s
+    Then it is whole, and <n> other server of version v1 and none of v2 went on with it
+
+    Examples:
+      | versions | n |
+      | v1,v1,v2 | 1 |
+      | v1,v2    | 0 |
+
+  @known_red
+  Scenario Outline: A stream that a caller takes up at <place> stays at its version
+    Given 3 entry daemons and servers of the versions v1,v1,v2,v2
+    When 16 callers lose their streams at the first daemon and take them up at <place>
+    Then every stream is whole and no stream ran at two versions
+
+    Examples:
+      | place                              |
+      | the same daemon                    |
+      | another daemon                     |
+      | another daemon, the first one dead |
+
+  @known_red
+  Scenario: A stream of before a second version is taken up at its version
+    Given 3 entry daemons and servers of the versions v1,v1
+    When 12 callers lose their streams and a server of version v2 starts before the first daemon dies
+    Then the streams are whole and ran at version v1 only
+
+  @known_red
+  Scenario: A stream whose version has no server left is refused
+    Given 2 entry daemons and servers of the versions v1,v2
+    When 8 callers lose their streams and the servers of version v1 leave before they take them up
+    Then the streams of version v1 are refused as not run and the others are whole
+
+  @known_red
+  Scenario Outline: A stream of unknown origin is <outcome> while <versions> serve
+    Given 2 entry daemons and servers of the versions <versions>
+    When a caller takes up a stream that <origin>
+    Then it is <outcome> at once
+
+    Examples:
+      | versions | origin                            | outcome        |
+      | v1,v2    | no daemon knows                   | refused        |
+      | v1,v2    | names no attempt                  | refused        |
+      | v1,v1    | no daemon knows                   | continued      |
+
+  @known_red
+  Scenario: A daemon without contact to the others continues no stream of unknown origin
+    Given 2 entry daemons and servers of the versions v1,v1
+    When the second daemon hears from no other while a server of version v2 starts
+    And a caller takes up a stream at the second daemon
+    Then it is refused at once
