Run the soak with two software versions and callers that take streams up

Backend servers of the soak have two versions in turn and mark their events with theirs. Callers take a stream up that broke or that they left, with the attempt that began it. New promises: no stream has events of two versions, and of twelve or more streams taken up at least half as large a share goes on as of new ones begins.

--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 from typing import Final
 
@@ -93,6 +93,11 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def event_mark(self) -> bytes:
+        """Text that ends the data of each event; names a version other than v1."""
+        return b"" if self.version == "v1" else b"@" + self.version.encode()
+
     @property
     def spec(self) -> dict[str, object]:
         """The server's entry in the store, without service, zone and state."""
@@ -211,9 +216,7 @@
     """Runs the request and sends a complete response."""
     _record_run(replica, incoming)
     if _is_stream(incoming):
-        return await _stream_events(
-            incoming, writer, n_events=N_EVENTS, stopped=replica.stopped
-        )
+        return await _stream_events(replica, incoming, writer, n_events=N_EVENTS)
     await asyncio.sleep(replica.work_s)
     _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
     return True
@@ -228,6 +231,7 @@
 
 
 async def _stream_events(
+    replica: Replica,
     incoming: _IncomingRequest,
     writer: asyncio.StreamWriter,
     *,
@@ -235,18 +239,17 @@
     end: StreamEnd = StreamEnd.WHOLE,
     chunked: bool = True,
     rest: bytes = b"",
-    stopped: Collection[str] = (),
 ) -> bool:
     """Sends events after the `Last-Event-Id` of the request.
 
     Args:
+        replica: the server.
         incoming: the request.
         writer: where to send the response.
         n_events: number of the last event.
         end: how the stream ends; without chunks a whole one ends with its connection.
         chunked: whether the response has chunks; if not, its end is not marked.
         rest: part of an event to send after the last event.
-        stopped: attempt ids of the runs that were moved away.
     """
 
     def send(data: bytes) -> None:
@@ -259,13 +262,13 @@
     writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
     first = int(incoming.headers.get("last-event-id", "0") or 0) + 1
     for number in range(first, n_events + 1):
-        event = b"id: %d\ndata: w%d\n\n" % (number, number)
+        event = b"id: %d\ndata: w%d%s\n\n" % (number, number, replica.event_mark)
         # Each event spans two chunks, since chunks need not end where events do.
         for piece in (event[:9], event[9:]):
             send(piece)
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
-        if incoming.headers.get("x-berylpost-attempt-id") in stopped:
+        if incoming.headers.get("x-berylpost-attempt-id") in replica.stopped:
             writer.close()
             return False
     if rest:
@@ -296,7 +299,7 @@
     if _is_stream(incoming):
         rest = b"id: 4\ndata: w"
         return await _stream_events(
-            incoming, writer, n_events=3, end=StreamEnd.RESET, rest=rest
+            replica, incoming, writer, n_events=3, end=StreamEnd.RESET, rest=rest
         )
     headers = {**_make_headers(incoming), "Content-Length": "500"}
     lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
@@ -361,11 +364,7 @@
     _record_run(replica, incoming)
     if _is_stream(incoming):
         return await _stream_events(
-            incoming,
-            writer,
-            n_events=N_EVENTS,
-            chunked=False,
-            stopped=replica.stopped,
+            replica, incoming, writer, n_events=N_EVENTS, chunked=False
         )
     lines = ["HTTP/1.1 200 OK"]
     lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
@@ -424,6 +423,7 @@
         return await _cut_response(replica, incoming, writer)
     _record_run(replica, incoming)
     return await _stream_events(
+        replica,
         incoming,
         writer,
         n_events=n_events,
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -1,6 +1,7 @@
 """Steps for backend servers of several software versions."""
 
 import asyncio
+import re
 import time
 
 from behave import given, then, when
@@ -21,6 +22,16 @@
 STREAM = make_request_line("stream")
 
 
+def join_events(*bodies):
+    """Joins the events of a stream; fails if they are of two versions."""
+    body = b"".join(bodies)
+    marks = set(re.findall(rb"data: w\d+(@?\w*)\n", body))
+    assert len(marks) <= 1, body
+    for mark in marks - {b""}:
+        body = body.replace(mark, b"")
+    return body
+
+
 def list_daemons(context):
     return list(context.world.daemons.values())
 
@@ -86,7 +97,8 @@
     for number, answer in context.answers.items():
         versions = list_versions(context, f"id-{number}")
         assert len(versions) == 1, (number, versions)
-        assert answer.complete and answer.body == make_events(N_EVENTS), answer
+        whole = join_events(answer.body) == make_events(N_EVENTS)
+        assert answer.complete and whole, answer
 
 
 @then("the streams of version v1 are cut and no stream ran at two versions")
@@ -192,7 +204,7 @@
 
 
 def is_continued(body, answer):
-    return answer.complete and body + answer.body == make_events(N_EVENTS)
+    return answer.complete and join_events(body, answer.body) == make_events(N_EVENTS)
 
 
 @then("every stream is whole and no stream ran at two versions")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 from .world import PORT, Daemon, World
 
 REQUEST_KINDS: Final = ("read", "book", "stream", "stream/once", "open")
+EVENT_END: Final = b"\n\n"
 READ_BYTES: Final = 65_536
 CONNECT_TIMEOUT_S: Final = 1.0
 EXTRA_WAIT_S: Final = 3.0  # waited beyond the deadline sent, to observe late answers
@@ -44,6 +45,9 @@
         abandoned: Whether the caller disconnected before the end of the answer.
         answer: Body of the answer, as far as received.
         headers: Headers of the answer, by lower-case name.
+        resumed_id: Attempt id that brought the first event of the stream that this
+            request takes up; empty for a new request.
+        received: Events of that stream that were received before.
     """
 
     id: str
@@ -60,6 +64,14 @@
     abandoned: bool = False
     answer: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
+    resumed_id: str = ""
+    received: bytes = b""
+
+    @property
+    def events(self) -> bytes:
+        """All whole events of the stream so far."""
+        body = self.received + self.answer
+        return body[: body.rfind(EVENT_END) + len(EVENT_END)]
 
 
 class _AnswerParser:
@@ -96,9 +108,13 @@
         self._idle_connection: (
             tuple[Daemon, int, asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
+        self._lost_stream: RequestRecord | None = None
 
     async def send_request(self, kind: str, key: str = "") -> RequestRecord | None:
         """Sends one request; returns None if no daemon could be reached."""
+        lost, self._lost_stream = self._lost_stream, None
+        if lost is not None:
+            kind, key = lost.kind, lost.key
         reused = self._idle_connection is not None
         connection = self._idle_connection or await self._open()
         self._idle_connection = None
@@ -115,6 +131,8 @@
             sent_at=time.monotonic(),
             reused=reused,
             body=request_id.encode() * self._random.choice((1, 40, 400)),
+            resumed_id=(lost.resumed_id or lost.id) if lost is not None else "",
+            received=lost.events if lost is not None else b"",
         )
         writer.write(_render(record))
         abandon_after_s = None
@@ -122,6 +140,8 @@
             abandon_after_s = self._random.uniform(0.0, 0.2)
         await self._read(record, reader, abandon_after_s)
         record.ended_at = time.monotonic()
+        if kind == "stream" and not record.complete and EVENT_END in record.events:
+            self._lost_stream = record
         server_closes = record.headers.get("connection", "").lower() == "close"
         if (
             record.complete
@@ -205,6 +225,9 @@
         f"X-Berylpost-Attempt-Id: {record.id}\r\n"
         f"X-Berylpost-Deadline-Ms: {int(deadline_s * 1_000)}\r\n"
         f"Authorization: Bearer {record.key}\r\n"
-        f"Content-Length: {len(record.body)}\r\n\r\n"
     )
+    if record.resumed_id:
+        n_events = record.received.count(EVENT_END)
+        head += f"Resumes: {record.resumed_id}\r\nLast-Event-Id: {n_events}\r\n"
+    head += f"Content-Length: {len(record.body)}\r\n\r\n"
     return head.encode() + record.body
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -1,5 +1,6 @@
 """Checks what callers and backend servers observed against the guarantees."""
 
+import re
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -21,6 +22,10 @@
 KEEP_ALIVE_CLOSE_MARGIN_S: Final = 0.3  # around the planned close of an idle connection
 # Calls that were under way when their sender resumed arrive within this time.
 RESUME_MARGIN_S: Final = 0.3
+# A stream's events name a version other than the first in their data.
+EVENT_VERSION: Final = re.compile(rb"(?<=w\d)(@?\w*)\n\n")
+MIN_TAKEN_UP: Final = 12  # streams from which on the share of those that go on counts
+MIN_TAKEN_UP_SHARE: Final = 0.5  # of the share of new streams that begin
 LEASE_S: Final = 3.0  # default lease duration of the daemons
 STREAM_BODY: Final = b"".join(
     b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, N_EVENTS + 1)
@@ -86,10 +91,16 @@
         """Records the outcome of a request."""
         self.records.append(record)
         kind = record.kind if not record.kind.startswith("v") else "probe"
+        if record.resumed_id:
+            kind += " taken up"
         outcome = str(record.status) if record.complete else "unfinished"
         self.counts[f"{kind} {'left' if record.abandoned else outcome}"] += 1
         if record.complete and 200 <= record.status < 300:
             self._check_success(record)
+        if record.kind.startswith("stream") and record.status == 200:
+            versions = set(EVENT_VERSION.findall(record.events))
+            if len(versions) > 1:
+                self._add_violation("versions", record.id, f"events of {versions}")
         allowed = kind != "probe" and record.key not in self.world.revoked
         if allowed and record.complete and record.status in DENIED_STATUSES:
             recently_configured = (
@@ -117,11 +128,26 @@
             self._check_revoked_key(record, n_runs)
             self._check_unanswered(record, n_runs)
         self._check_configuration_order()
+        self._check_taken_up()
         for violation in self.world.cloud.checker.violations:
             self._add_violation("holders", "-", violation)
         for exit_text in self.world.unexpected_exits:
             self._add_violation("exit", "-", exit_text)
 
+    def _check_taken_up(self) -> None:
+        """Checks that streams which callers take up go on like new ones begin."""
+        n_served: Counter[bool] = Counter()
+        n_sent: Counter[bool] = Counter()
+        for record in self.records:
+            if record.kind == "stream" and record.key not in self.world.revoked:
+                n_sent[bool(record.resumed_id)] += 1
+                n_served[bool(record.resumed_id)] += record.status == 200
+        if n_sent[True] < MIN_TAKEN_UP or not n_sent[False]:
+            return
+        taken_up, new = (n_served[kind] / n_sent[kind] for kind in (True, False))
+        if taken_up < MIN_TAKEN_UP_SHARE * new:
+            self._add_violation("taken up", "-", f"{taken_up:.2f} against {new:.2f}")
+
     def _check_success(self, record: RequestRecord) -> None:
         echoed = record.headers.get("x-berylpost-attempt-id")
         signed = record.headers.get("x-berylpost-replica-signature") == SIGNATURE
@@ -132,7 +158,8 @@
             expected_bodies.add(STREAM_BODY)
         if echoed != record.id or not signed:
             self._add_violation("mixed", record.id, f"echo {echoed}, signed {signed}")
-        if record.answer not in expected_bodies:
+        answer = EVENT_VERSION.sub(b"\n\n", record.received + record.answer)
+        if answer not in expected_bodies:
             self._add_violation(
                 "mixed", record.id, f"{record.kind}: {record.answer[:200]!r}"
             )
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -1,4 +1,4 @@
-"""Process of one backend server: `python -m soak.replica ID IP PORT`.
+"""Process of one backend server: `python -m soak.replica ID IP PORT VERSION`.
 
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
 has an effect, and reads the fault to inject, one name a line, from standard input.
@@ -18,9 +18,11 @@
     print(attempt, customer, flush=True)
 
 
-async def serve(replica_id: str, ip: str, port: int) -> None:
+async def serve(replica_id: str, ip: str, port: int, version: str) -> None:
     """Serves until the process is killed or standard input is closed."""
-    replica = Replica(id=replica_id, ip=ip, port=port, on_run=print_run)
+    replica = Replica(
+        id=replica_id, ip=ip, port=port, version=version, on_run=print_run
+    )
     replica.work_s = 0.02
     await replica.start()
     print("ready", flush=True)
@@ -34,4 +36,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(serve(sys.argv[1], sys.argv[2], int(sys.argv[3])))
+    asyncio.run(serve(sys.argv[1], sys.argv[2], int(sys.argv[3]), sys.argv[4]))
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,6 +21,7 @@
 PORT: Final = 8_221  # the same for all processes, since each has its own IP address
 N_PORTS: Final = 4  # front, readiness, directory, peer
 # Heartbeat interval of backend servers; their entry ends after three missed ones.
+VERSIONS: Final = ("v1", "v2")  # of the backend servers, in turn
 HEARTBEAT_S: Final = 1.2
 GRACE_S: Final = 8.0  # from SIGTERM to SIGKILL
 DRAIN_S: Final = 2.0  # for how long a draining backend server still serves
@@ -71,6 +72,7 @@
 
     Attributes:
         id: Id of the backend server in the store.
+        version: Version of its software.
         ip: IP address that it listens on.
         link: Proxy from the daemons to it.
         process: Its process.
@@ -80,6 +82,7 @@
     """
 
     id: str
+    version: str
     ip: str
     link: Proxy
     process: asyncio.subprocess.Process
@@ -333,6 +336,7 @@
         """Starts a backend server and registers it."""
         self._n_backends += 1
         replica_id = f"r-{self._n_backends}"
+        version = VERSIONS[self._n_backends % len(VERSIONS)]
         ip = f"{self.address_prefix}.3.{self._n_backends}"
         link_ip = f"{self.address_prefix}.4.{self._n_backends}"
         process = await asyncio.create_subprocess_exec(
@@ -342,6 +346,7 @@
             replica_id,
             ip,
             str(PORT),
+            version,
             cwd=ROOT,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
@@ -350,7 +355,9 @@
         await process.stdout.readline()
         link = Proxy(listen=(link_ip, PORT), target=(ip, PORT))
         await link.start()
-        backend = Backend(id=replica_id, ip=ip, link=link, process=process)
+        backend = Backend(
+            id=replica_id, version=version, ip=ip, link=link, process=process
+        )
         self.backends.append(backend)
         self.spawn(self._read_runs(backend))
         await self.put_backend(backend, "ready")
@@ -362,7 +369,7 @@
             "Service": "app",
             "Address": f"{backend.link.listen[0]}:{PORT}",
             "Zone": "a",
-            "Version": "v1",
+            "Version": backend.version,
             "Slots": 8,
             "State": state,
             "ColdLeftMs": 0,
