--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -76,3 +76,18 @@
 
   Scenario: Each daemon of a large fleet appears in some directory answers
     Then each of 82 daemons in 5 zones appears in some of 200 answers of 64 daemons
+
+  Scenario Outline: A stream begun at <recorded> goes on at <version> if <possible> may have begun it, <knowledge>
+    Then a stream begun at "<recorded>" that "<possible>" may have begun, <knowledge>, goes on at "<version>"
+
+    Examples:
+      | recorded | possible | knowledge                | version |
+      | v1       | v1,v2    | known to be all versions | v1      |
+      | v1       |          | perhaps not all versions | v1      |
+      |          | v2       | known to be all versions | v2      |
+      |          | v1,v2    | known to be all versions | none    |
+      |          | v2       | perhaps not all versions | none    |
+      |          |          | known to be all versions | none    |
+
+  Scenario: The keepers of a stream's version outlive other daemons
+    Then over 300 streams and 30 daemons of which any 10 died or joined since, those asked include a living keeper if there is one
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -45,6 +45,12 @@
     take_retry,
 )
 from berylpost.policy.stream_end import EndedStream, find_missing_end
+from berylpost.policy.stream_version import (
+    N_ASKED,
+    N_KEEPERS,
+    choose_stream_version,
+    rank_keepers,
+)
 
 LEASE_S = 3.0
 
@@ -446,6 +452,57 @@
     assert (find_missing_end(ended) or "complete") == verdict, find_missing_end(ended)
 
 
+@then(
+    'a stream begun at "{recorded}" that "{possible}" may have begun, {knowledge}, '
+    'goes on at "{version}"'
+)
+@then(
+    'a stream begun at "{recorded}" that "" may have begun, {knowledge}, '
+    'goes on at "{version}"'
+)
+@then(
+    'a stream begun at "" that "{possible}" may have begun, {knowledge}, '
+    'goes on at "{version}"'
+)
+@then(
+    'a stream begun at "" that "" may have begun, {knowledge}, goes on at "{version}"'
+)
+def step_choose_version(
+    context: Context,
+    knowledge: str,
+    version: str,
+    recorded: str = "",
+    possible: str = "",
+) -> None:
+    chosen = choose_stream_version(
+        recorded or None,
+        [name for name in possible.split(",") if name],
+        is_current=knowledge == "known to be all versions",
+    )
+    assert (chosen or "none") == version, chosen
+
+
+@then(
+    "over {n:d} streams and {n_daemons:d} daemons of which any {n_changed:d} died or "
+    "joined since, those asked include a living keeper if there is one"
+)
+def step_check_keepers(
+    context: Context, n: int, n_daemons: int, n_changed: int
+) -> None:
+    random_state = random.Random(1)
+    names = [f"daemon-{number}" for number in range(n_daemons)]
+    n_missed = 0
+    for number in range(n):
+        keepers = rank_keepers(f"id-{number}", names)[:N_KEEPERS]
+        dead = set(random_state.sample(names, n_changed))
+        joined = [f"new-{number}-{place}" for place in range(n_changed)]
+        alive = [name for name in names if name not in dead] + joined
+        asked = rank_keepers(f"id-{number}", alive)[:N_ASKED]
+        living = [name for name in keepers if name not in dead]
+        n_missed += bool(living) and not set(living) & set(asked)
+    assert not n_missed, n_missed
+
+
 @when("{n:d} lines are logged to a pipe that is not read")
 def step_log(context: Context, n: int) -> None:
     read, write = os.pipe()
