--- a/soak/replica.py
+++ b/soak/replica.py
@@ -15,7 +15,9 @@
     """Writes a line for a request that starts to run."""
     attempt = headers.get("x-berylpost-attempt-id", "-")
     customer = headers.get("x-berylpost-tenant", "-")
-    print(attempt, customer, flush=True)
+    # One write, so that a killed process does not leave half a line.
+    sys.stdout.write(f"{attempt} {customer}\n")
+    sys.stdout.flush()
 
 
 async def serve(replica_id: str, ip: str, port: int, version: str) -> None:
