Complete answers to moves and reports that have no length

The channel for calls to engines and the platform knew no answer that ends with its connection: a move that had stopped its run counted as lost, so the stream was broken off or its prompt read again, although the cache had been copied. An orderly close now completes such an answer.

--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -32,6 +32,8 @@
         self.keep_alive = True
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._headers: dict[bytes, bytes] = {}
+        self._unframed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -45,14 +47,34 @@
             self._fail(f"malformed answer: {error}")
             self.abort()
 
+    def eof_received(self) -> bool:
+        """Completes an answer whose end is marked by an orderly close."""
+        if self._unframed:
+            self.keep_alive = False
+            self._complete()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the call that is in progress."""
         self.transport = None
         self._fail(f"connection lost: {exc}")
 
     def on_message_begin(self) -> None:
-        """Clears the body for a new answer."""
+        """Clears the parser state for a new answer."""
         self._body.clear()
+        self._headers.clear()
+        self._unframed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores one header."""
+        self._headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        """Notes whether the answer ends with its connection."""
+        self._unframed = (
+            b"content-length" not in self._headers
+            and b"chunked" not in self._headers.get(b"transfer-encoding", b"").lower()
+        )
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
@@ -62,11 +84,17 @@
             self.abort()
 
     def on_message_complete(self) -> None:
+        """Completes an answer whose end is marked in its framing."""
+        self._unframed = False
+        self._complete()
+
+    def _complete(self) -> None:
         """Returns the complete answer to the call that waits for it."""
         status = self._parser.get_status_code()
         if status < 200:
             return
-        self.keep_alive = self._parser.should_keep_alive()
+        if not self._parser.should_keep_alive():
+            self.keep_alive = False
         if self.answer is None or self.answer.done():
             # No call waits for this answer; later ones cannot be matched to calls.
             self.abort()
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -57,6 +57,7 @@
     Attributes:
         fault: key of `FAULTS` for the next requests.
         work_s: time to run a request that is not a stream.
+        unframed_moves: whether the answer to a move has no length.
         loses_moves: whether to stop the run on a move without answering the call.
         runs: number of runs by attempt id.
         received: requests received, except calls that move a run.
@@ -83,6 +84,7 @@
         self.fault = "none"
         self.work_s = 0.0
         self.loses_moves = False
+        self.unframed_moves = False
         self.runs: Counter[str] = Counter()
         self.received: list[_IncomingRequest] = []
         self.methods: list[str] = []
@@ -151,6 +153,9 @@
             if self.loses_moves:
                 return _reset_connection(writer)
             body = json.dumps({"Handle": "h1", "CreateRevision": 0}).encode()
+            if self.unframed_moves:
+                writer.write(b"HTTP/1.1 200 Status\r\n\r\n" + body)
+                return False
             _write(writer, 200, {}, body)
             return True
         self.methods.append(parser.get_method().decode())
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -103,6 +103,12 @@
       | stream      |
       | stream/once |
 
+  Scenario: A run moves although the answer to the move has no length
+    Given the servers answer moves without a length
+    When a caller's "stream/once" request runs and its server announces that it leaves in 0.9 s
+    Then the caller receives the events 1 to 8 once each and the end of the stream
+    And the other server continued from the moved request's cache
+
   Scenario Outline: A <kind> run that may have been stopped on a leaving server is not complete
     Given every server's fault is "unframed"
     And the servers stop a run that is to move without answering the call
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -150,6 +150,12 @@
         replica.loses_moves = True
 
 
+@given("the servers answer moves without a length")
+def step_unframe_moves(context: Context) -> None:
+    for replica in context.world.replicas:
+        replica.unframed_moves = True
+
+
 @given("every server takes {seconds:f} s for a request")
 def step_set_work(context: Context, seconds: float) -> None:
     for replica in context.world.replicas:
