--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -168,24 +168,20 @@
         """
         attempt = context.head.resumed_id
         known = self._origins.get(attempt)
-        origin = known[1] if known is not None else None
-        n_answers = 0
-        possible = self._list_possible(context.service)
-        if origin is None:
+        inquiry = _Inquiry(n_asked=0)
+        if known is None:
             inquiry = await self._ask(attempt, context.service)
-            origin, n_answers = inquiry.origin, inquiry.n_answers
-            possible |= inquiry.possible
-        is_current = (
-            n_answers > 0
-            or self._catalogue.read_confirmation_age() < MAX_CONFIRMATION_AGE_S
-        )
+        origin = known[1] if known is not None else inquiry.origin
+        possible = self._list_possible(context.service) | inquiry.possible
         version = choose_stream_version(
             origin.version if origin is not None else None,
             possible,
-            is_current=is_current,
+            is_current=inquiry.n_answers > 0
+            or self._catalogue.read_confirmation_age() < MAX_CONFIRMATION_AGE_S,
         )
-        services = [share.service for share in context.route.shares]
-        if origin is not None and origin.service in services:
+        if origin is not None and origin.service in (
+            share.service for share in context.route.shares
+        ):
             context.service = origin.service
         log_event(
             LOGGER,
@@ -197,7 +193,7 @@
             version="unknown" if version is None else version,
             source="record" if known else "member" if origin else "list",
             possible=",".join(sorted(possible)),
-            n_answers=n_answers,
+            n_answers=inquiry.n_answers,
             confirmed_s=self._catalogue.read_confirmation_age(),
         )
         if version is None:
