Do not count an earlier attempt's events for a stream without a length

A stream that broke off and whose second attempt was closed in good order before its first event, without a length, ended as complete, because the events of the first attempt counted. Only events of the answer itself count now.

--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -69,6 +69,7 @@
         splitter = context.splitter
         splitter.discard_partial()
         context.may_be_stopped = False
+        n_events_before = splitter.n_events
         last_data_at = read_boottime()
 
         def begin() -> None:
@@ -104,7 +105,7 @@
             if not exchange.end.done():
                 raise TimeoutError
             exchange.end.result()
-            _check_complete(context, head)
+            _check_complete(context, head, splitter.n_events > n_events_before)
         except (UpstreamError, TimeoutError) as error:
             exchange.sink = None
             _log_end(context, record, head, error)
@@ -217,18 +218,24 @@
         )
 
 
-def _check_complete(context: RequestContext, head: AnswerHead) -> None:
+def _check_complete(
+    context: RequestContext, head: AnswerHead, has_events: bool
+) -> None:
     """Checks a stream that ended without an error.
 
+    Args:
+        context: the request.
+        head: head of the server's answer.
+        has_events: whether that answer brought any event.
+
     Raises:
         UpstreamError: the server broke it off.
     """
-    splitter = context.splitter
     missing = find_missing_end(
         EndedStream(
             framed=head.framed,
-            inside_event=splitter.is_inside_event,
-            has_events=bool(splitter.n_events or context.head.last_event_id),
+            inside_event=context.splitter.is_inside_event,
+            has_events=has_events,
             may_be_stopped=context.may_be_stopped,
         )
     )
--- a/berylpost/policy/stream_end.py
+++ b/berylpost/policy/stream_end.py
@@ -15,7 +15,8 @@
     Attributes:
         framed: whether the answer had a length or chunks that mark its end.
         inside_event: whether it ended in the middle of an event.
-        has_events: whether the caller has any event of it, from any attempt.
+        has_events: whether this answer brought any event; what an earlier attempt
+            brought does not count, since that one was broken off.
         may_be_stopped: whether its server stopped the run, or may have done so, in
             order to move it.
     """
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -92,6 +92,11 @@
       | unframed empty |
       | chunked cut    |
 
+  Scenario: A stream that no server brings to its end never looks complete
+    Given one server's fault is "unframed cut" and the other's is "unframed empty"
+    When callers send 10 "stream" requests one after the other
+    Then no answer is complete
+
   Scenario Outline: A run whose stream has no length moves off a server that is about to leave
     Given every server's fault is "unframed"
     When a caller's "<kind>" request runs and its server announces that it leaves in 0.9 s
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -283,6 +283,21 @@
         assert answer.complete and answer.body == make_events(N_EVENTS), answer
 
 
+@when('callers send {n:d} "{kind}" requests one after the other')
+def step_send_in_turn(context: Context, n: int, kind: str) -> None:
+    daemon, line = first_daemon(context), make_request_line(kind)
+    context.answers = [
+        context.world.run(send_request(daemon, line, f"id-{number}"))
+        for number in range(n)
+    ]
+
+
+@then("no answer is complete")
+def step_check_no_end(context: Context) -> None:
+    for answer in context.answers:
+        assert answer.status == 502 or not answer.complete, answer
+
+
 @when('a caller sends {n:d} "{kind}" requests on one connection')
 def step_send_many(context: Context, n: int, kind: str) -> None:
     async def send_many():
