--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -38,6 +38,7 @@
     RequestContext,
     RunMoved,
     make_refusal,
+    render_parts,
 )
 from .work_meter import WorkMeter
 
@@ -164,6 +165,7 @@
                     maybe_run=failure.may_have_run,
                     n_sent=context.n_sent,
                     left_s=context.left_s,
+                    parts=render_parts(context.head),
                 )
                 if not self._may_retry(context):
                     self._give_up(context, caller, str(failure))
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -297,6 +297,11 @@
     resumed_id: str
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 class LoadReport(NamedTuple):
     """Load that a backend server reports."""
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -17,7 +17,7 @@
 from .clock import read_boottime
 from .http_channel import HttpChannel
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
-from .work import MIN_LEFT_S, RequestContext, RunMoved
+from .work import MIN_LEFT_S, RequestContext, RunMoved, render_parts
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -263,4 +263,5 @@
         partial_bytes=context.splitter.n_partial_bytes,
         moved=bool(context.kv_source),
         n_sent=context.n_sent,
+        parts="" if error is None else render_parts(context.head),
     )
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -10,6 +10,7 @@
 from .model import Customer, RequestHead, Route, ServingConfiguration
 from .upstream import AnswerHead
 
+MAX_LOGGED_PARTS: Final = 8  # bounds the length of a log line
 MIN_LEFT_S: Final = 0.02  # a backend server cannot start on a request in less time
 
 
@@ -96,3 +97,8 @@
 def make_refusal(kind: ErrorKind, detail: str, retry_after_s: float) -> BerylpostError:
     """Makes the error that refuses a request before it has run."""
     return BerylpostError(kind, detail, retry_after_s=retry_after_s)
+
+
+def render_parts(head: RequestHead) -> str:
+    """Renders the shared parts of a prompt for a log line."""
+    return ",".join(head.shared_parts[:MAX_LOGGED_PARTS])
