--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -86,6 +86,9 @@
         n_daemons: number of entry daemons to start.
         versions: software version of each backend server of the service `app`.
         duties: duties that the platform assigns to the daemons.
+
+    Attributes:
+        n_crashes: number of crashes of servers that `restart_crashed` restarts.
     """
 
     def __init__(
@@ -113,6 +116,8 @@
             for n, version in enumerate(versions)
         ]
         self.daemons: dict[str, EdgeDaemon] = {}
+        self.n_crashes = 0
+        self._restarts: set[asyncio.Task[None]] = set()
         self._n_daemons = n_daemons
 
     def __enter__(self) -> "EntryWorld":
@@ -166,6 +171,24 @@
                 await asyncio.sleep(0.02)
         return daemon
 
+    def restart_crashed(self, *, pause_s: float) -> None:
+        """Lets servers that crash start again under new ids at their addresses."""
+
+        def restart(replica: Replica) -> None:
+            self.n_crashes += 1
+            task = asyncio.ensure_future(self._restart_replica(replica, pause_s))
+            self._restarts.add(task)
+
+        for replica in self.replicas:
+            replica.on_crash = restart
+
+    async def _restart_replica(self, replica: Replica, pause_s: float) -> None:
+        await asyncio.sleep(pause_s)
+        old_id, replica.id = replica.id, f"{replica.id}.{self.n_crashes}"
+        await replica.start()
+        await self.put_replica(replica)
+        await self.store.remove("servers", old_id)
+
     async def put_configuration(self, spec: dict[str, Any]) -> None:
         """Stores a configuration, as the operator does."""
         await self.store.put("config", "main", spec)
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -20,6 +20,7 @@
 SIGNATURE: Final = "3e1b.07"
 N_EVENTS: Final = 8
 EVENT_PAUSE_S: Final = 0.03
+CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 
 
 class _IncomingRequest:
@@ -53,8 +54,11 @@
         port: port to listen on.
         version: version of its software.
         on_run: called with the headers of each request that begins to run.
+        on_crash: called when the server has crashed.
 
     Attributes:
+        crashing_parts: prompt parts that crash the server when it begins to answer a
+            request that shares one of them.
         fault: key of `FAULTS` for the next requests.
         work_s: time to run a request that is not a stream.
         unframed_moves: whether the answer to a move has no length.
@@ -75,8 +79,11 @@
         port: int,
         version: str = "v1",
         on_run: Callable[[Mapping[str, str]], None] = lambda _headers: None,
+        on_crash: Callable[["Replica"], None] = lambda _replica: None,
     ) -> None:
         self.on_run = on_run
+        self.on_crash = on_crash
+        self.crashing_parts: frozenset[str] = frozenset()
         self.id = id
         self.ip = ip
         self.port = port
@@ -164,7 +171,9 @@
             _write(writer, 421, {"X-Berylpost-Replica-Id": self.id}, b"")
             return True
         self.n_running += 1
-        work = asyncio.ensure_future(FAULTS[self.fault](self, incoming, writer))
+        crashes = not self.crashing_parts.isdisjoint(list_shared_parts(incoming))
+        handle = _crash if crashes else FAULTS[self.fault]
+        work = asyncio.ensure_future(handle(self, incoming, writer))
         disconnect = asyncio.ensure_future(reader.read(1))
         try:
             # Like a real server, drop a request whose connection closes.
@@ -178,6 +187,12 @@
                 await disconnect
 
 
+def list_shared_parts(incoming: _IncomingRequest) -> list[str]:
+    """Lists the ids of the parts of a prompt that other requests may share."""
+    value = incoming.headers.get("x-berylpost-prompt-prefix", "")
+    return [entry.partition(":")[0] for entry in value.split(",")[:-1]]
+
+
 def _reset_connection(writer: asyncio.StreamWriter) -> bool:
     """Resets the connection instead of closing it gracefully."""
     sock = writer.get_extra_info("socket")
@@ -449,6 +464,21 @@
     return True
 
 
+async def _crash(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Begins to answer and then ends the whole server."""
+    _record_run(replica, incoming)
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    lines.append("Transfer-Encoding: chunked")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n8\r\nid: 1\nda\r\n")
+    await asyncio.sleep(CRASH_DELAY_S)
+    await replica.stop()
+    replica.on_crash(replica)
+    return False
+
+
 async def _stay_silent(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
