Hold back prompt parts that crash servers

Cause: a server that ends fails the requests on it one by one; nothing connected one crash with the next, so new requests with the part went to the next server at every daemon, and each was repeated at a second one. The class: a failure that belongs to the request is charged to the server alone.

A daemon whose streams break on a server finds out whether it has ended (new connections are refused, or its entry disappears; a server that was to leave does not count) and reports the shared parts of the requests on it to eight daemons by hashing. Every daemon decides from the records it has: a part is held after three crashes that no complete answer within 30 s before, and no other held part, explains. Records merge in any order; changes pass from daemon to daemon at once, and each daemon asks a random one every second, so that one that has just started, was cut off or frozen learns them too. A prompt with a held part is refused at once as not run, with the time to come back; a request that waits is not sent and not repeated. A complete answer releases the part everywhere; after 30 s, growing fourfold with each crash, one daemon tries one request.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -9,6 +9,7 @@
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, RouteKind, ServingConfiguration
+from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .work import RequestContext, make_refusal
 
@@ -22,16 +23,20 @@
     Args:
         catalogue: source of the configuration in force.
         quotas: quotas of customers.
+        quarantine: prompt parts that are held back.
 
     Attributes:
         shutdown_at: boot-time clock at which this daemon shuts down; None until it is
             leaving.
     """
 
-    def __init__(self, *, catalogue: Catalogue, quotas: Quotas) -> None:
+    def __init__(
+        self, *, catalogue: Catalogue, quotas: Quotas, quarantine: PartQuarantine
+    ) -> None:
         self.shutdown_at: float | None = None
         self._catalogue = catalogue
         self._quotas = quotas
+        self._quarantine = quarantine
         self._random = random.Random()
 
     def admit(self, request: CallerRequest, head: RequestHead) -> RequestContext:
@@ -79,6 +84,11 @@
                 is_stream=is_stream, timeout_s=limit_s, left_s=left_s
             ):
                 raise make_refusal(ErrorKind.LEAVING, "this daemon is leaving", 0.0)
+        part_admission = self._quarantine.admit(head.shared_parts)
+        if part_admission.wait_s is not None:
+            raise make_refusal(
+                ErrorKind.QUARANTINED, "a part is held back", part_admission.wait_s
+            )
         units = count_units(customer, head)
         if customer is not None:
             wait_s = self._quotas.take_units(customer, units)
@@ -95,6 +105,7 @@
             service=service,
             units=units,
             expires_at=request.arrived_at + limit_s,
+            is_part_trial=part_admission.is_trial,
         )
 
 
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -31,6 +31,7 @@
 from .members import Member, Members
 from .metrics import observe_request, render_metrics
 from .model import CallerLimits, EdgeSettings, Endpoint
+from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .registration import Registration
 from .store_watch import StoreWatch
@@ -105,10 +106,14 @@
             table=self.table, read_store_age=self.catalogue.read_confirmation_age
         )
         self.origins = StreamOrigins(members=self.members, catalogue=self.catalogue)
+        self.quarantine = PartQuarantine(
+            name=settings.name, members=self.members, table=self.table
+        )
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
             table=self.table,
             origins=self.origins,
+            quarantine=self.quarantine,
             quotas=self.quotas,
             usage=self.usage,
             work_meter=self.work,
@@ -168,6 +173,7 @@
         self.registration.start()
         self.watch.start()
         self.notice_poller.start()
+        self.quarantine.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -216,6 +222,7 @@
             await asyncio.sleep(0.1)
         self.watch.stop()
         self.notice_poller.stop()
+        self.quarantine.stop()
         self.members.announce(everyone=True)
         self.members.stop()
         for task in self._tasks:
@@ -229,6 +236,7 @@
         """Stops at once without cleaning up, like a killed process."""
         self.watch.stop()
         self.notice_poller.stop()
+        self.quarantine.stop()
         self.registration.stop()
         self.members.stop()
         if self.duties is not None:
@@ -317,6 +325,7 @@
             "configuration_number": configuration.number if configuration else 0,
             "confirmation_age_seconds": round(age_s, 3),
             "busy_connections": self.front.count_busy(),
+            "held_parts": self.quarantine.n_held,
         }
         opened = sum(record.pool.n_opened for record in self.table.records.values())
         counters = {
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -26,6 +26,7 @@
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .model import RequestHead, Route, RouteKind
+from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .routing import Router
 from .stream_origins import StreamOrigins
@@ -56,6 +57,8 @@
 STREAM_HEAD_TIMEOUT_SHARE: Final = 1.5
 # Retry delay told to callers; a full server has capacity after about one request.
 OVERLOADED_RETRY_S: Final = 0.3
+# Failures of an attempt after which the server may have ended.
+BREAKS: Final = frozenset({Failure.RESET, Failure.CUT})
 
 
 class Forwarder:
@@ -65,6 +68,7 @@
         catalogue: source of the configuration in force.
         table: state of the backend servers.
         origins: software versions of the streams that callers take up.
+        quarantine: prompt parts that are held back.
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
         work_meter: measures the work that callers' requests cause.
@@ -78,15 +82,19 @@
         catalogue: Catalogue,
         table: BackendTable,
         origins: StreamOrigins,
+        quarantine: PartQuarantine,
         quotas: Quotas,
         usage: Usage,
         work_meter: WorkMeter,
         observe: Callable[[str, Route, float, float], None],
     ) -> None:
-        self.admission = Admission(catalogue=catalogue, quotas=quotas)
+        self.admission = Admission(
+            catalogue=catalogue, quotas=quotas, quarantine=quarantine
+        )
         self._router = Router(table=table, work_meter=work_meter)
         self._relay = StreamRelay(table=table, record_origin=origins.record)
         self._origins = origins
+        self._quarantine = quarantine
         self._catalogue = catalogue
         self._table = table
         self._quotas = quotas
@@ -140,6 +148,10 @@
                     raise
                 self._give_up(context, caller, error.detail)
                 return
+            if self._is_held(context):
+                record.pool.release(connection)
+                self._give_up(context, caller, "a part of the prompt is held back")
+                return
             if context.n_sent and not self._quotas.take_retry(context.service):
                 record.pool.release(connection)
                 self._give_up(context, caller, "repeat budget is spent")
@@ -170,6 +182,14 @@
                 if not self._may_retry(context):
                     self._give_up(context, caller, str(failure))
                     return
+                context.is_part_trial = False
+                await self._quarantine.await_check(record)
+
+    def _is_held(self, context: RequestContext) -> bool:
+        """Tells whether a part of the prompt has become held since the admission."""
+        return not context.is_part_trial and self._quarantine.is_held(
+            context.head.shared_parts
+        )
 
     def _may_retry(self, context: RequestContext) -> bool:
         outcome = (
@@ -267,13 +287,19 @@
                 )
                 complete = True
                 self._table.note_success(record, None)
+                if context.splitter.n_events:
+                    self._quarantine.note_answered(context.head.shared_parts)
                 return
             await self._await_body(context, exchange)
             complete = True
             self._handle_complete_answer(
                 context, caller, record, head, bytes(exchange.body), answer_s
             )
+        except (BerylpostError, RunMoved) as error:
+            self._note_break(context, record, error.__cause__)
+            raise
         except UpstreamError as error:
+            self._note_break(context, record, error)
             unreachable = error.kind is not Failure.BAD_ANSWER
             raise AttemptFailed(
                 str(error), may_have_run=True, unreachable=unreachable
@@ -290,6 +316,15 @@
             else:
                 connection.abort()
 
+    def _note_break(
+        self,
+        context: RequestContext,
+        record: BackendRecord,
+        error: BaseException | None,
+    ) -> None:
+        if isinstance(error, UpstreamError) and error.kind in BREAKS:
+            self._quarantine.note_broken(record, context.head.shared_parts)
+
     async def _await_head(
         self, context: RequestContext, exchange: Exchange
     ) -> AnswerHead:
@@ -379,6 +414,8 @@
         load = parse_load(head.find(names.LOAD))
         comparable = load is not None and load.waiting == 0
         self._table.note_success(record, answer_s if comparable else None)
+        if head.status < 300:
+            self._quarantine.note_answered(context.head.shared_parts)
         self._send_answer(context, caller, head, body)
 
     def _send_answer(
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -162,18 +162,27 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._round_queue: list[Member] = []
-        self._on_message: Callable[[bytes, Endpoint], None] | None = None
+        self._on_message: dict[bytes, Callable[[bytes, Endpoint], None]] = {}
         self._failure_timeout_s = find_failure_timeout_s(0)
 
-    def bind_messages(self, on_message: Callable[[bytes, Endpoint], None]) -> None:
-        """Sets what is called with each message and the address of its sender."""
-        self._on_message = on_message
+    def bind_messages(
+        self, on_message: Callable[[bytes, Endpoint], None], mark: bytes = MESSAGE_MARK
+    ) -> None:
+        """Sets what is called with each message and the address of its sender.
+
+        Args:
+            on_message: called with the message without its mark.
+            mark: `MESSAGE_MARK`, or a longer mark that begins with it.
+        """
+        self._on_message[mark] = on_message
 
-    def send_message(self, address: Endpoint, data: bytes) -> None:
+    def send_message(
+        self, address: Endpoint, data: bytes, mark: bytes = MESSAGE_MARK
+    ) -> None:
         """Sends a message in one datagram, which may be lost."""
         if self._transport is not None:
             self.n_bytes += len(data)
-            self._transport.sendto(MESSAGE_MARK + data, tuple(address))
+            self._transport.sendto(mark + data, tuple(address))
 
     async def start(self) -> None:
         """Opens the socket and starts the gossip rounds.
@@ -343,8 +352,10 @@
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         if data.startswith(MESSAGE_MARK):
             self.n_bytes += len(data)
-            if self._on_message is not None:
-                self._on_message(data[len(MESSAGE_MARK) :], Endpoint(*address))
+            marks = [mark for mark in self._on_message if data.startswith(mark)]
+            if marks:
+                mark = max(marks, key=len)
+                self._on_message[mark](data[len(mark) :], Endpoint(*address))
             return
         try:
             gossip = _DECODER.decode(data)
--- a/berylpost/errors.py
+++ b/berylpost/errors.py
@@ -43,6 +43,7 @@
     RATE_LIMITED = "rate_limited"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_BACKEND = "no_backend"
+    QUARANTINED = "quarantined"
     STORE_UNAVAILABLE = "store_unavailable"
     BACKEND_FAILED = "backend_failed"
     ANSWER_CUT = "answer_cut"
@@ -120,6 +121,9 @@
     ErrorKind.NO_BACKEND: _make_response(
         503, _NOT_RUN, "No backend server can take this."
     ),
+    ErrorKind.QUARANTINED: _make_response(
+        503, _NOT_RUN, "A part of this prompt has crashed backend servers."
+    ),
     ErrorKind.STORE_UNAVAILABLE: _make_response(
         503, _NOT_RUN, "The platform's object API is not available."
     ),
--- /dev/null
+++ b/berylpost/policy/quarantine.py
@@ -0,0 +1,196 @@
+"""Decides which prompt parts are held back because servers end while they answer them.
+
+A part of a prompt may crash every server that begins to answer it, whatever else the
+request holds. Each daemon records which parts were on a server when it ended and which
+parts were answered completely. The records of two daemons merge in any order, so that
+all daemons reach the same decision by exchanging them.
+
+Requests that break together with the culprit share its servers and most of its parts.
+What tells them apart: sound parts are answered completely elsewhere, the culprit is on
+every crashed server, mostly in a single request, and a crash that one held part
+explains is no evidence against the others.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+# Two servers may end by chance while they answer the same rare part.
+MIN_CRASHES: Final = 3
+# Servers that end within this time, as when an availability zone fails, count once.
+SAME_CAUSE_S: Final = 0.1
+# A complete answer shows for this long that its parts do not crash servers.
+PROOF_S: Final = 30.0
+FIRST_HOLD_S: Final = 30.0  # after the crash that made a part held
+HOLD_GROWTH: Final = 4.0  # factor for each further crash
+MAX_HOLD_S: Final = 3_600.0
+SUSPICION_S: Final = 600.0  # after this time without a crash, a record is dropped
+MAX_OBSERVATIONS: Final = 32  # of one part; bounds memory and datagrams
+# Times that differ by less, such as the transit time of a datagram, count as equal.
+TIME_TOLERANCE_S: Final = 0.5
+
+
+class Observation(NamedTuple):
+    """What one daemon saw of one part when a server ended.
+
+    Attributes:
+        at: time of the crash, seconds.
+        n_requests: requests with the part that the daemon had sent to the server.
+        depth: position of the part in the prompt; deeper parts are more specific.
+    """
+
+    at: float
+    n_requests: int
+    depth: int
+
+
+@dataclass(slots=True, kw_only=True)
+class PartRecord:
+    """What is known of one prompt part.
+
+    Attributes:
+        observations: by server incarnation and reporting daemon.
+        answered_at: time of the latest complete answer, seconds; -inf for none.
+    """
+
+    observations: dict[tuple[int, int], Observation] = field(default_factory=dict)
+    answered_at: float = float("-inf")
+
+    @property
+    def last_crash_at(self) -> float:
+        """Time of the latest crash, seconds; -inf for none."""
+        return max((o.at for o in self.observations.values()), default=float("-inf"))
+
+
+class Hold(NamedTuple):
+    """A part that is held back.
+
+    Attributes:
+        until: time from which one request at a time may try the part, seconds.
+        dropped_at: time from which it is no longer held, seconds.
+    """
+
+    until: float
+    dropped_at: float
+
+
+def merge_record(known: PartRecord, other: PartRecord) -> bool:
+    """Adds what another daemon knows of a part; tells whether anything was new.
+
+    Args:
+        known: the record; updated in place.
+        other: the other daemon's record, with times of this daemon's clock.
+    """
+    is_new = False
+    for key, observation in other.observations.items():
+        own = known.observations.get(key)
+        # The clocks of two daemons differ by the transit time: keep the first report.
+        if own is None or observation.n_requests > own.n_requests:
+            known.observations[key] = observation
+            is_new = True
+    while len(known.observations) > MAX_OBSERVATIONS:
+        oldest = min(known.observations, key=lambda k: known.observations[k].at)
+        del known.observations[oldest]
+    if is_later(other.answered_at, known.answered_at):
+        known.answered_at = other.answered_at
+        is_new = True
+    return is_new
+
+
+def is_later(at: float, other_at: float) -> bool:
+    """Tells whether a time is later than another one of another daemon's clock."""
+    return at > other_at + TIME_TOLERANCE_S
+
+
+def find_holds(records: Mapping[int, PartRecord], *, now: float) -> dict[int, Hold]:
+    """Decides which parts are held.
+
+    The most suspect part is taken first, and a crash that a held part explains does
+    not count against others.
+
+    Args:
+        records: records by part.
+        now: the present time, seconds.
+    """
+    suspects = {
+        part: _list_crashes(record)
+        for part, record in records.items()
+        if len(record.observations) >= MIN_CRASHES
+    }
+    holds: dict[int, Hold] = {}
+    while suspects:
+        suspects = {
+            part: crashes
+            for part, crashes in suspects.items()
+            if count_causes(crash.at for crash in crashes.values()) >= MIN_CRASHES
+        }
+        if not suspects:
+            break
+        part = max(suspects, key=lambda p: (_rate_suspicion(suspects[p]), p))
+        explained = suspects.pop(part)
+        times = [crash.at for crash in explained.values()]
+        hold = find_hold(count_causes(times), max(times))
+        if now < hold.dropped_at:
+            holds[part] = hold
+        suspects = {
+            other: {s: crash for s, crash in crashes.items() if s not in explained}
+            for other, crashes in suspects.items()
+        }
+    return holds
+
+
+def _list_crashes(record: PartRecord) -> dict[int, Observation]:
+    """Lists the crashes that count, by server incarnation, over all daemons."""
+    crashes: dict[int, Observation] = {}
+    for (server, _), seen in record.observations.items():
+        if seen.at <= record.answered_at + PROOF_S:
+            continue
+        known = crashes.get(server)
+        crashes[server] = (
+            seen
+            if known is None
+            else Observation(
+                min(seen.at, known.at), seen.n_requests + known.n_requests, seen.depth
+            )
+        )
+    return crashes
+
+
+def _rate_suspicion(crashes: Mapping[int, Observation]) -> tuple[float, int]:
+    """Rates how likely a part is the culprit.
+
+    A culprit is on many crashed servers, with one request on most of them; a part
+    before it in the prompts may be on as many, with more requests.
+    """
+    n_requests = sum(crash.n_requests for crash in crashes.values())
+    depth = max(crash.depth for crash in crashes.values())
+    return len(crashes) ** 2 / n_requests, depth
+
+
+def count_causes(crashes: Iterable[float]) -> int:
+    """Counts crashes; those that follow one another at once have one cause.
+
+    Args:
+        crashes: times of the crashes, seconds.
+    """
+    n_causes = 0
+    began_at = float("-inf")
+    for at in sorted(crashes):
+        if at - began_at > SAME_CAUSE_S:
+            n_causes += 1
+            began_at = at
+    return n_causes
+
+
+def find_hold(n_crashes: int, last_crash_at: float) -> Hold:
+    """Returns for how long a part is held after a number of crashes."""
+    growth = HOLD_GROWTH ** min(n_crashes - MIN_CRASHES, 8)
+    until = last_crash_at + min(MAX_HOLD_S, FIRST_HOLD_S * growth)
+    return Hold(until, until + SUSPICION_S)
+
+
+def is_outdated(record: PartRecord, hold: Hold | None, *, now: float) -> bool:
+    """Tells whether a record no longer counts and may be dropped."""
+    if hold is not None:
+        return False
+    return now - record.last_crash_at > SUSPICION_S
