End a cancelled call also when its answer arrives in that moment

Cause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, if a task is cancelled in the step in which what it awaits is done. A loop that calls again, such as a watch of the store, then never ends. Calls to other daemons, the store and backend servers now use asyncio.timeout, which passes the cancellation on.

The scenario cancels a call in that very step: not cancelled before, cancelled now.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -345,7 +345,8 @@
             limit_s = min(
                 limit_s, share * context.route.objective_s + context.predicted_wait_s
             )
-        return await asyncio.wait_for(asyncio.shield(exchange.head), max(0, limit_s))
+        async with asyncio.timeout(max(0, limit_s)):
+            return await asyncio.shield(exchange.head)
 
     async def _await_first_event(
         self, context: RequestContext, exchange: Exchange
@@ -376,7 +377,8 @@
         return data
 
     async def _await_body(self, context: RequestContext, exchange: Exchange) -> None:
-        await asyncio.wait_for(asyncio.shield(exchange.end), max(0, context.left_s))
+        async with asyncio.timeout(max(0, context.left_s)):
+            await asyncio.shield(exchange.end)
 
     def _record_execution(self, context: RequestContext) -> None:
         """Records the time of the first answer and counts the request as usage once."""
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -167,7 +167,9 @@
             assert protocol.transport is not None
             protocol.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             try:
-                result: HttpAnswer = await asyncio.wait_for(answer, timeout_s)
+                # `asyncio.wait_for` drops a cancellation that comes with the answer.
+                async with asyncio.timeout(timeout_s):
+                    result: HttpAnswer = await answer
             except TimeoutError as error:
                 self.close()
                 raise LostAnswerError(f"{method} {target}: no answer") from error
@@ -190,10 +192,10 @@
             return self._protocol
         loop = asyncio.get_running_loop()
         try:
-            transport, protocol = await asyncio.wait_for(
-                loop.create_connection(_AnswerProtocol, *self._address),
-                self._connect_timeout_s,
-            )
+            async with asyncio.timeout(self._connect_timeout_s):
+                transport, protocol = await loop.create_connection(
+                    _AnswerProtocol, *self._address
+                )
         except (OSError, TimeoutError) as error:
             raise PlatformError(f"{self._address}: not connected: {error}") from error
         set_socket_options(transport, self._connect_timeout_s)
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -364,15 +364,13 @@
         self.n_opened += 1
         opened = False
         try:
-            _, connection = await asyncio.wait_for(
-                loop.create_connection(
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
                     lambda: Connection(
                         backend_id=self._backend.id, on_closed=self._remove
                     ),
                     *self._backend.address,
-                ),
-                CONNECT_TIMEOUT_S,
-            )
+                )
             opened = True
         except (OSError, TimeoutError) as error:
             raise UpstreamError(Failure.NOT_CONNECTED, repr(error)) from error
--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -74,6 +74,10 @@
       | a wrong Platform  | refused, naming "Platform" |
       | no JSON           | refused, naming "settings file" |
 
+  Scenario: A call that is cancelled at the moment of its answer ends
+    When a call to a server is cancelled in the step in which its answer arrives
+    Then its task is cancelled
+
   Scenario: Each daemon of a large fleet appears in some directory answers
     Then each of 82 daemons in 5 zones appears in some of 200 answers of 64 daemons
 
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -1,5 +1,6 @@
 """Steps for policies and shared limits, without sockets and in virtual time."""
 
+import asyncio
 import heapq
 import itertools
 import json
@@ -19,7 +20,9 @@
 
 import berylpost
 from berylpost.edge.duty_lease import AnnouncedHold, DutyLease
+from berylpost.edge.http_channel import HttpAnswer, HttpChannel
 from berylpost.edge.log_stream import MAX_WAITING_LINES, LogStream
+from berylpost.edge.model import Endpoint
 from berylpost.errors import LostAnswerError, PlatformError, SettingsError
 from berylpost.event_stream import EventSplitter
 from berylpost.fakes.duty_api import DutyCallChecker
@@ -602,3 +605,27 @@
         assert len(set(chosen)) == 64, chosen
         seen.update(chosen)
     assert len(seen) == n, sorted(set(daemons) - seen)
+
+
+@when("a call to a server is cancelled in the step in which its answer arrives")
+def step_cancel_call(context: Context) -> None:
+    async def cancel():
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        address = Endpoint(*server.sockets[0].getsockname())
+        channel = HttpChannel(address=address, connect_timeout_s=1.0)
+        task = asyncio.ensure_future(channel.call("GET", "/", timeout_s=5.0))
+        while channel._protocol is None or channel._protocol.answer is None:
+            await asyncio.sleep(0.001)
+        channel._protocol.answer.set_result(HttpAnswer(200, b""))
+        task.cancel()
+        await asyncio.wait((task,))
+        channel.close()
+        server.close()
+        return task.cancelled()
+
+    context.is_cancelled = asyncio.run(cancel())
+
+
+@then("its task is cancelled")
+def step_check_cancelled(context: Context) -> None:
+    assert context.is_cancelled
