Ignore a count of tokens that is no plain decimal number

A caller's prompt parts "a:²,b:1" got a 500 of the daemon's own: str.isdigit accepts digits that int refuses, and int refuses over 4,300 digits. Such a part is now left out, as other malformed ones are; the same test guarded the revisions that other daemons ask for. The row "a:²,b:1" failed before with status 500; "5000 digits" was added with the fix.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -17,7 +17,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.boot import load_boot_settings
-from ..platform.headers import parse_query
+from ..platform.headers import is_number, parse_query
 from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
@@ -313,7 +313,7 @@
     def _answer_state(self, request: CallerRequest, caller: CallerConnection) -> None:
         query = parse_query(request.target)
         since = [query.get(name, "") for name in ("configuration", "backends")]
-        revisions = [int(text) if text.isdigit() else 0 for text in since]
+        revisions = [int(text) if is_number(text) else 0 for text in since]
         self._answer_json(caller, self.catalogue.export_state(*revisions))
 
     def _answer_metrics(self, request: CallerRequest, caller: CallerConnection) -> None:
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -23,6 +23,7 @@
         b"host",
     }
 )
+MAX_DIGITS: Final = 18
 MAX_DEADLINE_S: Final = 86_400.0  # larger values are ignored as errors of the caller
 
 
@@ -147,6 +148,14 @@
     return {unquote(name).lower(): unquote(value) for name, _, value in pairs}
 
 
+def is_number(text: str) -> bool:
+    """Tells whether a text is a decimal number that `int` converts.
+
+    `str.isdigit` accepts digits such as `²`, and `int` refuses thousands of digits.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def _parse_ms(value: bytes) -> float | None:
     try:
         seconds = float(value) / 1_000
@@ -167,6 +176,6 @@
     parts = []
     for entry in value.decode("latin-1").split(","):
         part_id, _, count = entry.strip().partition(":")
-        if part_id and count.isdigit():
+        if part_id and is_number(count):
             parts.append(PromptPart(part_id, int(count)))
     return tuple(parts)
--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -86,10 +86,12 @@
     Examples:
       | value              |
       | :,:5,::            |
+      | a:²,b:1            |
       | ,,,,               |
       | a,b,c              |
       | a:-1,b:1e9,c:2     |
       | 300 parts          |
+      | 5000 digits        |
 
   Scenario Outline: A part on <crashes> crashes, answered <answered>, is <state>
     When a part was on <crashes> crashes 1 s apart and was answered <answered>
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -531,8 +531,11 @@
 
 @when('a caller sends the prompt parts "{value}"')
 def step_send_malformed(context: Context, value: str) -> None:
-    if value == "300 parts":
-        value = ",".join(f"p{number}:1" for number in range(300))
+    long_values = {
+        "300 parts": ",".join(f"p{number}:1" for number in range(300)),
+        "5000 digits": f"a:{'9' * 5_000},b:1",
+    }
+    value = long_values.get(value, value)
     daemon = list_daemons(context)[0]
 
     async def send():
