Keep held prompt parts in the store

When all daemons are lost at once, or one that starts reaches no other, what is held was forgotten and the part crashed three more servers. The first of a part's keepers writes it to the store (one object a part, only while parts are held) and removes it when it is released; each daemon reads the list at its start and every 5 s while it hears from no other. The scenario kills all daemons and starts one: it holds the part within 1 s.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -107,7 +107,10 @@
         )
         self.origins = StreamOrigins(members=self.members, catalogue=self.catalogue)
         self.quarantine = PartQuarantine(
-            name=settings.name, members=self.members, table=self.table
+            name=settings.name,
+            store=settings.store,
+            members=self.members,
+            table=self.table,
         )
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -11,7 +11,7 @@
 import logging
 import random
 from collections import OrderedDict
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, Final
@@ -32,6 +32,7 @@
 from ..policy.stream_version import rank_keepers
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
+from .hold_store import HoldStore
 from .members import FAN_OUT, Members
 from .model import Endpoint
 
@@ -126,11 +127,14 @@
 
     Args:
         name: name of this daemon.
+        store: address of the store.
         members: the other daemons.
         table: state of the backend servers.
     """
 
-    def __init__(self, *, name: str, members: Members, table: BackendTable) -> None:
+    def __init__(
+        self, *, name: str, store: Endpoint, members: Members, table: BackendTable
+    ) -> None:
         self._name = name
         self._reporter = hash_text(name)
         self._members = members
@@ -141,6 +145,12 @@
         self._trials: dict[int, float] = {}
         self._broken: dict[str, _BrokenServer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._hold_store = HoldStore(
+            address=store,
+            members=members,
+            list_owned=self._list_owned,
+            merge=self._merge_ages,
+        )
         members.bind_messages(self._receive, DATAGRAM_MARK)
 
     @property
@@ -151,6 +161,7 @@
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
         self._spawn(self._pull())
+        self._spawn(self._hold_store.run())
 
     def stop(self) -> None:
         """Stops all tasks."""
@@ -180,9 +191,28 @@
         """Tells whether this daemon is the one that tries a part, and may do so now."""
         if now - self._trials.get(key, float("-inf")) < TRIAL_S:
             return False
+        return self._is_first_keeper(key)
+
+    def _is_first_keeper(self, key: int) -> bool:
         names = [m.name for m in self._members.list_alive() if not m.leaving]
         return rank_keepers(str(key), [*names, self._name])[0] == self._name
 
+    def _list_owned(self) -> dict[int, PartRecord]:
+        """Lists the held parts that this daemon writes to the store, with ages."""
+        now = read_boottime()
+        return {
+            key: _swap_times(self._records[key], now)
+            for key in self._holds
+            if self._is_first_keeper(key)
+        }
+
+    def _merge_ages(self, records: Mapping[int, PartRecord]) -> None:
+        """Adds records with ages in place of times."""
+        now = read_boottime()
+        for key, record in records.items():
+            merge_record(self._find_record(key), _swap_times(record, now))
+        self._decide("store")
+
     def note_answered(self, parts: tuple[str, ...]) -> None:
         """Records that a prompt with these shared parts was answered completely."""
         now = read_boottime()
@@ -400,6 +430,16 @@
     return _Probe.ACCEPTED
 
 
+def _swap_times(record: PartRecord, now: float) -> PartRecord:
+    """Makes a record with ages of one with times, or the other way."""
+    return PartRecord(
+        observations={
+            key: seen._replace(at=now - seen.at)
+            for key, seen in record.observations.items()
+        }
+    )
+
+
 def _encode_record(key: int, record: PartRecord, now: float) -> _Record:
     has_answer = record.answered_at != float("-inf")
     return _Record(
--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -36,6 +36,12 @@
     When another daemon starts
     Then it holds the part "bad" within 1 s
 
+  Scenario: A part stays held when all daemons are lost at once
+    Given 2 entry daemons and 4 servers that crash on the prompt part "bad"
+    And the part "bad" is held everywhere
+    When all daemons are killed and one starts
+    Then it holds the part "bad" within 1 s
+
   Scenario: A daemon that received nothing for a time learns what is held
     Given 3 entry daemons and 4 servers that crash on the prompt part "bad"
     When the last daemon receives nothing while the part "bad" becomes held at the others
@@ -69,6 +75,7 @@
     And the part "bad" is held everywhere
     When the servers no longer crash and callers go on with the part "bad" for 3 s
     Then no daemon holds any part
+    And the store keeps no held part
     And the last prompts with the part "bad" were answered
 
   Scenario: Only one request at a time tries a held part
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -333,6 +333,30 @@
     wait_until(lambda: is_held(context.daemon.quarantine, part), seconds)
 
 
+@when("all daemons are killed and one starts")
+def step_kill_all(context: Context) -> None:
+    world = context.world
+
+    def is_stored():
+        return bool(world.store.kinds.get("berylpost-holds"))
+
+    wait_until(is_stored, 3.0)
+
+    async def restart():
+        for name in list(world.daemons):
+            world.daemons.pop(name).kill()
+        await world.store.put("berylpost-holds", "not-a-hash", {"crashes": 1})
+        return await world.start_daemon(0)
+
+    context.daemon = world.run(restart())
+
+
+@then("the store keeps no held part")
+def step_check_store(context: Context) -> None:
+    kinds = context.world.store.kinds
+    wait_until(lambda: not kinds.get("berylpost-holds"), 3.0)
+
+
 @when(
     'the last daemon receives nothing while the part "{part}" becomes held at the '
     "others"
@@ -590,7 +614,10 @@
     )
     records = {}
     quarantine = PartQuarantine(
-        name="d", members=members, table=SimpleNamespace(records=records)
+        name="d",
+        store=Endpoint("127.0.0.1", 1),
+        members=members,
+        table=SimpleNamespace(records={}),
     )
     now = read_boottime()
     for part in range(n):
@@ -605,6 +632,7 @@
     n_told = len(sent)
     assert n_told <= 2 * FAN_OUT, n_told  # each change goes to a few daemons at once
     sent.clear()
+    quarantine._hold_store.run = lambda: asyncio.sleep(0)
 
     async def pull():
         quarantine.start()
