Let a prompt part crash the soak's servers and judge what is held back

Streams now carry prompt parts; in a phase of its own, beside planned work, callers send a part that ends each server that begins to answer it, and the server is replaced a second later. Judged: at most three such requests run at servers later than 3 s after the fifth crash, from daemons that were not disturbed; from 6 s after the fifth crash on sound streams begin at least half as often as outside disturbances. An address whose process has ended refuses connections.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # A short run of one seed; docs/SOAK.md has the long ones.
 soak: $(VENV)/.installed
-	$(BIN)/python -m soak --seed 7 --seconds 15 --logs build/soak
+	$(BIN)/python -m soak --seed 7 --seconds 20 --logs build/soak
 
 test: lint features soak
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,8 @@
 KEEP_ALIVE_SHARE: Final = 0.7  # of connections kept open after an answer
 ABANDON_SHARE: Final = 0.05  # of requests whose caller disconnects early
 PAUSE_S: Final = 0.05  # pause between two requests of a caller
+BAD_PART_SHARE: Final = 0.3  # of the streams, while a part crashes servers
+N_GOOD_PARTS: Final = 4
 
 
 @dataclass(slots=True, kw_only=True)
@@ -48,6 +50,7 @@
         resumed_id: Attempt id that brought the first event of the stream that this
             request takes up; empty for a new request.
         received: Events of that stream that were received before.
+        part: Shared part of the prompt besides the first one; empty without a prompt.
     """
 
     id: str
@@ -66,6 +69,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     resumed_id: str = ""
     received: bytes = b""
+    part: str = ""
 
     @property
     def events(self) -> bytes:
@@ -133,6 +137,7 @@
             body=request_id.encode() * self._random.choice((1, 40, 400)),
             resumed_id=(lost.resumed_id or lost.id) if lost is not None else "",
             received=lost.events if lost is not None else b"",
+            part=self._choose_part(kind, lost),
         )
         writer.write(_render(record))
         abandon_after_s = None
@@ -153,6 +158,16 @@
             writer.transport.abort()
         return record
 
+    def _choose_part(self, kind: str, lost: RequestRecord | None) -> str:
+        if lost is not None:
+            return lost.part
+        if not kind.startswith("stream"):
+            return ""
+        bad_part = self._world.bad_part
+        if bad_part and self._random.random() < BAD_PART_SHARE:
+            return bad_part
+        return f"good-{self._random.randrange(N_GOOD_PARTS)}"
+
     def close(self) -> None:
         """Closes the idle connection."""
         if self._idle_connection is not None:
@@ -226,6 +241,10 @@
         f"X-Berylpost-Deadline-Ms: {int(deadline_s * 1_000)}\r\n"
         f"Authorization: Bearer {record.key}\r\n"
     )
+    if record.part:
+        head += (
+            f"X-Berylpost-Prompt-Prefix: first:50,{record.part}:50,{record.id}:5\r\n"
+        )
     if record.resumed_id:
         n_events = record.received.count(EVENT_END)
         head += f"Resumes: {record.resumed_id}\r\nLast-Event-Id: {n_events}\r\n"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,8 @@
 FAULT_PHASE_S: Final = (5.0, 11.0)
 # The strict checks do not apply in its first three seconds (`STEADY_S` of `judge`).
 QUIET_PHASE_S: Final = (7.0, 10.0)
+# Longer than the time after which a part that crashes servers must be held back.
+CRASH_PHASE_S: Final = (10.0, 12.0)
 FAULT_INTERVAL_S: Final = (0.1, 1.2)
 QUIET_INTERVAL_S: Final = (0.4, 1.6)
 DAEMON_START_S: Final = 3.0  # from the start of a daemon until it serves
@@ -69,11 +71,21 @@
         while time.monotonic() < ends_at:
             await self._run_phase(all_actions, FAULT_PHASE_S, FAULT_INTERVAL_S, ends_at)
             await self._wait_for_actions()
+            await self._run_crash_phase()
             await self._run_phase(
                 self.planned_actions, QUIET_PHASE_S, QUIET_INTERVAL_S, ends_at
             )
         await self._wait_for_actions()
 
+    async def _run_crash_phase(self) -> None:
+        """Lets a prompt part crash servers, with nothing but planned work beside it."""
+        self._world.begin_bad_part()
+        await self._run_phase(
+            self.planned_actions, CRASH_PHASE_S, QUIET_INTERVAL_S, float("inf")
+        )
+        self._world.end_bad_part()
+        await self._wait_for_actions()
+
     async def _run_phase(
         self,
         actions: dict[str, Action],
@@ -238,8 +250,9 @@
         backend.draining_since = time.monotonic()
         # It serves a little longer than it must, as the platform specifies.
         await asyncio.sleep(DRAIN_S + 6.0)
-        backend.killed = True
-        backend.process.kill()
+        if not backend.killed:
+            backend.killed = True
+            backend.process.kill()
         await self._world.store.remove("servers", backend.id)
 
     # Store and operator.
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -26,6 +26,10 @@
 EVENT_VERSION: Final = re.compile(rb"(?<=w\d)(@?\w*)\n\n")
 MIN_TAKEN_UP: Final = 12  # streams from which on the share of those that go on counts
 MIN_TAKEN_UP_SHARE: Final = 0.5  # of the share of new streams that begin
+N_CRASHES: Final = 5  # after which a part that crashes servers must be known
+MAX_LATE_RUNS: Final = 3  # of such a part, later than `STEADY_S` after that
+MIN_SOUND: Final = 20  # sound streams from which on the share of those begun counts
+MIN_SOUND_SHARE: Final = 0.5  # of the share that begins outside disturbances
 LEASE_S: Final = 3.0  # default lease duration of the daemons
 STREAM_BODY: Final = b"".join(
     b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, N_EVENTS + 1)
@@ -129,6 +133,8 @@
             self._check_unanswered(record, n_runs)
         self._check_configuration_order()
         self._check_taken_up()
+        for part, crashes in self.world.crashes.items():
+            self._check_bad_part(part, crashes)
         for violation in self.world.cloud.checker.violations:
             self._add_violation("holders", "-", violation)
         for exit_text in self.world.unexpected_exits:
@@ -148,6 +154,44 @@
         if taken_up < MIN_TAKEN_UP_SHARE * new:
             self._add_violation("taken up", "-", f"{taken_up:.2f} against {new:.2f}")
 
+    def _check_bad_part(self, part: str, crashes: list[float]) -> None:
+        """Checks that a part which crashes servers is held back, and nothing else."""
+        if len(crashes) >= N_CRASHES:
+            held_at = crashes[N_CRASHES - 1] + STEADY_S
+            n_late = sum(
+                at > held_at
+                and not self.world.was_daemon_disturbed(
+                    record.daemon, at - STEADY_S, at
+                )
+                for record in self.records
+                if record.part == part
+                for at, _ in self.runs.get(record.id, ())
+            )
+            if n_late > MAX_LATE_RUNS:
+                self._add_violation("crashing", part, f"ran {n_late} times more")
+        if not crashes:
+            return
+        # The answers of sound streams while the part is held, against the rest.
+        since = crashes[:N_CRASHES][-1] + 2 * STEADY_S
+        until = self.world.bad_part_ended_at[part]
+        during: Counter[bool] = Counter()
+        outside: Counter[bool] = Counter()
+        for record in self.records:
+            sound = record.kind.startswith("stream") and record.part.startswith("good")
+            if not sound or record.resumed_id or record.key in self.world.revoked:
+                continue
+            if since < record.sent_at < until:
+                during[record.status == 200] += 1
+            elif not self._overlaps_disturbance(record, STEADY_S):
+                outside[record.status == 200] += 1
+        if min(during.total(), outside.total()) < MIN_SOUND:
+            return
+        shares = [counts[True] / counts.total() for counts in (during, outside)]
+        if shares[0] < MIN_SOUND_SHARE * shares[1]:
+            self._add_violation(
+                "held back", part, f"{shares[0]:.2f} of sound, {shares[1]:.2f} else"
+            )
+
     def _check_success(self, record: RequestRecord) -> None:
         echoed = record.headers.get("x-berylpost-attempt-id")
         signed = record.headers.get("x-berylpost-replica-signature") == SIGNATURE
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -1,10 +1,12 @@
 """Process of one backend server: `python -m soak.replica ID IP PORT VERSION`.
 
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
-has an effect, and reads the fault to inject, one name a line, from standard input.
+has an effect. From standard input it reads the fault to inject, one name a line, and
+`crash PART` for a prompt part that ends the process when it begins to answer it.
 """
 
 import asyncio
+import os
 import sys
 from collections.abc import Mapping
 
@@ -23,7 +25,12 @@
 async def serve(replica_id: str, ip: str, port: int, version: str) -> None:
     """Serves until the process is killed or standard input is closed."""
     replica = Replica(
-        id=replica_id, ip=ip, port=port, version=version, on_run=print_run
+        id=replica_id,
+        ip=ip,
+        port=port,
+        version=version,
+        on_run=print_run,
+        on_crash=lambda _replica: os._exit(1),
     )
     replica.work_s = 0.02
     await replica.start()
@@ -32,9 +39,11 @@
     lines = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
     while line := await lines.readline():
-        fault = line.decode().strip()
-        if fault in FAULTS:
-            replica.fault = fault
+        order = line.decode().strip()
+        if order in FAULTS:
+            replica.fault = order
+        elif order.startswith("crash "):
+            replica.crashing_parts |= {order.removeprefix("crash ")}
 
 
 if __name__ == "__main__":
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,9 @@
 GRACE_S: Final = 8.0  # from SIGTERM to SIGKILL
 DRAIN_S: Final = 2.0  # for how long a draining backend server still serves
 READY_TIMEOUT_S: Final = 20.0
+RESTART_S: Final = 1.0  # after which a server that crashed is replaced
+# From a crash until its entry is gone and its place is filled.
+CRASH_LASTS_S: Final = RESTART_S + 3 * HEARTBEAT_S
 BOUNDS: Final = {"ReportWindowS": 5, "QuotaExtra": 190_000, "BudgetExtra": 1_000}
 
 
@@ -122,6 +125,10 @@
         revoked: When the store had removed an API key, by key, monotonic seconds.
         configuration_number: Number of the latest configuration.
         configured_at: When the latest configuration was written, monotonic seconds.
+        bad_part: Prompt part that crashes servers and that callers send now; empty for
+            none.
+        crashes: When servers crashed, by prompt part, monotonic seconds.
+        bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
     """
 
     def __init__(
@@ -142,6 +149,9 @@
         self.revoked: dict[str, float] = {}
         self.configuration_number = 1
         self.configured_at = 0.0
+        self.bad_part = ""
+        self.crashes: dict[str, list[float]] = {}
+        self.bad_part_ended_at: dict[str, float] = {}
         self.store = ObjectStore(endpoint=f"{address_prefix}.0.1:{PORT}")
         self.cloud = DutyApi(endpoint=f"{address_prefix}.0.2:{PORT}")
         self._tasks: set[asyncio.Task[None]] = set()
@@ -223,6 +233,20 @@
             for disturbance in self.disturbances
         )
 
+    def was_daemon_disturbed(
+        self, daemon: str, started_at: float, ended_at: float
+    ) -> bool:
+        """Tells whether a daemon, its links or the store was disturbed in a period.
+
+        A planned stop of the daemon counts too, since it then starts anew.
+        """
+        return any(
+            disturbance.started_at <= ended_at
+            and disturbance.ended_at >= started_at
+            and (disturbance.target == daemon or disturbance.kind == "store_fault")
+            for disturbance in self.disturbances
+        )
+
     # Daemons.
 
     async def _make_daemon(self, number: int) -> Daemon:
@@ -360,6 +384,9 @@
         )
         self.backends.append(backend)
         self.spawn(self._read_runs(backend))
+        self.spawn(self._watch_backend(backend))
+        for part in self.crashes:
+            self._order(backend, f"crash {part}")
         await self.put_backend(backend, "ready")
         return backend
 
@@ -386,8 +413,39 @@
 
     def set_fault(self, backend: Backend, fault: str) -> None:
         """Sets the fault that a backend server injects into its requests."""
+        self._order(backend, fault)
+
+    def _order(self, backend: Backend, order: str) -> None:
         if not backend.killed and backend.process.stdin is not None:
-            backend.process.stdin.write(fault.encode() + b"\n")
+            backend.process.stdin.write(order.encode() + b"\n")
+
+    def begin_bad_part(self) -> str:
+        """Lets callers send a new prompt part that crashes servers; returns it."""
+        part = f"bad-{len(self.crashes)}"
+        self.crashes[part] = []
+        for backend in self.backends:
+            self._order(backend, f"crash {part}")
+        self.bad_part = part
+        return part
+
+    def end_bad_part(self) -> None:
+        """Lets callers stop to send the part that crashes servers."""
+        self.bad_part_ended_at[self.bad_part] = time.monotonic()
+        self.bad_part = ""
+
+    async def _watch_backend(self, backend: Backend) -> None:
+        """Replaces a backend server that crashed by itself."""
+        await backend.process.wait()
+        if backend.killed:
+            return
+        backend.killed = True
+        await backend.link.stop()  # its address refuses connections
+        self.crashes[list(self.crashes)[-1]].append(time.monotonic())
+        self.record_disturbance("backend_crash", "all", lasts_s=CRASH_LASTS_S)
+        await asyncio.sleep(RESTART_S)
+        await self.start_backend()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.store.remove("servers", backend.id)
 
     def list_active_backends(self) -> list[Backend]:
         """Lists the backend servers that run and are not draining."""
