Split the records of held parts from the datagrams that exchange them

The daemon of our own interface is to hold back prompt parts too; it exchanges messages in another way. prompt_holds keeps one daemon's records, what is held and the wire form; edge/part_quarantine keeps the check of servers, the datagrams and the trials.

--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -2,16 +2,15 @@
 
 A daemon whose streams break on a server checks whether the server has ended, and then
 reports the parts of these requests to a few other daemons. Each daemon decides from the
-records that it has; `policy.quarantine` makes the decision. When a part becomes held
-or is released, the record passes from daemon to daemon at once; every daemon also asks
-a random other one for what it has missed.
+records that it has. When a part becomes held or is released, the record passes from
+daemon to daemon at once; every daemon also asks a random other one for what it has
+missed, and `hold_store` tells daemons that reach no other.
 """
 
 import asyncio
 import logging
 import random
-from collections import OrderedDict
-from collections.abc import Coroutine, Iterable, Mapping
+from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, Final
@@ -20,16 +19,9 @@
 
 from ..hashing import hash_text
 from ..logs import log_event
-from ..policy.quarantine import (
-    Hold,
-    Observation,
-    PartRecord,
-    find_holds,
-    is_later,
-    is_outdated,
-    merge_record,
-)
+from ..policy.quarantine import PartRecord
 from ..policy.stream_version import rank_keepers
+from ..prompt_holds import MAX_PARTS, TRIAL_S, PromptHolds, WireRecord
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
 from .hold_store import HoldStore
@@ -41,42 +33,23 @@
 # First bytes of this module's datagrams; no other message begins with them.
 DATAGRAM_MARK: Final = b"\xc1\xc1"
 N_KEEPERS: Final = 8  # daemons that each part's records are reported to
-MAX_RECORDS: Final = 512
-# Parts answered within the time that an answer counts as proof, at 50 a second.
-MAX_ANSWERED: Final = 8_192
-MAX_PARTS: Final = 64  # of one prompt that are recorded
 MAX_HELD_TOLD: Final = 32  # held parts named in one datagram
-MAX_OBSERVATIONS_TOLD: Final = 32  # in one datagram, 30 bytes each
+MAX_LOGGED_PARTS: Final = 16
 PROBE_TIMEOUT_S: Final = 0.4
 PROBE_PAUSE_S: Final = 0.5
+N_PROBES: Final = 12  # entries of servers that ended silently are gone by then
 # A repeat of a broken request waits this long to learn whether its server has ended.
 CHECK_WAIT_S: Final = 0.1
-N_PROBES: Final = 12  # entries of servers that ended silently are gone by then
 PULL_INTERVAL_S: Final = 1.0
 # A daemon that has just started asks more often.
 STARTUP_PULL_S: Final = 0.25
 STARTUP_S: Final = 3.0
-TRIAL_S: Final = 10.0  # one request may try a held part in this time
-
-
-class _Record(msgspec.Struct, frozen=True, array_like=True):
-    """A record on the wire, with ages in place of times.
-
-    Attributes:
-        part: hash of the part's id.
-        answered_age: age of the latest complete answer, seconds; None for none.
-        observations: server, reporter, age, requests and depth.
-    """
-
-    part: int
-    answered_age: float | None
-    observations: tuple[tuple[int, int, float, int, int], ...]
 
 
 class _Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """Records of the sender."""
 
-    records: tuple[_Record, ...]
+    records: tuple[WireRecord, ...]
 
 
 class _Pull(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
@@ -117,9 +90,7 @@
     record: BackendRecord
     broke_at: float
     prompts: list[tuple[str, ...]] = field(default_factory=list)
-    checked: asyncio.Future[None] = field(
-        default_factory=lambda: asyncio.get_running_loop().create_future()
-    )
+    checked: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class PartQuarantine:
@@ -135,28 +106,26 @@
     def __init__(
         self, *, name: str, store: Endpoint, members: Members, table: BackendTable
     ) -> None:
+        self.state = PromptHolds(
+            name=name, read_clock=read_boottime, on_change=self._pass_on
+        )
         self._name = name
-        self._reporter = hash_text(name)
         self._members = members
         self._table = table
-        self._records: OrderedDict[int, PartRecord] = OrderedDict()
-        self._answered: OrderedDict[int, float] = OrderedDict()
-        self._holds: dict[int, Hold] = {}
-        self._trials: dict[int, float] = {}
         self._broken: dict[str, _BrokenServer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._hold_store = HoldStore(
             address=store,
             members=members,
             list_owned=self._list_owned,
-            merge=self._merge_ages,
+            merge=self.state.merge_ages,
         )
         members.bind_messages(self._receive, DATAGRAM_MARK)
 
     @property
     def n_held(self) -> int:
         """Number of parts held back."""
-        return len(self._holds)
+        return len(self.state.holds)
 
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
@@ -170,64 +139,24 @@
 
     def admit(self, parts: tuple[str, ...]) -> PartAdmission:
         """Decides whether a prompt with these shared parts may be sent to a server."""
-        if not self._holds or not parts:
+        if not self.state.holds:
             return PartAdmission()
-        now = read_boottime()
-        held = [key for key in map(hash_text, parts) if key in self._holds]
+        held = self.state.list_held(map(hash_text, parts))
         if not held:
             return PartAdmission()
-        wait_s = max(self._holds[key].until for key in held) - now
-        if wait_s <= 0 and all(self._may_try(key, now) for key in held):
-            self._trials.update(dict.fromkeys(held, now))
-            log_event(LOGGER, "part_tried", parts=_render_keys(held))
+        wait_s = self.state.find_wait(held)
+        if wait_s <= 0 and all(map(self._is_first_keeper, held)):
+            self.state.begin_trial(held)
             return PartAdmission(is_trial=True)
         return PartAdmission(wait_s=max(wait_s, TRIAL_S))
 
     def is_held(self, parts: tuple[str, ...]) -> bool:
         """Tells whether any of these shared parts is held."""
-        return bool(self._holds) and any(hash_text(p) in self._holds for p in parts)
-
-    def _may_try(self, key: int, now: float) -> bool:
-        """Tells whether this daemon is the one that tries a part, and may do so now."""
-        if now - self._trials.get(key, float("-inf")) < TRIAL_S:
-            return False
-        return self._is_first_keeper(key)
-
-    def _is_first_keeper(self, key: int) -> bool:
-        names = [m.name for m in self._members.list_alive() if not m.leaving]
-        return rank_keepers(str(key), [*names, self._name])[0] == self._name
-
-    def _list_owned(self) -> dict[int, PartRecord]:
-        """Lists the held parts that this daemon writes to the store, with ages."""
-        now = read_boottime()
-        return {
-            key: _swap_times(self._records[key], now)
-            for key in self._holds
-            if self._is_first_keeper(key)
-        }
-
-    def _merge_ages(self, records: Mapping[int, PartRecord]) -> None:
-        """Adds records with ages in place of times."""
-        now = read_boottime()
-        for key, record in records.items():
-            merge_record(self._find_record(key), _swap_times(record, now))
-        self._decide("store")
+        return bool(self.state.list_held(map(hash_text, parts)))
 
     def note_answered(self, parts: tuple[str, ...]) -> None:
         """Records that a prompt with these shared parts was answered completely."""
-        now = read_boottime()
-        released = []
-        for key in map(hash_text, parts[:MAX_PARTS]):
-            self._answered.pop(key, None)
-            self._answered[key] = now
-            record = self._records.get(key)
-            if record is not None:
-                record.answered_at = now
-                released.append(key)
-        while len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
-        if released:
-            self._decide("answered")
+        self.state.note_answered(map(hash_text, parts))
 
     def note_broken(self, record: BackendRecord, parts: tuple[str, ...]) -> None:
         """Records that an answer broke off; finds out whether its server has ended."""
@@ -245,25 +174,31 @@
     async def await_check(self, record: BackendRecord) -> None:
         """Waits until it is known whether a server has ended, or for a short time."""
         broken = self._broken.get(record.backend.id)
-        if broken is not None:
-            await asyncio.wait((broken.checked,), timeout=CHECK_WAIT_S)
+        if broken is None:
+            return
+        try:
+            async with asyncio.timeout(CHECK_WAIT_S):
+                await broken.checked.wait()
+        except TimeoutError:
+            pass  # the check goes on
 
     async def _check_server(self, broken: _BrokenServer) -> None:
         has_ended = await self._has_ended(broken.record)
         backend = broken.record.backend
         del self._broken[backend.id]
+        parts = sorted({part for prompt in broken.prompts for part in prompt})
         log_event(
             LOGGER,
             "backend_ended" if has_ended else "backend_still_up",
             backend=backend.id,
             version=backend.software_version,
             n_requests=len(broken.prompts),
-            parts=",".join(sorted({part for p in broken.prompts for part in p})[:16]),
+            parts=",".join(parts[:MAX_LOGGED_PARTS]),
             after_s=read_boottime() - broken.broke_at,
         )
         if has_ended:
             self._record_crash(broken)
-        broken.checked.set_result(None)
+        broken.checked.set()
 
     async def _has_ended(self, record: BackendRecord) -> bool:
         """Tells whether a server whose answers broke off has ended.
@@ -283,62 +218,29 @@
     def _record_crash(self, broken: _BrokenServer) -> None:
         backend = broken.record.backend
         server = hash_text(f"{backend.id}/{backend.started_ms}")
-        keys = set()
-        for prompt in broken.prompts:
-            for depth, key in enumerate(map(hash_text, prompt)):
-                record = self._find_record(key)
-                own = record.observations.get((server, self._reporter))
-                n_requests = 1 + (own.n_requests if own is not None else 0)
-                record.observations[server, self._reporter] = Observation(
-                    broken.broke_at, n_requests, depth
-                )
-                keys.add(key)
-        self._decide("crash")
+        prompts = [tuple(map(hash_text, prompt)) for prompt in broken.prompts]
+        keys = self.state.record_crash(server, prompts, broken.broke_at)
         # Parts that were on one server are reported together, so that each keeper can
         # tell the culprit from the others.
         alive = {m.name: m.address for m in self._members.list_alive()}
         keepers = {
-            name
-            for key in keys
-            if key in self._records
-            for name in rank_keepers(str(key), alive)[:N_KEEPERS]
+            name for key in keys for name in rank_keepers(str(key), alive)[:N_KEEPERS]
         }
         self._send_records(keys, [alive[name] for name in keepers])
 
-    def _find_record(self, key: int) -> PartRecord:
-        record = self._records.get(key)
-        if record is None:
-            answered_at = self._answered.get(key, float("-inf"))
-            record = self._records[key] = PartRecord(answered_at=answered_at)
-        self._records.move_to_end(key)
-        return record
-
-    def _decide(self, cause: str) -> None:
-        """Updates what is held; passes changes on to other daemons."""
-        now = read_boottime()
-        holds = find_holds(self._records, now=now)
-        changed = holds.keys() ^ self._holds.keys()
-        for key in sorted(changed):
-            record = self._records.get(key)
-            log_event(
-                LOGGER,
-                "part_held" if key in holds else "part_released",
-                part=f"{key:016x}",
-                cause=cause,
-                n_observations=len(record.observations) if record else 0,
-                hold_s=holds[key].until - now if key in holds else 0.0,
-                answered_s=now - record.answered_at if record else float("inf"),
-            )
-        self._holds = holds
-        self._trials = {k: at for k, at in self._trials.items() if k in holds}
-        for key, record in list(self._records.items()):
-            over = len(self._records) > MAX_RECORDS and key not in holds
-            if over or is_outdated(record, holds.get(key), now=now):
-                del self._records[key]
-        if changed:
-            alive = [member.address for member in self._members.list_alive()]
-            random.shuffle(alive)
-            self._send_records(changed | holds.keys(), alive[:FAN_OUT])
+    def _is_first_keeper(self, key: int) -> bool:
+        names = [m.name for m in self._members.list_alive() if not m.leaving]
+        return rank_keepers(str(key), [*names, self._name])[0] == self._name
+
+    def _list_owned(self) -> dict[int, PartRecord]:
+        """Lists the held parts that this daemon writes to the store, with ages."""
+        return self.state.list_ages(filter(self._is_first_keeper, self.state.holds))
+
+    def _pass_on(self, changed: frozenset[int]) -> None:
+        """Tells a few other daemons what became held or was released."""
+        alive = [member.address for member in self._members.list_alive()]
+        random.shuffle(alive)
+        self._send_records(changed | self.state.holds.keys(), alive[:FAN_OUT])
 
     async def _pull(self) -> None:
         """Asks a random daemon for what this one has missed, again and again."""
@@ -346,10 +248,9 @@
         while True:
             alive = self._members.list_alive()
             if alive:
-                held = tuple(list(self._holds)[:MAX_HELD_TOLD])
+                held = tuple(list(self.state.holds)[:MAX_HELD_TOLD])
                 self._send(random.choice(alive).address, _Pull(held))
-            if self._records:
-                self._decide("time")
+            self.state.decide("time")
             is_new = read_boottime() - began_at < STARTUP_S
             pause_s = STARTUP_PULL_S if is_new else PULL_INTERVAL_S
             await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
@@ -363,49 +264,16 @@
             return
         match message:
             case _Report(records):
-                self._merge(records, address)
+                # The sender did not know that these parts were answered here.
+                self._send_records(self.state.merge(records), [address])
             case _Pull(held):
-                if set(held) != self._holds.keys():
-                    known = {key for key in held if key in self._records}
-                    self._send_records(known | self._holds.keys(), [address])
-
-    def _merge(self, records: Iterable[_Record], address: Endpoint) -> None:
-        now = read_boottime()
-        disproved = []
-        is_new = False
-        for wire in records:
-            record = self._find_record(wire.part)
-            answered_at = record.answered_at
-            is_new |= merge_record(record, _decode_record(wire, now))
-            told_age = wire.answered_age
-            told_at = now - told_age if told_age is not None else float("-inf")
-            if is_later(answered_at, told_at):
-                disproved.append(wire.part)
-        if is_new:
-            self._decide("report")
-        # The sender did not know that the part was answered completely here.
-        self._send_records(disproved, [address])
+                if set(held) != self.state.holds.keys():
+                    self._send_records({*held, *self.state.holds}, [address])
 
     def _send_records(self, keys: Iterable[int], addresses: list[Endpoint]) -> None:
-        """Sends records in as few datagrams as fit."""
-        now = read_boottime()
-        batch: list[_Record] = []
-        n_observations = 0
-        batches = [batch]
-        for key in keys:
-            record = self._records.get(key)
-            if record is None:
-                continue
-            wire = _encode_record(key, record, now)
-            n_observations += 1 + len(wire.observations)
-            if batch and n_observations > MAX_OBSERVATIONS_TOLD:
-                batch = []
-                batches.append(batch)
-                n_observations = 1 + len(wire.observations)
-            batch.append(wire)
-        for part in filter(None, batches):
+        for records in self.state.export(keys):
             for address in addresses:
-                self._send(address, _Report(tuple(part)))
+                self._send(address, _Report(records))
 
     def _send(self, address: Endpoint, message: _Report | _Pull) -> None:
         self._members.send_message(address, _ENCODER.encode(message), DATAGRAM_MARK)
@@ -428,40 +296,3 @@
         return _Probe.SILENT
     transport.abort()
     return _Probe.ACCEPTED
-
-
-def _swap_times(record: PartRecord, now: float) -> PartRecord:
-    """Makes a record with ages of one with times, or the other way."""
-    return PartRecord(
-        observations={
-            key: seen._replace(at=now - seen.at)
-            for key, seen in record.observations.items()
-        }
-    )
-
-
-def _encode_record(key: int, record: PartRecord, now: float) -> _Record:
-    has_answer = record.answered_at != float("-inf")
-    return _Record(
-        key,
-        now - record.answered_at if has_answer else None,
-        tuple(
-            (server, reporter, now - o.at, o.n_requests, o.depth)
-            for (server, reporter), o in record.observations.items()
-        ),
-    )
-
-
-def _decode_record(wire: _Record, now: float) -> PartRecord:
-    age_s = wire.answered_age
-    return PartRecord(
-        observations={
-            (server, reporter): Observation(now - max(0.0, age), n_requests, depth)
-            for server, reporter, age, n_requests, depth in wire.observations
-        },
-        answered_at=float("-inf") if age_s is None else now - max(0.0, age_s),
-    )
-
-
-def _render_keys(keys: Iterable[int]) -> str:
-    return ",".join(f"{key:016x}" for key in keys)
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -598,7 +598,9 @@
 @then('the daemon still holds the part "{part}" and keeps at most {n:d} records')
 def step_check_memory(context: Context, part: str, n: int) -> None:
     assert is_held(context.quarantine, part)
-    assert len(context.quarantine._records) <= n, len(context.quarantine._records)
+    assert len(context.quarantine.state.records) <= n, len(
+        context.quarantine.state.records
+    )
 
 
 @then("a daemon that holds {n:d} parts sends at most {limit:d} bytes a second for them")
@@ -626,8 +628,8 @@
                 (5 * part + k, k): Observation(now - k, 1, 1) for k in range(5)
             }
         )
-    quarantine._records.update(records)
-    quarantine._decide("test")
+    quarantine.state.records.update(records)
+    quarantine.state.decide("test")
     assert quarantine.n_held == n
     n_told = len(sent)
     assert n_told <= 2 * FAN_OUT, n_told  # each change goes to a few daemons at once
