Hold back prompts that crash the engines of our own interface

The same class of fault in the other daemon: a prompt whose engine ends was sent to the next one, up to four times, and callers' repeats began anew. The parts are the messages of a chat, or the first 512 characters and the whole of a text. A thread probes an engine whose answer was cut; the relay keeps the records (prompt_holds) and exchanges them with other daemons by messages; held prompts are refused at admission, queued and handed over ones fail when the part becomes held.

--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -15,6 +15,7 @@
 
 from .admission import AdmissionQueue
 from .configurations import ConfigurationInForce
+from .engine_holds import EngineHolds
 from .errors import BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Slot
@@ -60,6 +61,7 @@
         settings: the relay's settings.
         in_force: the slot with the configurations in force.
         queue: the admission queue, which holds the pools.
+        holds: prompts that are held back.
         recorder: records decisions.
         random_state: source of retry jitter.
         callbacks: the relay's callbacks.
@@ -72,6 +74,7 @@
         settings: RelaySettings,
         in_force: Slot[Mapping[str, ConfigurationInForce]],
         queue: AdmissionQueue,
+        holds: EngineHolds,
         recorder: Recorder,
         random_state: random.Random,
         callbacks: AttemptCallbacks,
@@ -81,6 +84,7 @@
         self._settings = settings
         self._in_force = in_force
         self._queue = queue
+        self._holds = holds
         self._recorder = recorder
         self._random = random_state
         self._callbacks = callbacks
@@ -222,16 +226,13 @@
         if failure is not Failure.LEAVING:
             stream.n_failures += 1
             stream.excluded_backends.add(backend)
-        decision = decide_retry(
-            failure=failure,
-            idempotent=True,
-            n_attempts=stream.n_failures,
-            max_attempts=self._settings.max_attempts,
-            n_tokens=stream.n_tokens,
-            left_s=stream.deadline - now,
-            budget=self._budget,
-            random_state=self._random,
-        )
+        if failure is Failure.CUT:
+            self._note_broken(stream, backend)
+        decision: Retry | GiveUp
+        if self._holds.is_held(stream.request):
+            decision = GiveUp(reason="a part of the prompt is held back")
+        else:
+            decision = self._decide_retry(stream, failure, now)
         log_event(
             LOGGER,
             "attempt_ended",
@@ -258,6 +259,27 @@
                 )
                 self._callbacks.failed(stream, BerylpostError(kind, decision.reason))
 
+    def _decide_retry(
+        self, stream: Stream, failure: Failure, now: float
+    ) -> Retry | GiveUp:
+        return decide_retry(
+            failure=failure,
+            idempotent=True,
+            n_attempts=stream.n_failures,
+            max_attempts=self._settings.max_attempts,
+            n_tokens=stream.n_tokens,
+            left_s=stream.deadline - now,
+            budget=self._budget,
+            random_state=self._random,
+        )
+
+    def _note_broken(self, stream: Stream, backend: str) -> None:
+        pool = self._queue.find_pool(stream.request)
+        replica = pool.replicas.get(backend) if pool else None
+        # An engine that was to leave has not crashed.
+        if pool is not None and replica is not None and backend not in pool.leaving:
+            self._holds.note_broken(stream, backend, replica.address)
+
     def fail_stalled(self, now: float, streams: Mapping[str, Stream]) -> None:
         """Fails attempts that have not connected in time or have stalled."""
         for stream_id, upstream in list(self.open.items()):
--- /dev/null
+++ b/berylpost/engine_holds.py
@@ -0,0 +1,217 @@
+"""Prompts that the relay holds back because engines end while they answer them.
+
+Owned by the relay's thread. The parts of a prompt are the messages of a chat, or the
+beginning and the whole of a text. An engine whose answer was cut has ended if it
+refuses a new connection; another thread finds that out. The records go to other
+daemons by messages, as in `edge.part_quarantine`.
+"""
+
+import logging
+import random
+import socket
+import time
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any, Final
+
+from .errors import BerylpostError, ErrorKind
+from .hashing import hash_text
+from .kernel import Slot
+from .logs import log_event
+from .messages import Message, PartPull, PartReport
+from .policy.membership import Table, list_active
+from .policy.stream_version import rank_keepers
+from .prompt_holds import TRIAL_S, PromptHolds
+from .settings import split_endpoint
+from .streams import Stream, StreamRequest
+
+LOGGER: Final = logging.getLogger(__name__)
+
+N_KEEPERS: Final = 8  # daemons that each part's records are reported to
+FAN_OUT: Final = 8  # daemons that are told of a change at once
+MAX_HELD_TOLD: Final = 32  # held parts named in one message
+PREFIX_CHARS: Final = 512
+PROBE_TIMEOUT_S: Final = 0.4
+N_PROBE_THREADS: Final = 2
+PULL_INTERVAL_S: Final = 1.0
+# An engine may crash again under its id; two reports of one crash are closer.
+INCARNATION_S: Final = 0.5
+TRIAL_MEMORY_S: Final = 600.0  # a request that tries a part has ended by then
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineChecked:
+    """Whether an engine whose answer was cut has ended; posted by the probe."""
+
+    backend: str
+    has_ended: bool
+    broke_at: float
+    parts: tuple[int, ...]
+
+
+class EngineHolds:
+    """What the relay of one daemon holds back.
+
+    Args:
+        self_id: id of this daemon.
+        members: the slot with the table of members.
+        send: sends a message to a member.
+        post: puts a message into the relay's mailbox; callable from any thread.
+        on_held: called when a part has become held.
+    """
+
+    def __init__(
+        self,
+        *,
+        self_id: str,
+        members: Slot[Table],
+        send: Callable[[str, Message], None],
+        post: Callable[[Any], None],
+        on_held: Callable[[], None],
+    ) -> None:
+        self._self_id = self_id
+        self._members = members
+        self._send = send
+        self._post = post
+        self._on_held = on_held
+        self._state = PromptHolds(
+            name=self_id, read_clock=time.monotonic, on_change=self._pass_on
+        )
+        self._trials: dict[str, float] = {}
+        self._next_pull_at = 0.0
+        self._probes = ThreadPoolExecutor(N_PROBE_THREADS, thread_name_prefix="probe")
+
+    def stop(self) -> None:
+        """Ends the threads that probe engines."""
+        self._probes.shutdown(wait=False, cancel_futures=True)
+
+    def admit(self, request: StreamRequest) -> BerylpostError | None:
+        """Decides on a new request; returns the refusal of a held prompt."""
+        held = self._state.list_held(list_parts(request))
+        if not held:
+            return None
+        wait_s = self._state.find_wait(held)
+        if wait_s <= 0 and all(map(self._is_first_keeper, held)):
+            self._state.begin_trial(held)
+            self._trials[request.id] = time.monotonic()
+            return None
+        return BerylpostError(
+            ErrorKind.QUARANTINED,
+            "a part is held back",
+            retry_after_s=max(wait_s, TRIAL_S),
+        )
+
+    def is_held(self, request: StreamRequest) -> bool:
+        """Tells whether an accepted request must not be sent to an engine."""
+        if not self._state.holds or request.id in self._trials:
+            return False
+        return bool(self._state.list_held(list_parts(request)))
+
+    def note_answered(self, request: StreamRequest) -> None:
+        """Records that a request was answered completely."""
+        self._state.note_answered(list_parts(request))
+
+    def note_broken(self, stream: Stream, backend: str, address: str) -> None:
+        """Records that an engine's answer was cut; finds out whether it has ended."""
+        self._trials.pop(stream.request.id, None)
+        broke_at = time.monotonic()
+        parts = list_parts(stream.request)
+
+        def check() -> None:
+            self._post(
+                EngineChecked(
+                    backend=backend,
+                    has_ended=_refuses_connections(address),
+                    broke_at=broke_at,
+                    parts=parts,
+                )
+            )
+
+        self._probes.submit(check)
+
+    def handle_checked(self, message: EngineChecked) -> None:
+        """Records a crash and reports it to the parts' keepers."""
+        log_event(
+            LOGGER,
+            "backend_ended" if message.has_ended else "backend_still_up",
+            backend=message.backend,
+            parts=",".join(f"{key:016x}" for key in message.parts[:8]),
+        )
+        if not message.has_ended:
+            return
+        crashed_at = time.time() - (time.monotonic() - message.broke_at)
+        server = hash_text(f"{message.backend}/{int(crashed_at / INCARNATION_S)}")
+        keys = self._state.record_crash(server, [message.parts], message.broke_at)
+        others = self._list_others()
+        keepers = {
+            name for key in keys for name in rank_keepers(str(key), others)[:N_KEEPERS]
+        }
+        self._send_records(keys, keepers)
+
+    def handle_report(self, report: PartReport) -> None:
+        """Adds another daemon's records; answers what they did not know."""
+        self._send_records(self._state.merge(report.records), [report.sender])
+
+    def handle_pull(self, pull: PartPull) -> None:
+        """Answers with what the other daemon has missed."""
+        if set(pull.held) != self._state.holds.keys():
+            self._send_records({*pull.held, *self._state.holds}, [pull.sender])
+
+    def tick(self, now: float) -> None:
+        """Lets holds end in time and asks a random daemon for what was missed."""
+        if now < self._next_pull_at:
+            return
+        self._next_pull_at = now + PULL_INTERVAL_S
+        self._state.decide("time")
+        self._trials = {
+            name: at for name, at in self._trials.items() if now - at < TRIAL_MEMORY_S
+        }
+        others = self._list_others()
+        if others:
+            held = tuple(list(self._state.holds)[:MAX_HELD_TOLD])
+            self._send(random.choice(others), PartPull(sender=self._self_id, held=held))
+
+    def _pass_on(self, changed: frozenset[int]) -> None:
+        others = self._list_others()
+        targets = random.sample(others, min(FAN_OUT, len(others)))
+        self._send_records(changed | self._state.holds.keys(), targets)
+        self._on_held()
+
+    def _is_first_keeper(self, key: int) -> bool:
+        names = [*self._list_others(), self._self_id]
+        return rank_keepers(str(key), names)[0] == self._self_id
+
+    def _list_others(self) -> list[str]:
+        active = list_active(self._members.read())
+        return [member.id for member in active if member.id != self._self_id]
+
+    def _send_records(self, keys: Iterable[int], targets: Iterable[str]) -> None:
+        for records in self._state.export(keys):
+            for target in targets:
+                self._send(target, PartReport(sender=self._self_id, records=records))
+
+
+def list_parts(request: StreamRequest) -> tuple[int, ...]:
+    """Lists the hashes of the parts of a prompt, the most shared one first."""
+    if request.chat:
+        texts = [_join_message(message) for message in request.body["messages"]]
+    else:
+        prompt = request.prompt
+        texts = [prompt[:PREFIX_CHARS], prompt]
+    return tuple(dict.fromkeys(map(hash_text, texts)))
+
+
+def _join_message(message: Mapping[str, Any]) -> str:
+    return f"{message['role']}:{message['content']}"
+
+
+def _refuses_connections(address: str) -> bool:
+    """Tells whether an engine's process has ended; a cut link does not tell."""
+    try:
+        socket.create_connection(split_endpoint(address), PROBE_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError as error:
+        log_event(LOGGER, "probe_failed", address=address, error=error)
+    return False
--- a/berylpost/fakes/engine.py
+++ b/berylpost/fakes/engine.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from .server import FakeServer, Reply, Request, reply_json
+from .server import CRASH_S, FakeServer, Reply, Request, reply_json
 
 VOCABULARY: Final = tuple(
     "silage pulp whey manure straw glycerol rind mash sludge husk load tonne bay gate "
@@ -98,6 +98,7 @@
         self.orders: list[dict[str, Any]] = []
         self._cached_blocks: OrderedDict[str, None] = OrderedDict()
         self._slots = asyncio.Semaphore(shape.slots)
+        self._crash: asyncio.Future[None] | None = None
         self.server = FakeServer(endpoint=endpoint, handle=self._handle)
 
     def give_notice(self) -> None:
@@ -196,7 +197,11 @@
             limit = int(body.get("max_tokens", 16))
             chat = "messages" in body
             due = time.monotonic()
+            crash_on = self.server.faults.crash_on
             for n, word in enumerate(generate_words(text), 1):
+                if crash_on and crash_on in text and n > 1:
+                    self._crash = asyncio.ensure_future(self.server.crash())
+                    await asyncio.sleep(CRASH_S)
                 due += self.shape.token_s
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
                 self.generated_tokens += 1
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -17,6 +17,7 @@
 from ..settings import split_endpoint
 
 READ_BYTES: Final = 65_536
+CRASH_S: Final = 0.6  # from a crash until the server is back
 REASONS: Final = {200: "OK", 201: "Created", 404: "Not Found", 503: "Unavailable"}
 
 
@@ -72,6 +73,8 @@
             connection closed gracefully, instead of reset.
         framed: whether streamed responses have chunks; if not, they end with their
             connection.
+        crash_on: text in the prompts that crash an engine which begins to answer them;
+            it is back after `CRASH_S`. Empty for none.
         match: text that the path of affected requests contains; does not limit cuts.
         methods: methods of affected requests; empty for all; does not limit cuts.
     """
@@ -84,6 +87,7 @@
     cuts: int = 0
     closes: bool = False
     framed: bool = True
+    crash_on: str = ""
     match: str = ""
     methods: tuple[str, ...] = ()
 
@@ -123,6 +127,7 @@
         faults: faults to inject, replaced by `POST /fault`.
         refused_ips: IP addresses of clients whose requests are refused with 503.
         n_calls: requests received so far, refused ones included, `/fault` excluded.
+        n_crashes: number of crashes so far.
     """
 
     def __init__(self, *, endpoint: str, handle: Handler) -> None:
@@ -130,6 +135,7 @@
         self.faults = FaultPlan()
         self.refused_ips: set[str] = set()
         self.n_calls = 0
+        self.n_crashes = 0
         self._handle = handle
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -148,6 +154,15 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
+    async def crash(self) -> None:
+        """Ends the server and starts it again after `CRASH_S`."""
+        if self._server is None or not self._server.is_serving():
+            return
+        self.n_crashes += 1
+        await self.stop()
+        await asyncio.sleep(CRASH_S)
+        await self.start()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/berylpost/messages.py
+++ b/berylpost/messages.py
@@ -13,6 +13,7 @@
 
 from .configuration import AuditEntry, VersionedConfiguration
 from .errors import ErrorKind, ExecutionStatus
+from .prompt_holds import WireRecord
 
 
 class Member(Struct, frozen=True, kw_only=True, array_like=True):
@@ -239,6 +240,18 @@
     accepted: bool
 
 
+class PartReport(_Tagged, frozen=True, kw_only=True):
+    """Carries records of prompt parts that were on engines when these ended."""
+
+    records: tuple[WireRecord, ...]
+
+
+class PartPull(_Tagged, frozen=True, kw_only=True):
+    """Asks for records of held parts; `held` names those that the sender holds."""
+
+    held: tuple[int, ...]
+
+
 class Notice(_Tagged, frozen=True, kw_only=True):
     """Sends an update to a member at once instead of with the next probe."""
 
@@ -262,6 +275,8 @@
     | Handover
     | HandoverAnswer
     | Notice
+    | PartReport
+    | PartPull
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -47,6 +47,8 @@
     Notice,
     OutcomeAnswer,
     OutcomeReport,
+    PartPull,
+    PartReport,
     Probe,
     ProbeAnswer,
     SyncDigest,
@@ -101,6 +103,8 @@
     OutcomeAnswer: "services",
     Handover: "drain",
     HandoverAnswer: "drain",
+    PartReport: "relay",
+    PartPull: "relay",
 }
 
 
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -23,13 +23,14 @@
 from .callers import Caller
 from .configurations import ConfigurationInForce
 from .connections import Connections
+from .engine_holds import EngineChecked, EngineHolds
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Context, Inbox, Plugin, Slot, register_plugin, run_step
-from .messages import Backend, HeldRequest
+from .messages import Backend, HeldRequest, PartPull, PartReport
 from .metrics import OPEN_STREAMS, QUEUED_STREAMS, REFUSALS, REQUESTS
 from .movers import CacheMover, make_cache_mover
-from .peers import BackendsReceived
+from .peers import BackendsReceived, Send
 from .reclaims import CacheMoved, Reclaims
 from .recording import Recorder
 from .relay_messages import (
@@ -104,11 +105,21 @@
         self._queue = AdmissionQueue(
             settings=self._settings, in_force=self._in_force, recorder=recorder
         )
+        self._holds = EngineHolds(
+            self_id=context.settings.daemon.id,
+            members=context.slots["members"],
+            send=lambda to, message: context.post(
+                "peers", Send(to=to, message=message)
+            ),
+            post=self.post,
+            on_held=self._fail_held,
+        )
         self._attempts = Attempts(
             selector=self._selector,
             settings=self._settings,
             in_force=self._in_force,
             queue=self._queue,
+            holds=self._holds,
             recorder=recorder,
             random_state=random_state,
             callbacks=AttemptCallbacks(
@@ -140,6 +151,9 @@
             CountOpen: lambda m: m.result.set_result(self._count_open()),
             BackendsReceived: self._handle_backends_received,
             CacheMoved: self._reclaims.handle_cache_moved,
+            EngineChecked: self._holds.handle_checked,
+            PartReport: self._holds.handle_report,
+            PartPull: self._holds.handle_pull,
         }
 
     # Lifecycle and event loop of the task.
@@ -155,6 +169,7 @@
         self._inbox.wake()
         if self._thread is not None:
             self._thread.join(5)
+        self._holds.stop()
         self._attempts.close()
         self._connections.close()
         self._selector.close()
@@ -277,7 +292,7 @@
     def _admit(self, request: StreamRequest, now: float) -> BerylpostError | None:
         if self._leaving:
             return BerylpostError(ErrorKind.LEAVING, "use another address")
-        return self._queue.admit(request, now)
+        return self._holds.admit(request) or self._queue.admit(request, now)
 
     def _start_queued(self) -> None:
         self._queue.start_queued(time.monotonic(), self._attempts.start)
@@ -286,6 +301,18 @@
         self._reclaims.refresh_pools()
         self._start_queued()
 
+    def _fail_held(self) -> None:
+        """Fails queued requests whose prompt has become held."""
+        for stream in list(self._queue.queued.values()):
+            if self._holds.is_held(stream.request):
+                self._fail_one_held(stream)
+
+    def _fail_one_held(self, stream: Stream) -> None:
+        kind = ErrorKind.QUARANTINED
+        if stream.n_attempts or stream.n_tokens:
+            kind = ErrorKind.ANSWER_CUT if stream.n_tokens else ErrorKind.BACKEND_FAILED
+        self._fail(stream, BerylpostError(kind, "a part of the prompt is held back"))
+
     # End of requests.
 
     def _end_orphan(self, stream_id: str) -> None:
@@ -297,6 +324,7 @@
 
     def _finish(self, stream: Stream, reason: str, now: float) -> None:
         stream.finish_reason = reason
+        self._holds.note_answered(stream.request)
         self._attempts.close_attempt(stream, now - stream.started_at)
         self._end(stream, StreamState.DONE, "done")
 
@@ -396,6 +424,7 @@
                 if message.on_end is None:
                     self._connections.orphans[held.id] = now
                 self._queue.add(stream)
+        self._fail_held()
         self._start_queued()
 
     def _restore_stream(self, held: HeldRequest, now: float) -> Stream:
@@ -416,6 +445,7 @@
 
     def _tick(self, now: float) -> None:
         self._fail_overdue(now)
+        self._holds.tick(now)
         self._attempts.fail_stalled(now, self._streams)
         grace = self._settings.orphan_grace_s
         for stream_id, since in list(self._connections.orphans.items()):
