--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from steps.request_steps import make_document, set_engine_faults
+from steps.request_steps import make_document
 from steps.shared import MODEL
 
 from berylpost.client import Client, Problem
@@ -31,7 +31,8 @@
 
 @given('engines crash on prompts with the text "{text}"')
 def step_crash(context: Context, text: str) -> None:
-    set_engine_faults(context, crash_on=text)
+    for engine in context.fleet.world.world.engines.values():
+        context.fleet.set_fault(engine.server.endpoint, crash_on=text)
     context.crash_text = text
 
 
