--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -267,6 +267,7 @@
         try:
             head = await self._await_head(context, exchange)
             answer_s = read_boottime() - sent_at
+            self._note_limit(record, head)
             if head.status == 421 or head.find(names.NOT_EXECUTED):
                 await self._await_body(context, exchange)
                 complete = True
@@ -316,6 +317,18 @@
             else:
                 connection.abort()
 
+    def _note_limit(self, record: BackendRecord, head: AnswerHead) -> None:
+        """Logs a change of the request rate that a server names in its answers."""
+        value = head.find(names.RATE_LIMIT).decode("latin-1")
+        if value != record.named_limit:
+            record.named_limit = value
+            log_event(
+                LOGGER,
+                "backend_limit",
+                backend=record.backend.id,
+                limit=value or "none",
+            )
+
     def _note_break(
         self,
         context: RequestContext,
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -1,5 +1,6 @@
 """Conversion between HTTP headers and berylpost's types."""
 
+import re
 from collections.abc import Iterable, Sequence
 from typing import Final
 from urllib.parse import unquote
@@ -24,6 +25,7 @@
     }
 )
 MAX_DIGITS: Final = 18
+RATE_PATTERN: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 MAX_DEADLINE_S: Final = 86_400.0  # larger values are ignored as errors of the caller
 
 
@@ -132,6 +134,14 @@
     return LoadReport(running, waiting, slots)
 
 
+def parse_rate_limit(value: bytes) -> float | None:
+    """Parses the requests a second that a server takes; None if it is malformed."""
+    text = value.strip()
+    if not RATE_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
 def parse_keep_alive(value: bytes) -> float | None:
     """Parses the seconds for which a server keeps an idle connection open."""
     for part in value.split(b","):
--- a/berylpost/platform/names.py
+++ b/berylpost/platform/names.py
@@ -41,6 +41,7 @@
 # Headers of backend servers' responses.
 SIGNATURE: Final = b"x-berylpost-replica-signature"
 LOAD: Final = b"x-berylpost-replica-load"
+RATE_LIMIT: Final = b"server-limit"
 NOT_EXECUTED: Final = b"x-berylpost-not-executed"
 
 # Headers of duty calls.
