--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -9,6 +9,7 @@
 import json
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
@@ -60,6 +61,9 @@
         crashing_parts: prompt parts that crash the server when it begins to answer a
             request that shares one of them.
         fault: key of `FAULTS` for the next requests.
+        limit: value of the header that names the requests a second that the server
+            takes; empty for none.
+        received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
         unframed_moves: whether the answer to a move has no length.
         loses_moves: whether to stop the run on a move without answering the call.
@@ -89,6 +93,8 @@
         self.port = port
         self.version = version
         self.fault = "none"
+        self.limit = ""
+        self.received_at: list[float] = []
         self.work_s = 0.0
         self.loses_moves = False
         self.unframed_moves = False
@@ -165,6 +171,7 @@
                 return False
             _write(writer, 200, {}, body)
             return True
+        self.received_at.append(time.monotonic())
         self.methods.append(parser.get_method().decode())
         self.received.append(incoming)
         if incoming.headers.get("x-berylpost-expect-replica") != self.id:
@@ -213,12 +220,15 @@
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
-def _make_headers(incoming: _IncomingRequest) -> dict[str, str]:
-    return {
+def _make_headers(replica: Replica, incoming: _IncomingRequest) -> dict[str, str]:
+    headers = {
         "X-Berylpost-Attempt-Id": incoming.headers.get("x-berylpost-attempt-id", ""),
         "X-Berylpost-Replica-Signature": SIGNATURE,
         "X-Berylpost-Replica-Load": "1,0,8",
     }
+    if replica.limit:
+        headers["Server-Limit"] = replica.limit
+    return headers
 
 
 def _record_run(replica: Replica, incoming: _IncomingRequest) -> None:
@@ -238,7 +248,7 @@
     if _is_stream(incoming):
         return await _stream_events(replica, incoming, writer, n_events=N_EVENTS)
     await asyncio.sleep(replica.work_s)
-    _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
+    _write(writer, 200, _make_headers(replica, incoming), b"echo:" + incoming.body)
     return True
 
 
@@ -276,7 +286,9 @@
         writer.write(b"%x\r\n" % len(data) + data + b"\r\n" if chunked else data)
 
     head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-    head += [f"{name}: {value}" for name, value in _make_headers(incoming).items()]
+    head += [
+        f"{name}: {value}" for name, value in _make_headers(replica, incoming).items()
+    ]
     if chunked:
         head.append("Transfer-Encoding: chunked")
     writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
@@ -321,7 +333,7 @@
         return await _stream_events(
             replica, incoming, writer, n_events=3, end=StreamEnd.RESET, rest=rest
         )
-    headers = {**_make_headers(incoming), "Content-Length": "500"}
+    headers = {**_make_headers(replica, incoming), "Content-Length": "500"}
     lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\nhalf")
     await writer.drain()
@@ -333,7 +345,7 @@
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Refuses the request as if full, marked as not executed."""
-    headers = {**_make_headers(incoming), "X-Berylpost-Not-Executed": "1"}
+    headers = {**_make_headers(replica, incoming), "X-Berylpost-Not-Executed": "1"}
     _write(writer, 503, headers, b"")
     return True
 
@@ -343,7 +355,7 @@
 ) -> bool:
     """Runs the request and responds with status 500."""
     _record_run(replica, incoming)
-    _write(writer, 500, _make_headers(incoming), b"failed")
+    _write(writer, 500, _make_headers(replica, incoming), b"failed")
     return True
 
 
@@ -362,8 +374,8 @@
 ) -> bool:
     """Sends a complete response and then a second one with another attempt id."""
     _record_run(replica, incoming)
-    _write(writer, 200, _make_headers(incoming), b"echo:" + incoming.body)
-    headers = {**_make_headers(incoming), "X-Berylpost-Attempt-Id": "0ther"}
+    _write(writer, 200, _make_headers(replica, incoming), b"echo:" + incoming.body)
+    headers = {**_make_headers(replica, incoming), "X-Berylpost-Attempt-Id": "0ther"}
     _write(writer, 200, headers, b"not yours")
     return True
 
@@ -372,7 +384,7 @@
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a response with another attempt id before the right one."""
-    headers = {**_make_headers(incoming), "X-Berylpost-Attempt-Id": "0ther"}
+    headers = {**_make_headers(replica, incoming), "X-Berylpost-Attempt-Id": "0ther"}
     _write(writer, 200, headers, b"not yours")
     return await _answer(replica, incoming, writer)
 
@@ -387,7 +399,7 @@
             replica, incoming, writer, n_events=N_EVENTS, chunked=False
         )
     lines = ["HTTP/1.1 200 OK"]
-    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:" + incoming.body)
     await writer.drain()
     writer.close()
@@ -400,7 +412,7 @@
     """Sends part of a response without a length and resets the connection."""
     _record_run(replica, incoming)
     lines = ["HTTP/1.1 200 OK"]
-    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:")
     await writer.drain()
     await asyncio.sleep(0.05)
@@ -458,7 +470,7 @@
 ) -> bool:
     """Sends a successful response without the server's signature."""
     _record_run(replica, incoming)
-    headers = _make_headers(incoming)
+    headers = _make_headers(replica, incoming)
     del headers["X-Berylpost-Replica-Signature"]
     _write(writer, 200, headers, b"echo:")
     return True
@@ -470,7 +482,7 @@
     """Begins to answer and then ends the whole server."""
     _record_run(replica, incoming)
     lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-    lines += [f"{n}: {v}" for n, v in _make_headers(incoming).items()]
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
     lines.append("Transfer-Encoding: chunked")
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n8\r\nid: 1\nda\r\n")
     await asyncio.sleep(CRASH_DELAY_S)
