Keep the request rate that a server names, shared by all daemons

Cause: nothing read the header; each daemon sent what its placement said. The class: what a server says of itself in its answers is dropped in decoding.

The adapter decodes the header; a malformed one is ignored with a log line. A daemon that learns of a rate or of its end tells eight others, which pass it on; each asks a random one every second, more often after its start. The rate belongs to one start of a server. Since it may be far below one request a second for each daemon, it is shared as time slots: one for each daemon in a period, spread evenly, unused ones expire. Shares grow by a third at most while daemons are missing, so that parts that cannot hear each other stay below one and a half times the rate together. Requests go to other servers first, wait for a slot within their objective, or are refused at once as not run with the time to come back; repeats take a slot, runs move to servers that have one.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -68,7 +68,7 @@
         n_cached_tokens: sum of the tokens in `cached_parts`.
         shutdown_at: boot-time clock at which a leaving server shuts down, else None.
         leaving: set once the server is known to be leaving.
-        named_limit: requests a second that its last answer names, as sent.
+        bad_limit: malformed request rate that it named last.
     """
 
     def __init__(self, *, backend: Backend, n_connections: int) -> None:
@@ -86,7 +86,7 @@
         self.n_cached_tokens = 0
         self.shutdown_at: float | None = None
         self.leaving = asyncio.Event()
-        self.named_limit = ""
+        self.bad_limit = b""
 
 
 class BackendTable:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -34,6 +34,7 @@
 from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .registration import Registration
+from .server_limits import ServerLimits
 from .store_watch import StoreWatch
 from .stream_origins import StreamOrigins
 from .usage import Usage
@@ -112,11 +113,15 @@
             members=self.members,
             table=self.table,
         )
+        self.limits = ServerLimits(
+            name=settings.name, members=self.members, table=self.table
+        )
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
             table=self.table,
             origins=self.origins,
             quarantine=self.quarantine,
+            limits=self.limits,
             quotas=self.quotas,
             usage=self.usage,
             work_meter=self.work,
@@ -177,6 +182,7 @@
         self.watch.start()
         self.notice_poller.start()
         self.quarantine.start()
+        self.limits.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -226,6 +232,7 @@
         self.watch.stop()
         self.notice_poller.stop()
         self.quarantine.stop()
+        self.limits.stop()
         self.members.announce(everyone=True)
         self.members.stop()
         for task in self._tasks:
@@ -240,6 +247,7 @@
         self.watch.stop()
         self.notice_poller.stop()
         self.quarantine.stop()
+        self.limits.stop()
         self.registration.stop()
         self.members.stop()
         if self.duties is not None:
@@ -329,6 +337,7 @@
             "confirmation_age_seconds": round(age_s, 3),
             "busy_connections": self.front.count_busy(),
             "held_parts": self.quarantine.n_held,
+            "limited_servers": self.limits.n_limited,
         }
         opened = sum(record.pool.n_opened for record in self.table.records.values())
         counters = {
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -17,6 +17,7 @@
     decode_request,
     filter_response_headers,
     parse_load,
+    parse_rate_limit,
     render_request,
 )
 from ..policy.repeat import AttemptOutcome, may_retry
@@ -29,6 +30,7 @@
 from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .routing import Router
+from .server_limits import ServerLimits
 from .stream_origins import StreamOrigins
 from .stream_relay import StreamRelay
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
@@ -69,6 +71,7 @@
         table: state of the backend servers.
         origins: software versions of the streams that callers take up.
         quarantine: prompt parts that are held back.
+        limits: request rates that servers name.
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
         work_meter: measures the work that callers' requests cause.
@@ -83,6 +86,7 @@
         table: BackendTable,
         origins: StreamOrigins,
         quarantine: PartQuarantine,
+        limits: ServerLimits,
         quotas: Quotas,
         usage: Usage,
         work_meter: WorkMeter,
@@ -91,8 +95,11 @@
         self.admission = Admission(
             catalogue=catalogue, quotas=quotas, quarantine=quarantine
         )
-        self._router = Router(table=table, work_meter=work_meter)
-        self._relay = StreamRelay(table=table, record_origin=origins.record)
+        self._router = Router(table=table, limits=limits, work_meter=work_meter)
+        self._relay = StreamRelay(
+            table=table, limits=limits, record_origin=origins.record
+        )
+        self._limits = limits
         self._origins = origins
         self._quarantine = quarantine
         self._catalogue = catalogue
@@ -318,16 +325,14 @@
                 connection.abort()
 
     def _note_limit(self, record: BackendRecord, head: AnswerHead) -> None:
-        """Logs a change of the request rate that a server names in its answers."""
-        value = head.find(names.RATE_LIMIT).decode("latin-1")
-        if value != record.named_limit:
-            record.named_limit = value
-            log_event(
-                LOGGER,
-                "backend_limit",
-                backend=record.backend.id,
-                limit=value or "none",
-            )
+        """Records the request rate that a server names; ignores a malformed one."""
+        value = head.find(names.RATE_LIMIT)
+        rate = parse_rate_limit(value)
+        if rate is not None or not value:
+            self._limits.note_answer(record, rate)
+        elif record.bad_limit != value:
+            record.bad_limit = value
+            log_event(LOGGER, "bad_limit", backend=record.backend.id, value=value[:40])
 
     def _note_break(
         self,
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -216,15 +216,13 @@
         """Returns the seconds in which each daemon sends to every other one once."""
         return find_round_s(len(self._list_current()))
 
+    def list_serving(self) -> list[str]:
+        """Lists the other daemons that may be serving, silent ones too."""
+        return [m.name for m in self._list_current() if not m.leaving]
+
     def count_members(self) -> int:
         """Counts daemons that may be serving, including this one and silent ones."""
-        horizon = read_boottime() - FORGET_AFTER_S
-        known = sum(
-            1
-            for m in self.members.values()
-            if max(m.last_received_at, m.listed_at) >= horizon and not m.leaving
-        )
-        return known + 1
+        return len(self.list_serving()) + 1
 
     def estimate_wall_clock(self) -> float:
         """Returns the median time of day over the daemons, Unix seconds.
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -22,6 +22,7 @@
 from ..policy.quarantine import PartRecord
 from ..policy.stream_version import rank_keepers
 from ..prompt_holds import MAX_PARTS, TRIAL_S, PromptHolds, WireRecord
+from .anti_entropy import ask_regularly
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
 from .hold_store import HoldStore
@@ -40,10 +41,6 @@
 N_PROBES: Final = 12  # entries of servers that ended silently are gone by then
 # A repeat of a broken request waits this long to learn whether its server has ended.
 CHECK_WAIT_S: Final = 0.1
-PULL_INTERVAL_S: Final = 1.0
-# A daemon that has just started asks more often.
-STARTUP_PULL_S: Final = 0.25
-STARTUP_S: Final = 3.0
 
 
 class _Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
@@ -129,7 +126,9 @@
 
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
-        self._spawn(self._pull())
+        self._spawn(
+            ask_regularly(self._members, self._pull, lambda: self.state.decide("time"))
+        )
         self._spawn(self._hold_store.run())
 
     def stop(self) -> None:
@@ -242,18 +241,9 @@
         random.shuffle(alive)
         self._send_records(changed | self.state.holds.keys(), alive[:FAN_OUT])
 
-    async def _pull(self) -> None:
-        """Asks a random daemon for what this one has missed, again and again."""
-        began_at = read_boottime()
-        while True:
-            alive = self._members.list_alive()
-            if alive:
-                held = tuple(list(self.state.holds)[:MAX_HELD_TOLD])
-                self._send(random.choice(alive).address, _Pull(held))
-            self.state.decide("time")
-            is_new = read_boottime() - began_at < STARTUP_S
-            pause_s = STARTUP_PULL_S if is_new else PULL_INTERVAL_S
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+    def _pull(self, address: Endpoint) -> None:
+        held = tuple(list(self.state.holds)[:MAX_HELD_TOLD])
+        self._send(address, _Pull(held))
 
     def _receive(self, data: bytes, address: Endpoint) -> None:
         """Handles a message of another daemon."""
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -4,6 +4,7 @@
 prepares their inputs and carries out the results.
 """
 
+import asyncio
 import logging
 import random
 from typing import Final
@@ -20,6 +21,7 @@
 from ..policy.prompt_admission import decide_prompt_admission
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
 from .clock import read_boottime
+from .server_limits import ServerLimits
 from .upstream import Connection, UpstreamError
 from .work import MIN_LEFT_S, RequestContext, make_refusal
 from .work_meter import WorkMeter
@@ -32,6 +34,7 @@
 RETRYABLE_IDLE_S: Final = 3_600.0
 MAX_CONNECT_ATTEMPTS: Final = 4  # servers tried for a connection before giving up
 NO_BACKEND_RETRY_S: Final = 0.5  # a suspect server is tried again after about this time
+MAX_REPEAT_WAIT_S: Final = 0.5  # for a slot of a server that names a rate
 DEFAULT_WORK_S: Final = 0.06  # assumed time of one request to a plain backend server
 
 
@@ -40,11 +43,15 @@
 
     Args:
         table: state of the backend servers.
+        limits: request rates that servers name.
         work_meter: measures the work that callers' requests cause.
     """
 
-    def __init__(self, *, table: BackendTable, work_meter: WorkMeter) -> None:
+    def __init__(
+        self, *, table: BackendTable, limits: ServerLimits, work_meter: WorkMeter
+    ) -> None:
         self._table = table
+        self._limits = limits
         self._work_meter = work_meter
         self._random = random.Random()
 
@@ -63,6 +70,11 @@
                 break
             record, choice = self._choose(context)
             context.predicted_wait_s = choice.wait_s
+            slot_s = self._limits.find_wait(record)
+            self._limits.take(record)
+            # The copied KV cache of a moved run does not wait.
+            if slot_s and context.moved_to != record.backend.id:
+                await asyncio.sleep(slot_s)
             try:
                 connection = await record.pool.acquire(max_idle_s=max_idle_s)
             except UpstreamError as error:
@@ -109,6 +121,7 @@
                 f"no backend server{detail} is ready",
                 NO_BACKEND_RETRY_S,
             )
+        records = self._prefer_open(context, records)
         loads = self._table.view_loads(records, min(N_URGENCIES - 1, context.urgency))
         parts = context.head.parts
         if parts:
@@ -126,6 +139,35 @@
         chosen = next(record for record in records if record.backend.id == choice.id)
         return chosen, choice
 
+    def _prefer_open(
+        self, context: RequestContext, records: list[BackendRecord]
+    ) -> list[BackendRecord]:
+        """Leaves out servers that take no request now because of their named rate.
+
+        Returns:
+            The servers that take one at once; otherwise the one that does so first.
+
+        Raises:
+            BerylpostError: none does in time, so the request is refused or fails.
+        """
+        waits = [self._limits.find_wait(record) for record in records]
+        if not any(waits):
+            return records
+        open_records = [r for r, wait in zip(records, waits, strict=True) if not wait]
+        if open_records:
+            return open_records
+        wait_s = min(waits)
+        waited_s = read_boottime() - context.request.arrived_at
+        patience_s = min(context.left_s, context.route.objective_s - waited_s)
+        if context.n_sent:
+            patience_s = min(context.left_s, MAX_REPEAT_WAIT_S)
+        if wait_s <= patience_s:
+            return [records[waits.index(wait_s)]]
+        detail = f"every server is at its named rate for {wait_s:.2f} s"
+        if context.may_have_run:
+            raise BerylpostError(ErrorKind.BACKEND_FAILED, detail)
+        raise make_refusal(ErrorKind.OVERLOADED, detail, wait_s)
+
     def _check_queue(self, context: RequestContext, choice: Choice) -> None:
         """Refuses a prompt if the queue of its engine is too long.
 
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -16,6 +16,7 @@
 from .callers import CallerConnection
 from .clock import read_boottime
 from .http_channel import HttpChannel
+from .server_limits import ServerLimits
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
 from .work import MIN_LEFT_S, RequestContext, RunMoved, render_parts
 
@@ -38,14 +39,20 @@
 
     Args:
         table: state of the backend servers that may continue a moved run.
+        limits: request rates that servers name.
         record_origin: called with the attempt, service and software version of a stream
             that callers may take up, when its first event arrives.
     """
 
     def __init__(
-        self, *, table: BackendTable, record_origin: Callable[[str, str, str], None]
+        self,
+        *,
+        table: BackendTable,
+        limits: ServerLimits,
+        record_origin: Callable[[str, str, str], None],
     ) -> None:
         self._table = table
+        self._limits = limits
         self._record_origin = record_origin
 
     async def relay(
@@ -173,7 +180,13 @@
         """
         context.n_moves += 1
         version = record.backend.software_version
-        others = self._table.list_usable(context.service, (record.backend.id,), version)
+        others = [
+            other
+            for other in self._table.list_usable(
+                context.service, (record.backend.id,), version
+            )
+            if not self._limits.find_wait(other)
+        ]
         loads = self._table.view_loads(others)
         choice = choose_engine(loads, [0.0] * len(loads))
         if choice is None:
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -22,15 +22,11 @@
 
 import berylpost.fakes.replica as replica_module
 import berylpost.policy.quarantine as quarantine_policy
+from berylpost.edge.anti_entropy import INTERVAL_S, STARTUP_S
 from berylpost.edge.clock import read_boottime
 from berylpost.edge.members import FAN_OUT
 from berylpost.edge.model import Endpoint
-from berylpost.edge.part_quarantine import (
-    PULL_INTERVAL_S,
-    STARTUP_S,
-    PartQuarantine,
-    _BrokenServer,
-)
+from berylpost.edge.part_quarantine import PartQuarantine, _BrokenServer
 from berylpost.fakes.entry_world import API_KEY, HOST
 from berylpost.fakes.replica import N_EVENTS, list_shared_parts
 from berylpost.policy.quarantine import (
@@ -638,11 +634,11 @@
 
     async def pull():
         quarantine.start()
-        await asyncio.sleep(STARTUP_S + 3 * PULL_INTERVAL_S)
+        await asyncio.sleep(STARTUP_S + 3 * INTERVAL_S)
         quarantine.stop()
 
     asyncio.run(pull())
-    assert sum(sent) <= limit * (STARTUP_S + 3 * PULL_INTERVAL_S), sum(sent)
+    assert sum(sent) <= limit * (STARTUP_S + 3 * INTERVAL_S), sum(sent)
 
 
 # The decision.
