Do not fail a request as overdue that has just been started

Cause: the relay lists the overdue requests of the queue and fails one after the other; each failure lets the queue start others, also ones on that list, which were then failed with answer_cut although an engine was at work on them. Seen with engines that name a request rate, where requests wait for slots: 18 of 240 got answer_cut without any attempt_ended in the log.

--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -461,6 +461,8 @@
     def _fail_overdue(self, now: float) -> None:
         for stream_id in self._queue.list_overdue(now):
             stream = self._streams[stream_id]
+            if stream.state is not StreamState.QUEUED:
+                continue  # failing one of the others let it start
             if stream.n_attempts:
                 kind = ErrorKind.ANSWER_CUT
             else:
