Keep the request rate that an engine of our own interface names

The same class of fault in the other daemon: the load report of an engine is decoded into counts, and a rate in it was dropped.

--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -16,6 +16,7 @@
 from .admission import AdmissionQueue
 from .configurations import ConfigurationInForce
 from .engine_holds import EngineHolds
+from .engine_limits import EngineLimits
 from .errors import BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Slot
@@ -62,6 +63,7 @@
         in_force: the slot with the configurations in force.
         queue: the admission queue, which holds the pools.
         holds: prompts that are held back.
+        limits: request rates that engines name.
         recorder: records decisions.
         random_state: source of retry jitter.
         callbacks: the relay's callbacks.
@@ -75,6 +77,7 @@
         in_force: Slot[Mapping[str, ConfigurationInForce]],
         queue: AdmissionQueue,
         holds: EngineHolds,
+        limits: EngineLimits,
         recorder: Recorder,
         random_state: random.Random,
         callbacks: AttemptCallbacks,
@@ -85,6 +88,7 @@
         self._in_force = in_force
         self._queue = queue
         self._holds = holds
+        self._limits = limits
         self._recorder = recorder
         self._random = random_state
         self._callbacks = callbacks
@@ -101,9 +105,10 @@
 
     def start(self, stream: Stream, pool: Pool, now: float) -> bool:
         """Starts a stream's next attempt; False when no replica can be chosen."""
-        choice = pool.choose(stream, now)
+        choice = pool.choose(stream, now, self._limits.list_full(pool.replicas))
         if choice is None:
             return False
+        self._limits.take(choice.replica.id)
         self._recorder.record_routing(stream.request, choice, now)
         self._queue.remove(stream)
         replica = choice.replica
@@ -193,6 +198,7 @@
         pool = self._queue.find_pool(stream.request)
         if pool is not None:
             pool.report(stream.backend, report, now)
+        self._limits.note_report(stream.backend, report.rate_limit)
 
     def _observe(self, stream: Stream, first_s: float | None, now: float) -> None:
         pool = self._queue.find_pool(stream.request)
--- a/berylpost/fakes/engine.py
+++ b/berylpost/fakes/engine.py
@@ -79,6 +79,7 @@
         notice_time: monotonic time of the notice in seconds.
         fence: highest fencing number of the accepted orders.
         orders: accepted orders.
+        received_at: when requests were received, monotonic seconds.
     """
 
     def __init__(self, *, endpoint: str, model: str, shape: EngineShape) -> None:
@@ -96,6 +97,7 @@
         self.notice_time = 0.0
         self.fence = 0
         self.orders: list[dict[str, Any]] = []
+        self.received_at: list[float] = []
         self._cached_blocks: OrderedDict[str, None] = OrderedDict()
         self._slots = asyncio.Semaphore(shape.slots)
         self._crash: asyncio.Future[None] | None = None
@@ -170,11 +172,14 @@
             return reply_json({"error": "queue full"}, 503)
         if self.leaving:
             self.started_after_notice.append(time.monotonic() - self.notice_time)
-        metrics = {
+        self.received_at.append(time.monotonic())
+        metrics: dict[str, float] = {
             "num_requests_running": self.n_running,
             "num_requests_waiting": self.n_waiting,
             "leaving": int(self.leaving),
         }
+        if self.server.faults.rate_limit >= 0:
+            metrics["request_rate_limit"] = self.server.faults.rate_limit
         orca = msgspec.json.encode({"named_metrics": metrics}).decode()
         return Reply(
             headers=(
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -75,6 +75,8 @@
             connection.
         crash_on: text in the prompts that crash an engine which begins to answer them;
             it is back after `CRASH_S`. Empty for none.
+        rate_limit: requests a second that an engine names in its load reports; negative
+            for none.
         match: text that the path of affected requests contains; does not limit cuts.
         methods: methods of affected requests; empty for all; does not limit cuts.
     """
@@ -88,6 +90,7 @@
     closes: bool = False
     framed: bool = True
     crash_on: str = ""
+    rate_limit: float = -1.0
     match: str = ""
     methods: tuple[str, ...] = ()
 
--- a/berylpost/messages.py
+++ b/berylpost/messages.py
@@ -14,6 +14,7 @@
 from .configuration import AuditEntry, VersionedConfiguration
 from .errors import ErrorKind, ExecutionStatus
 from .prompt_holds import WireRecord
+from .rate_limits import Statement
 
 
 class Member(Struct, frozen=True, kw_only=True, array_like=True):
@@ -252,6 +253,18 @@
     held: tuple[int, ...]
 
 
+class RateReport(_Tagged, frozen=True, kw_only=True):
+    """Carries request rates that engines have named, or their end."""
+
+    statements: tuple[Statement, ...]
+
+
+class RateQuestion(_Tagged, frozen=True, kw_only=True):
+    """Asks for request rates; `digest` is equal for daemons that know the same."""
+
+    digest: int
+
+
 class Notice(_Tagged, frozen=True, kw_only=True):
     """Sends an update to a member at once instead of with the next probe."""
 
@@ -277,6 +290,8 @@
     | Notice
     | PartReport
     | PartPull
+    | RateReport
+    | RateQuestion
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -51,6 +51,8 @@
     PartReport,
     Probe,
     ProbeAnswer,
+    RateQuestion,
+    RateReport,
     SyncDigest,
     SyncTable,
     decode,
@@ -105,6 +107,8 @@
     HandoverAnswer: "drain",
     PartReport: "relay",
     PartPull: "relay",
+    RateReport: "relay",
+    RateQuestion: "relay",
 }
 
 
--- a/berylpost/pools.py
+++ b/berylpost/pools.py
@@ -116,8 +116,16 @@
         """Tells whether any replica is below its limit; cheaper than `choose`."""
         return bool(self._with_room)
 
-    def choose(self, stream: Stream, now: float) -> Choice | None:
-        """Chooses a replica for the next attempt of a stream."""
+    def choose(
+        self, stream: Stream, now: float, full: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Chooses a replica for the next attempt of a stream.
+
+        Args:
+            stream: the stream.
+            now: monotonic seconds.
+            full: replicas that may be sent no request now.
+        """
         # The ring has no leaving replicas. Replicas that failed this request are
         # excluded only while others are left.
         has_untried = len(stream.excluded_backends) < len(self._ring.ids)
@@ -136,7 +144,7 @@
             limits=self._limit_values,
             cached_chars=cached,
             n_daemons=self._n_daemons,
-            excluded=excluded,
+            excluded=excluded | full,
             now=now,
         )
 
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -24,10 +24,18 @@
 from .configurations import ConfigurationInForce
 from .connections import Connections
 from .engine_holds import EngineChecked, EngineHolds
+from .engine_limits import EngineLimits
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Context, Inbox, Plugin, Slot, register_plugin, run_step
-from .messages import Backend, HeldRequest, PartPull, PartReport
+from .messages import (
+    Backend,
+    HeldRequest,
+    PartPull,
+    PartReport,
+    RateQuestion,
+    RateReport,
+)
 from .metrics import OPEN_STREAMS, QUEUED_STREAMS, REFUSALS, REQUESTS
 from .movers import CacheMover, make_cache_mover
 from .peers import BackendsReceived, Send
@@ -114,12 +122,20 @@
             post=self.post,
             on_held=self._fail_held,
         )
+        self._limits = EngineLimits(
+            self_id=context.settings.daemon.id,
+            members=context.slots["members"],
+            send=lambda to, message: context.post(
+                "peers", Send(to=to, message=message)
+            ),
+        )
         self._attempts = Attempts(
             selector=self._selector,
             settings=self._settings,
             in_force=self._in_force,
             queue=self._queue,
             holds=self._holds,
+            limits=self._limits,
             recorder=recorder,
             random_state=random_state,
             callbacks=AttemptCallbacks(
@@ -154,6 +170,8 @@
             EngineChecked: self._holds.handle_checked,
             PartReport: self._holds.handle_report,
             PartPull: self._holds.handle_pull,
+            RateReport: self._limits.handle_report,
+            RateQuestion: self._limits.handle_question,
         }
 
     # Lifecycle and event loop of the task.
@@ -446,6 +464,7 @@
     def _tick(self, now: float) -> None:
         self._fail_overdue(now)
         self._holds.tick(now)
+        self._limits.tick(now, self._backends.read())
         self._attempts.fail_stalled(now, self._streams)
         grace = self._settings.orphan_grace_s
         for stream_id, since in list(self._connections.orphans.items()):
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -42,6 +42,7 @@
     num_requests_running: float = 0
     num_requests_waiting: float = 0
     leaving: float = 0
+    request_rate_limit: float | None = None
 
 
 class _Orca(msgspec.Struct, frozen=True):
@@ -72,11 +73,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """The load report in the headers of the engine's response."""
+    """The load report in the headers of the engine's response.
+
+    Attributes:
+        rate_limit: requests a second that the engine takes from all daemons together;
+            None for any number.
+    """
 
     running: int
     waiting: int
     leaving: bool
+    rate_limit: float | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -139,6 +146,7 @@
             running=int(metrics.num_requests_running),
             waiting=int(metrics.num_requests_waiting),
             leaving=bool(metrics.leaving),
+            rate_limit=_check_rate(metrics.request_rate_limit),
         )
         self._events.append(report)
 
@@ -231,6 +239,11 @@
         self.socket.close()
 
 
+def _check_rate(rate: float | None) -> float | None:
+    """Returns a rate that can be kept; None for a malformed one."""
+    return rate if rate is not None and 0 <= rate < float("inf") else None
+
+
 def post_json(pool: Any, address: str, path: str, document: object) -> Any:
     """Posts a JSON document to a backend server and returns the decoded answer.
 
--- /dev/null
+++ b/features/steps/engine_limit_steps.py
@@ -0,0 +1,81 @@
+"""Steps for engines of our own interface that name a request rate."""
+
+import threading
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+from steps.entry_limit_steps import CONTACT_S, count_most
+from steps.request_steps import make_document
+
+from berylpost.client import Client, Problem
+
+N_TOKENS = 4
+
+
+def list_engines(context):
+    return list(context.fleet.world.world.engines.values())
+
+
+def name_rate(context, engines, rate):
+    context.limited = engines
+    for engine in engines:
+        context.fleet.set_fault(engine.server.endpoint, rate_limit=rate)
+
+
+@given("the first engine names a rate of {rate:g} requests a second")
+def step_name_one(context: Context, rate: float) -> None:
+    name_rate(context, list_engines(context)[:1], rate)
+
+
+@given("both engines name a rate of {rate:g} requests a second")
+def step_name_both(context: Context, rate: float) -> None:
+    name_rate(context, list_engines(context), rate)
+
+
+@when("callers send {rate:d} summaries a second over all daemons for {n:d} s")
+def step_send(context: Context, rate: int, n: int) -> None:
+    answers = []
+
+    def send(number):
+        daemons = context.fleet.daemons
+        address = daemons[number % len(daemons)].http
+        client = Client(addresses=[address], token="weighbridge-token")
+        document = make_document(f"log {number} of the day", N_TOKENS)
+        try:
+            answers.append(client.call("POST", "/v1/completions", document=document))
+        except Problem as problem:
+            answers.append(problem)
+
+    threads = []
+    began_at = time.monotonic()
+    for number in range(rate * n):
+        threads.append(threading.Thread(target=send, args=(number,)))
+        threads[-1].start()
+        time.sleep(max(0.0, began_at + (number + 1) / rate - time.monotonic()))
+    for thread in threads:
+        thread.join()
+    context.answers = answers
+
+
+@then("the first engine gets at most {n:d} requests in any 4 s")
+@then("each engine gets at most {n:d} requests in any 4 s")
+def step_check_rate(context: Context, n: int) -> None:
+    for engine in context.limited:
+        since = engine.received_at[0] + CONTACT_S
+        most = count_most([at for at in engine.received_at if at >= since])
+        assert most <= n, most
+
+
+@then("nine in ten summaries were answered in time")
+def step_check_answered(context: Context) -> None:
+    n_answered = sum(not isinstance(a, Problem) for a in context.answers)
+    assert n_answered >= 0.9 * len(context.answers), (n_answered, len(context.answers))
+
+
+@then("summaries that were not answered were refused as not run")
+def step_check_refused(context: Context) -> None:
+    refused = [a for a in context.answers if isinstance(a, Problem)]
+    assert refused and len(refused) < len(context.answers)
+    for answer in refused:
+        assert answer.status == 503 and answer.ran == "not_run", answer
