Bound answers whose head or body has no end

Bytes of a server may go on until the caller closes. Heads were collected without a bound: a status, a header or many headers took 19 to 60 MB in the second that a request has at the entry daemon. In our own interface an engine's head or body without events kept its attempt alive, and a service's body was read until it ends; a run of the scenario did not end in five minutes. Now a head ends at 512 KB at the entry daemon, also in calls to the store and other daemons; an engine's attempt ends after 2 MB without an event, a service's body at 4 MB or when its time is over. Each counts as a broken answer, which another server may still give.

entry.feature "without end ends in time": 5 of 10 rows failed before; requests.feature "has no end": both rows. All pass: at most 16 MB at the entry daemon, 64 MB for the other.

--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -14,6 +14,8 @@
 from .model import Endpoint
 
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
+# Servers send heads of a few hundred bytes; one read may bring more than the head.
+MAX_HEAD_BYTES: Final = 512 << 10
 
 
 class HttpAnswer(NamedTuple):
@@ -34,6 +36,8 @@
         self._body = bytearray()
         self._headers: dict[bytes, bytes] = {}
         self._unframed = False
+        self._n_head_bytes = 0
+        self._in_body = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -46,6 +50,11 @@
         except httptools.HttpParserError as error:
             self._fail(f"malformed answer: {error}")
             self.abort()
+        if not self._in_body:
+            self._n_head_bytes += len(data)
+            if self._n_head_bytes > MAX_HEAD_BYTES:
+                self._fail("head too large")
+                self.abort()
 
     def eof_received(self) -> bool:
         """Completes an answer whose end is marked by an orderly close."""
@@ -71,6 +80,8 @@
 
     def on_headers_complete(self) -> None:
         """Notes whether the answer ends with its connection."""
+        self._in_body = True
+        self._n_head_bytes = 0
         self._unframed = (
             b"content-length" not in self._headers
             and b"chunked" not in self._headers.get(b"transfer-encoding", b"").lower()
@@ -85,6 +96,7 @@
 
     def on_message_complete(self) -> None:
         """Completes an answer whose end is marked in its framing."""
+        self._in_body = False
         self._unframed = False
         self._complete()
 
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -18,7 +18,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header, parse_keep_alive
-from .http_channel import set_socket_options
+from .http_channel import MAX_HEAD_BYTES, set_socket_options
 from .model import Backend
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -171,6 +171,8 @@
         self._reason = b""
         self._discarding = False
         self._unframed = False
+        self._awaits_head = False
+        self._n_head_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -181,6 +183,8 @@
         """Sends a request whose answer goes to the exchange."""
         assert self._transport is not None
         self._exchange = exchange
+        self._awaits_head = True
+        self._n_head_bytes = 0
         self.n_exchanges += 1
         self._transport.write(data)
 
@@ -218,6 +222,12 @@
         except httptools.HttpParserError as error:
             self._fail(Failure.BAD_ANSWER, str(error))
             self.abort()
+        if self._awaits_head:
+            # Also heads of other answers before the right one.
+            self._n_head_bytes += len(data)
+            if self._n_head_bytes > MAX_HEAD_BYTES:
+                self._fail(Failure.BAD_ANSWER, "head too large")
+                self.abort()
 
     def eof_received(self) -> bool:
         """Completes an answer whose end is marked by an orderly close."""
@@ -287,6 +297,7 @@
             length=int(length) if length is not None and not chunked else None,
             framed=not self._unframed,
         )
+        self._awaits_head = False
         if not exchange.head.done():
             exchange.head.set_result(head)
         if bodiless:
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -21,6 +21,8 @@
 SIGNATURE: Final = "3e1b.07"
 N_EVENTS: Final = 8
 EVENT_PAUSE_S: Final = 0.03
+ENDLESS_BYTES: Final = 16_384
+MAX_ENDLESS_BYTES: Final = 256 << 20  # ends a test that would not end otherwise
 CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 
 
@@ -500,6 +502,56 @@
     return False
 
 
+async def _send_endless_status(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a reason phrase without end."""
+    _record_run(replica, incoming)
+    return await _send_endlessly(writer, b"HTTP/1.1 200 ", b"x" * ENDLESS_BYTES)
+
+
+async def _send_endless_header(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a header whose value has no end."""
+    _record_run(replica, incoming)
+    head = b"HTTP/1.1 200 OK\r\nX-Long: "
+    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+
+
+async def _send_endless_headers(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends headers without end."""
+    _record_run(replica, incoming)
+    line = b"X-More: and-more\r\n"
+    return await _send_endlessly(writer, b"HTTP/1.1 200 OK\r\n", line * 1_000)
+
+
+async def _send_endless_body(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a body without a length and without end; a stream has no event in it."""
+    _record_run(replica, incoming)
+    lines = ["HTTP/1.1 200 OK"]
+    if _is_stream(incoming):
+        lines.append("Content-Type: text/event-stream")
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+
+
+async def _send_endlessly(
+    writer: asyncio.StreamWriter, head: bytes, rest: bytes
+) -> bool:
+    """Sends bytes until the caller closes, bounded by `MAX_ENDLESS_BYTES`."""
+    writer.write(head)
+    for _ in range(MAX_ENDLESS_BYTES // len(rest)):
+        writer.write(rest)
+        await writer.drain()
+    return False
+
+
 FAULTS: Final[dict[str, Fault]] = {
     "none": _answer,
     "reset": _run_and_reset,
@@ -515,5 +567,9 @@
     "unframed empty": _close_empty_stream,
     "chunked cut": _end_chunks_in_event,
     "unsigned": _send_unsigned,
+    "endless status": _send_endless_status,
+    "endless header": _send_endless_header,
+    "endless headers": _send_endless_headers,
+    "endless body": _send_endless_body,
     "mute": _stay_silent,
 }
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -17,6 +17,7 @@
 from ..settings import split_endpoint
 
 READ_BYTES: Final = 65_536
+MAX_ENDLESS_BYTES: Final = 1 << 30
 CRASH_S: Final = 0.6  # from a crash until the server is back
 REASONS: Final = {200: "OK", 201: "Created", 404: "Not Found", 503: "Unavailable"}
 
@@ -77,6 +78,8 @@
             it is back after `CRASH_S`. Empty for none.
         rate_limit: requests a second that an engine names in its load reports; negative
             for none.
+        endless: number of responses that go on without end until the caller closes.
+        endless_head: whether their head goes on, rather than their body.
         match: text that the path of affected requests contains; does not limit cuts.
         methods: methods of affected requests; empty for all; does not limit cuts.
     """
@@ -91,6 +94,8 @@
     framed: bool = True
     crash_on: str = ""
     rate_limit: float = -1.0
+    endless: int = 0
+    endless_head: bool = False
     match: str = ""
     methods: tuple[str, ...] = ()
 
@@ -199,6 +204,9 @@
         if writer.get_extra_info("peername")[0] in self.refused_ips:
             await self._send(writer, reply_json({"error": "unavailable"}, 503))
             return True
+        if self.faults.endless > 0 and self.faults.match in request.path:
+            self.faults.endless -= 1
+            return await self._send_endlessly(writer)
         reply = await self._answer(request)
         if reply is None:
             # The request took effect, but the client gets no response.
@@ -239,6 +247,16 @@
             return True
         return await self._send_stream(writer, head.encode("latin-1"), reply.stream)
 
+    async def _send_endlessly(self, writer: asyncio.StreamWriter) -> bool:
+        """Sends a response without end, bounded in case nobody closes it."""
+        line = b"X-More: and-more\r\n"
+        end = b"X-More: " if self.faults.endless_head else b"\r\n"
+        writer.write(b"HTTP/1.1 200 OK\r\n" + end)
+        for _ in range(MAX_ENDLESS_BYTES // (1_000 * len(line))):
+            writer.write(line * 1_000)
+            await writer.drain()
+        return False
+
     async def _send_stream(
         self, writer: asyncio.StreamWriter, head: bytes, chunks: AsyncIterator[bytes]
     ) -> bool:
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -47,6 +47,9 @@
     }
 )
 
+READ_BYTES: Final = 65_536
+MAX_BODY_BYTES: Final = 4 << 20  # as of a buffered answer at the entry daemon
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceCall:
@@ -192,8 +195,10 @@
                 body=call.body or None,
                 headers=dict(call.headers),
                 redirect=False,
+                preload_content=False,
                 timeout=urllib3.Timeout(connect=min(1.0, timeout_s), read=timeout_s),
             )
+            body = _read_body(response, time.monotonic() + timeout_s)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -203,7 +208,7 @@
             raise _SendError(Failure.CUT, str(error)) from error
         finally:
             self._outstanding.add(replica.id, -1)
-        missing = _find_missing_end(response)
+        missing = _find_missing_end(response, body)
         if missing:
             raise _SendError(Failure.CUT, missing)
         headers = tuple(
@@ -211,7 +216,7 @@
             for name, value in response.headers.items()
             if name.lower() not in HOP_HEADERS
         )
-        return Outcome(status=response.status, headers=headers, body=response.data)
+        return Outcome(status=response.status, headers=headers, body=body)
 
     # Non-idempotent calls.
 
@@ -331,7 +336,24 @@
         self.failure = failure
 
 
-def _find_missing_end(response: urllib3.BaseHTTPResponse) -> str:
+def _read_body(response: urllib3.BaseHTTPResponse, ends_at: float) -> bytes:
+    """Reads the whole body of a response and returns its connection to the pool.
+
+    Raises:
+        _SendError: the body is too large, or goes on after its time.
+        urllib3.exceptions.HTTPError: the response broke off.
+    """
+    body = bytearray()
+    for data in response.stream(READ_BYTES):
+        body += data
+        if len(body) > MAX_BODY_BYTES or time.monotonic() > ends_at:
+            response.close()
+            raise _SendError(Failure.CUT, "the body of the answer has no end")
+    response.release_conn()
+    return bytes(body)
+
+
+def _find_missing_end(response: urllib3.BaseHTTPResponse, body: bytes) -> str:
     """Returns why a response with a stream is not complete; empty if it is."""
     headers = response.headers
     if CONTENT_TYPE not in headers.get("content-type", "").lower():
@@ -339,8 +361,8 @@
     return find_missing_end(
         EndedStream(
             framed="content-length" in headers or "transfer-encoding" in headers,
-            inside_event=ends_inside_event(response.data),
-            has_events=bool(response.data),
+            inside_event=ends_inside_event(body),
+            has_events=bool(body),
             may_be_stopped=False,
         )
     )
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -16,6 +16,7 @@
 
 READ_BYTES: Final = 65_536
 MAX_LINE_BYTES: Final = 1 << 20
+MAX_IDLE_BYTES: Final = 2 << 20  # of a head, or between two events
 LOAD_HEADER: Final = b"endpoint-load-metrics"  # ORCA load report of the usual engines
 
 
@@ -128,6 +129,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events: list[UpstreamEvent] = []
         self._partial_line = b""
+        self._n_idle_bytes = 0
         self._n_tokens = 0
         self._done = False
         self._refused = False
@@ -232,6 +234,9 @@
             self._events.append(AttemptEnded(whole=False, sent=True))
         events: list[UpstreamEvent] = self._events
         self._events = []
+        self._n_idle_bytes = 0 if events else self._n_idle_bytes + len(data)
+        if self._n_idle_bytes > MAX_IDLE_BYTES:
+            return [AttemptEnded(whole=False, sent=True)]
         return events
 
     def close(self) -> None:
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -234,3 +234,23 @@
   Scenario: Metrics count requests and backend servers
     When a caller sends a "read" request
     Then the metrics have 1 answered idempotent request and 2 backends
+
+  Scenario Outline: An answer of a <fault> without end ends in time and in bounded memory
+    Given an entry daemon and two backend servers
+    And every server's fault is "endless <fault>"
+    When a caller sends a "<kind>" request and the daemon's memory is watched
+    Then it has an answer within its deadline and the daemon took at most 16 MB
+    And the servers' connections are closed
+
+    Examples:
+      | fault   | kind        |
+      | status  | read        |
+      | header  | read        |
+      | headers | read        |
+      | body    | read        |
+      | headers | book        |
+      | body    | book        |
+      | status  | stream      |
+      | headers | stream      |
+      | body    | stream      |
+      | body    | stream/once |
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -37,6 +37,19 @@
       | in chunks        | 1000 | fails with backend_failed |
       | without a length | 1000 | fails with backend_failed |
 
+  Scenario Outline: Engines and services whose <part> has no end
+    Given both engines and the services send the next <n> answers with an endless <part>
+    When 6 summaries of 30 tokens are asked for at once over all daemons
+    And a caller asks the service for its events
+    Then each caller has the whole answer to its own prompt
+    And the service call fails with backend_failed
+    And every daemon took at most 64 MB
+
+    Examples:
+      | part | n |
+      | head | 4 |
+      | body | 4 |
+
   Scenario: Every attempt is cut
     Given both engines cut the next 1000 answers after 3 tokens
     When one summary of 200 tokens is asked for
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -139,6 +139,26 @@
     context.add_cleanup(end_faults)
 
 
+@given(
+    "both engines and the services send the next {n:d} answers with an endless {part}"
+)
+def send_endlessly(context: Context, n: int, part: str) -> None:
+    set_engine_faults(context, endless=n, endless_head=part == "head")
+    for service in context.fleet.world.world.services.values():
+        endpoint = service.server.endpoint
+        context.fleet.set_fault(
+            endpoint, endless=1_000, endless_head=part == "head", match="/events"
+        )
+        context.add_cleanup(context.fleet.set_fault, endpoint)
+
+
+@then("every daemon took at most {n:d} MB")
+def check_memory(context: Context, n: int) -> None:
+    for daemon in context.fleet.daemons:
+        resident_mb = daemon.read_resident_bytes() / (1 << 20)
+        assert resident_mb <= n, resident_mb
+
+
 @when("a caller asks the service for its events")
 def ask_events(context: Context) -> None:
     daemon = context.fleet.daemons[0]
