Let the soak's servers name request rates and judge what they get

A server names 0.5, 1 or 4 requests a second for 8 to 12 s; judged is that it runs at most one and a half times that and 5 requests in any 4 s from 3 s on, of daemons that were not disturbed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,8 @@
 QUIET_INTERVAL_S: Final = (0.4, 1.6)
 DAEMON_START_S: Final = 3.0  # from the start of a daemon until it serves
 MIN_BACKENDS: Final = 2
+LIMIT_RATES: Final = (0.5, 1.0, 4.0)  # requests a second; each server gets 20 or more
+LIMIT_S: Final = (8.0, 12.0)  # longer than it takes until the rate must be kept
 LINK_MODES: Final = (Mode.DELAY, Mode.SILENT, Mode.CUT_UP, Mode.CUT_DOWN)
 
 Action = Callable[[], Awaitable[None]]
@@ -54,6 +56,7 @@
             "backend_kill": self._kill_backend,
             "backend_pause": self._pause_backend,
             "store_fault": self._disturb_store,
+            "backend_limit": self._limit_backend,
         }
         self.planned_actions: dict[str, Action] = {
             "stop": self._restart,
@@ -224,6 +227,23 @@
         await self._world.kill_backend(backend)
         await self._world.start_backend()
 
+    async def _limit_backend(self) -> None:
+        """Lets a backend server name a request rate for a time; disturbs nothing."""
+        limited = {
+            p.backend.id
+            for p in self._world.limit_periods
+            if p.ended_at == float("inf")
+        }
+        backends = [
+            b for b in self._world.list_active_backends() if b.id not in limited
+        ]
+        if len(backends) < MIN_BACKENDS:
+            return
+        rate = self._random.choice(LIMIT_RATES)
+        period = self._world.begin_limit(self._random.choice(backends), rate)
+        await asyncio.sleep(self._random.uniform(*LIMIT_S))
+        self._world.end_limit(period)
+
     async def _pause_backend(self) -> None:
         backends = self._world.list_active_backends()
         if not backends:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -10,7 +10,7 @@
 from berylpost.fakes.replica import N_EVENTS, SIGNATURE
 
 from .callers import RequestRecord
-from .world import DRAIN_S, Backend, World
+from .world import DRAIN_S, Backend, LimitPeriod, World
 
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 DENIED_STATUSES: Final = frozenset({401, 403, 404})
@@ -27,6 +27,7 @@
 MIN_TAKEN_UP: Final = 12  # streams from which on the share of those that go on counts
 MIN_TAKEN_UP_SHARE: Final = 0.5  # of the share of new streams that begin
 N_CRASHES: Final = 5  # after which a part that crashes servers must be known
+LIMIT_WINDOW_S: Final = 4.0  # in which the requests of a limited server are counted
 MAX_LATE_RUNS: Final = 3  # of such a part, later than `STEADY_S` after that
 MIN_SOUND: Final = 20  # sound streams from which on the share of those begun counts
 MIN_SOUND_SHARE: Final = 0.5  # of the share that begins outside disturbances
@@ -135,6 +136,8 @@
         self._check_taken_up()
         for part, crashes in self.world.crashes.items():
             self._check_bad_part(part, crashes)
+        for period in self.world.limit_periods:
+            self._check_limit(period)
         for violation in self.world.cloud.checker.violations:
             self._add_violation("holders", "-", violation)
         for exit_text in self.world.unexpected_exits:
@@ -192,6 +195,30 @@
                 "held back", part, f"{shares[0]:.2f} of sound, {shares[1]:.2f} else"
             )
 
+    def _check_limit(self, period: LimitPeriod) -> None:
+        """Checks that a server which named a request rate got no more."""
+        daemons = {record.id: record.daemon for record in self.records}
+        since = period.started_at + STEADY_S
+        times = sorted(
+            at
+            for attempt, runs in self.runs.items()
+            for at, backend in runs
+            if backend is period.backend
+            and since <= at <= period.ended_at
+            and attempt in daemons
+            and not self.world.was_daemon_disturbed(
+                daemons[attempt], period.started_at, at
+            )
+        )
+        allowed = 1.5 * LIMIT_WINDOW_S * period.rate + 5
+        for index, at in enumerate(times):
+            n_runs = sum(at - other <= LIMIT_WINDOW_S for other in times[: index + 1])
+            if n_runs > allowed:
+                self._add_violation(
+                    "limit", period.backend.id, f"{n_runs} runs at {period.rate}/s"
+                )
+                return
+
     def _check_success(self, record: RequestRecord) -> None:
         echoed = record.headers.get("x-berylpost-attempt-id")
         signed = record.headers.get("x-berylpost-replica-signature") == SIGNATURE
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -1,8 +1,9 @@
 """Process of one backend server: `python -m soak.replica ID IP PORT VERSION`.
 
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
-has an effect. From standard input it reads the fault to inject, one name a line, and
-`crash PART` for a prompt part that ends the process when it begins to answer it.
+has an effect. From standard input it reads the fault to inject, one name a line,
+`crash PART` for a prompt part that ends the process when it begins to answer it, and
+`limit RATE` for the request rate to name in answers, `limit` for none.
 """
 
 import asyncio
@@ -44,6 +45,8 @@
             replica.fault = order
         elif order.startswith("crash "):
             replica.crashing_parts |= {order.removeprefix("crash ")}
+        elif order.startswith("limit"):
+            replica.limit = order.removeprefix("limit").strip()
 
 
 if __name__ == "__main__":
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,7 @@
 GRACE_S: Final = 8.0  # from SIGTERM to SIGKILL
 DRAIN_S: Final = 2.0  # for how long a draining backend server still serves
 READY_TIMEOUT_S: Final = 20.0
+EXIT_NOTICE_S: Final = 0.2  # from a server's end until this process learns of it
 RESTART_S: Final = 1.0  # after which a server that crashed is replaced
 # From a crash until its entry is gone and its place is filled.
 CRASH_LASTS_S: Final = RESTART_S + 3 * HEARTBEAT_S
@@ -93,6 +94,16 @@
     killed: bool = False
 
 
+@dataclass(slots=True, kw_only=True)
+class LimitPeriod:
+    """Time in which a backend server names a request rate, monotonic seconds."""
+
+    backend: Backend
+    rate: float
+    started_at: float
+    ended_at: float = float("inf")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Disturbance:
     """A fault or planned action; times are in seconds on the monotonic clock.
@@ -128,6 +139,7 @@
         bad_part: Prompt part that crashes servers and that callers send now; empty for
             none.
         crashes: When servers crashed, by prompt part, monotonic seconds.
+        limit_periods: When backend servers named a request rate.
         bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
     """
 
@@ -152,6 +164,7 @@
         self.bad_part = ""
         self.crashes: dict[str, list[float]] = {}
         self.bad_part_ended_at: dict[str, float] = {}
+        self.limit_periods: list[LimitPeriod] = []
         self.store = ObjectStore(endpoint=f"{address_prefix}.0.1:{PORT}")
         self.cloud = DutyApi(endpoint=f"{address_prefix}.0.2:{PORT}")
         self._tasks: set[asyncio.Task[None]] = set()
@@ -202,14 +215,20 @@
         task.add_done_callback(self._tasks.discard)
 
     def record_disturbance(
-        self, kind: str, target: str, *, lasts_s: float = 0.0, planned: bool = False
+        self,
+        kind: str,
+        target: str,
+        *,
+        lasts_s: float = 0.0,
+        planned: bool = False,
+        noticed_s: float = 0.0,
     ) -> None:
-        """Records a disturbance that starts now."""
+        """Records a disturbance that starts now, or `noticed_s` before."""
         now = time.monotonic()
         disturbance = Disturbance(
             kind=kind,
             target=target,
-            started_at=now,
+            started_at=now - noticed_s,
             ended_at=now + lasts_s,
             planned=planned,
         )
@@ -419,6 +438,18 @@
         if not backend.killed and backend.process.stdin is not None:
             backend.process.stdin.write(order.encode() + b"\n")
 
+    def begin_limit(self, backend: Backend, rate: float) -> LimitPeriod:
+        """Lets a backend server name a request rate in its answers."""
+        self._order(backend, f"limit {rate}")
+        period = LimitPeriod(backend=backend, rate=rate, started_at=time.monotonic())
+        self.limit_periods.append(period)
+        return period
+
+    def end_limit(self, period: LimitPeriod) -> None:
+        """Lets it name none again."""
+        period.ended_at = time.monotonic()
+        self._order(period.backend, "limit")
+
     def begin_bad_part(self) -> str:
         """Lets callers send a new prompt part that crashes servers; returns it."""
         part = f"bad-{len(self.crashes)}"
@@ -441,7 +472,9 @@
         backend.killed = True
         await backend.link.stop()  # its address refuses connections
         self.crashes[list(self.crashes)[-1]].append(time.monotonic())
-        self.record_disturbance("backend_crash", "all", lasts_s=CRASH_LASTS_S)
+        self.record_disturbance(
+            "backend_crash", "all", lasts_s=CRASH_LASTS_S, noticed_s=EXIT_NOTICE_S
+        )
         await asyncio.sleep(RESTART_S)
         await self.start_backend()
         await asyncio.sleep(3 * HEARTBEAT_S)
