Run two features at a time

Features have fakes and addresses of their own; each runs in a process of its own, two side by side, and their output is printed as each ends. What is run and counted does not change.

--- a/features/run.py
+++ b/features/run.py
@@ -1,17 +1,36 @@
 """Runs behave on the features of this folder and prints the totals.
 
-Scenarios tagged `known_red` are listed in KNOWN-RED.txt; they are skipped, and the list
-is printed. The exit status is 1 on any failure and if no scenario ran.
+Features run side by side, each in a process of its own: their fakes have addresses and
+ports of their own. Scenarios tagged `known_red` are listed in KNOWN-RED.txt; they are
+skipped, and the list is printed. The exit status is 1 on any failure and if no scenario
+ran.
 """
 
 import json
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 FEATURES = Path(__file__).parent
 KNOWN_RED = FEATURES.parent / "KNOWN-RED.txt"
+N_WORKERS = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """What behave printed for one feature.
+
+    Attributes:
+        counts: number of scenarios by status.
+        status: exit status of behave.
+    """
+
+    output: str
+    counts: dict[str, int]
+    status: int
 
 
 def count_scenarios(report: str) -> dict[str, int]:
@@ -25,26 +44,50 @@
     return counts
 
 
-def main() -> int:
-    """Runs the features given on the command line, or all."""
-    if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
-        print(f"known red:\n{KNOWN_RED.read_text()}", flush=True)
-    features_to_run = sys.argv[1:] or [str(FEATURES)]
+def run_feature(arguments: list[str]) -> Result:
+    """Runs behave with a feature's path and further arguments."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = [sys.executable, "-m", "behave", "--no-color", "--no-summary"]
         command += ["--no-skipped", "--tags", "not @known_red", "--no-capture"]
         # --outfile applies to the first format; the second writes to the console.
         command += ["--format", "json", "--outfile", report.name]
         command += ["--format", "progress2"]
-        status = subprocess.run(
-            [*command, *features_to_run], cwd=FEATURES.parent
-        ).returncode
+        done = subprocess.run(
+            [*command, *arguments],
+            cwd=FEATURES.parent,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
         counts = count_scenarios(Path(report.name).read_text())
-    n_passed = counts.pop("passed", 0)
-    counts.pop("skipped", 0)
-    n_failed = sum(counts.values())
+    return Result(output=done.stdout, counts=counts, status=done.returncode)
+
+
+def list_runs(arguments: list[str]) -> list[list[str]]:
+    """Lists the arguments of each run of behave: one for each feature by default."""
+    if arguments:
+        return [arguments]
+    paths = sorted(FEATURES.glob("*.feature"), key=lambda path: -path.stat().st_size)
+    return [[str(path)] for path in paths]
+
+
+def main() -> int:
+    """Runs the features given on the command line, or all."""
+    if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
+        print(f"known red:\n{KNOWN_RED.read_text()}", flush=True)
+    totals: dict[str, int] = {}
+    failed = False
+    with ThreadPoolExecutor(N_WORKERS) as executor:
+        for result in executor.map(run_feature, list_runs(sys.argv[1:])):
+            print(result.output, end="", flush=True)
+            failed = failed or result.status != 0
+            for status, n in result.counts.items():
+                totals[status] = totals.get(status, 0) + n
+    n_passed = totals.pop("passed", 0)
+    totals.pop("skipped", 0)
+    n_failed = sum(totals.values())
     print(f"\n{n_passed} passed, {n_failed} failed", flush=True)
-    return 0 if n_passed and not n_failed and status == 0 else 1
+    return 0 if n_passed and not n_failed and not failed else 1
 
 
 if __name__ == "__main__":
