Refuse a waiting request with a held part for what it is

A request whose part became held while it waited for a connection was refused as overloaded with 0.3 s to come back, and so came again in vain. It is refused as quarantined with the time until the part may be tried; the scenario failed before with that answer. Admission raises the same refusal, which leaves a truth value of PartAdmission.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -84,11 +84,7 @@
                 is_stream=is_stream, timeout_s=limit_s, left_s=left_s
             ):
                 raise make_refusal(ErrorKind.LEAVING, "this daemon is leaving", 0.0)
-        part_admission = self._quarantine.admit(head.shared_parts)
-        if part_admission.wait_s is not None:
-            raise make_refusal(
-                ErrorKind.QUARANTINED, "a part is held back", part_admission.wait_s
-            )
+        is_part_trial = self._quarantine.admit(head.shared_parts)
         units = count_units(customer, head)
         if customer is not None:
             wait_s = self._quotas.take_units(customer, units)
@@ -105,7 +101,7 @@
             service=service,
             units=units,
             expires_at=request.arrived_at + limit_s,
-            is_part_trial=part_admission.is_trial,
+            is_part_trial=is_part_trial,
         )
 
 
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -159,7 +159,10 @@
                 return
             if self._is_held(context):
                 record.pool.release(connection)
-                self._give_up(context, caller, "a part of the prompt is held back")
+                refusal = self._quarantine.make_refusal(context.head.shared_parts)
+                if not context.may_have_run:
+                    raise refusal
+                self._give_up(context, caller, refusal.detail)
                 return
             if context.n_sent and not self._quotas.take_retry(context.service):
                 record.pool.release(connection)
--- a/berylpost/edge/hold_store.py
+++ b/berylpost/edge/hold_store.py
@@ -82,20 +82,20 @@
     async def run(self) -> None:
         """Reads the list, then writes what changes, until it is cancelled."""
         store = ObjectStore(address=self._address)
-        listed_for_s = float("inf")
+        alone_s = float("inf")  # time without other daemons since the last reading
         while True:
             try:
-                if listed_for_s >= RELIST_INTERVAL_S:
+                if alone_s >= RELIST_INTERVAL_S:
                     await self._read(store)
                     self.was_read.set()
-                    listed_for_s = 0.0
+                    alone_s = 0.0
                 await self._write(store)
             except PlatformError as error:
                 log_event(LOGGER, "hold_store_failed", logging.WARNING, error=error)
                 await asyncio.sleep(random.uniform(*RETRY_DELAY_RANGE_S))
                 continue
             await asyncio.sleep(INTERVAL_S)
-            listed_for_s += 0.0 if self._members.list_alive() else INTERVAL_S
+            alone_s += 0.0 if self._members.list_alive() else INTERVAL_S
 
     async def _read(self, store: ObjectStore) -> None:
         listing = await store.list_objects(names.KIND_HOLDS)
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from ..errors import BerylpostError, ErrorKind
 from ..hashing import hash_text
 from ..logs import log_event
 from ..policy.quarantine import PartRecord
@@ -69,19 +70,6 @@
     SILENT = "silent"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PartAdmission:
-    """Whether a prompt may be sent to a server.
-
-    Attributes:
-        wait_s: seconds until a held part may be tried again; None to send it now.
-        is_trial: whether the request tries a held part.
-    """
-
-    wait_s: float | None = None
-    is_trial: bool = False
-
-
 @dataclass(slots=True, kw_only=True)
 class _BrokenServer:
     """Requests that broke on a server of which it is not yet known if it has ended."""
@@ -153,18 +141,32 @@
             except TimeoutError:
                 pass  # without the store, the neighbours tell
 
-    def admit(self, parts: tuple[str, ...]) -> PartAdmission:
-        """Decides whether a prompt with these shared parts may be sent to a server."""
-        if not self.state.holds:
-            return PartAdmission()
-        held = self.state.list_held(map(hash_text, parts))
+    def admit(self, parts: tuple[str, ...]) -> bool:
+        """Decides whether a prompt with these shared parts is accepted.
+
+        Returns:
+            Whether the request tries a held part.
+
+        Raises:
+            BerylpostError: a part is held; the request is refused and has not run.
+        """
+        held = self.state.list_held(map(hash_text, parts)) if self.n_held else []
         if not held:
-            return PartAdmission()
-        wait_s = self.state.find_wait(held)
-        if wait_s <= 0 and all(map(self._is_first_keeper, held)):
-            self.state.begin_trial(held)
-            return PartAdmission(is_trial=True)
-        return PartAdmission(wait_s=max(wait_s, TRIAL_S))
+            return False
+        if self.state.find_wait(held) > 0 or not all(map(self._is_first_keeper, held)):
+            raise self.make_refusal(parts)
+        self.state.begin_trial(held)
+        return True
+
+    def make_refusal(self, parts: tuple[str, ...]) -> BerylpostError:
+        """Makes the error that refuses a prompt with held parts before it has run."""
+        held = self.state.list_held(map(hash_text, parts))
+        wait_s = self.state.find_wait(held) if held else 0.0
+        return BerylpostError(
+            ErrorKind.QUARANTINED,
+            "a part of the prompt is held back",
+            retry_after_s=max(wait_s, TRIAL_S),
+        )
 
     def is_held(self, parts: tuple[str, ...]) -> bool:
         """Tells whether any of these shared parts is held."""
--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -30,6 +30,11 @@
     When callers send 8 prompts with the part "bad" that may be repeated, 0.17 s apart
     Then no attempt reaches a server once the part "bad" is held, nor a second one of some
 
+  Scenario: A request that waits for a connection while its part becomes held is refused
+    Given 2 entry daemons and 4 servers that crash on the prompt part "bad"
+    When the part "bad" becomes held while a request with it waits for a connection
+    Then all are refused as not run with a time to come back, and reach no server
+
   Scenario: A daemon that has just started refuses a held part
     Given 2 entry daemons and 4 servers that crash on the prompt part "bad"
     And the part "bad" is held everywhere
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -317,6 +317,34 @@
     assert set(attempts.values()) == {1, 2}, attempts
 
 
+@when('the part "{part}" becomes held while a request with it waits for a connection')
+def step_hold_while_waiting(context: Context, part: str) -> None:
+    daemon = list_daemons(context)[0]
+
+    async def send():
+        for record in daemon.table.records.values():
+            acquire = record.pool.acquire
+
+            async def hold_and_acquire(*, max_idle_s, acquire=acquire):
+                for at in (1.0, 2.0, 3.0):
+                    broken = _BrokenServer(
+                        record=SimpleNamespace(
+                            backend=SimpleNamespace(id=f"gone-{at}", started_ms=0)
+                        ),
+                        broke_at=read_boottime() - at,
+                        prompts=[("shared", part)],
+                    )
+                    daemon.quarantine._record_crash(broken)
+                return await acquire(max_idle_s=max_idle_s)
+
+            record.pool.acquire = hold_and_acquire
+        return [await send_prompt(daemon, "waiting", "shared", part)]
+
+    began_at = time.monotonic()
+    context.answers = context.world.run(send())
+    context.took_s = time.monotonic() - began_at
+
+
 @when("another daemon starts")
 def step_start_another(context: Context) -> None:
     number = len(context.world.daemons)
