--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -365,6 +365,14 @@
     async def start_and_send():
         daemon = EdgeDaemon(settings=world.make_settings(9), log_stream=None)
         world.daemons[daemon.settings.name] = daemon
+        hold_store = daemon.quarantine._hold_store
+        read = hold_store._read
+
+        async def read_late(store):
+            await asyncio.sleep(0.15)
+            await read(store)
+
+        hold_store._read = read_late
         await daemon.start()
         while daemon.catalogue.configuration is None or not daemon.table.records:
             await asyncio.sleep(0.0005)
