--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -69,6 +69,8 @@
         shutdown_at: boot-time clock at which a leaving server shuts down, else None.
         leaving: set once the server is known to be leaving.
         bad_limit: malformed request rate that it named last.
+        named_leaving: whether an answer of its own said that it leaves.
+        bad_leaving: malformed value that said last whether it leaves.
     """
 
     def __init__(self, *, backend: Backend, n_connections: int) -> None:
@@ -87,6 +89,8 @@
         self.shutdown_at: float | None = None
         self.leaving = asyncio.Event()
         self.bad_limit = b""
+        self.named_leaving = False
+        self.bad_leaving = b""
 
 
 class BackendTable:
--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -163,7 +163,17 @@
         self.confirmed_at = max(self.confirmed_at, proven_at)
 
     def _set_configuration(self, revision: int, spec: Any, source: str) -> None:
-        if self.configuration is not None and revision <= self.configuration.revision:
+        known = self.configuration
+        if known is not None and revision <= known.revision:
+            if spec != self.configuration_spec:
+                log_event(
+                    LOGGER,
+                    "configuration_ignored",
+                    revision=revision,
+                    known_number=known.number,
+                    known_revision=known.revision,
+                    source=source,
+                )
             return
         try:
             configuration = decode_configuration(spec, revision)
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -35,6 +35,7 @@
 from .quotas import Quotas
 from .registration import Registration
 from .server_limits import ServerLimits
+from .store_era import StoreEra
 from .store_watch import StoreWatch
 from .stream_origins import StreamOrigins
 from .usage import Usage
@@ -74,6 +75,7 @@
         self._log_stream = log_stream
         self._incarnation = int(time.time() * 1_000)
         bounds = settings.bounds
+        self.era = StoreEra()
         self.catalogue = Catalogue(revoke_s=bounds.revoke_s)
         self.quotas = Quotas(bounds=bounds)
         self.members = Members(
@@ -85,12 +87,15 @@
             on_progress=self._handle_progress,
         )
         self.quotas.bind(self.members)
-        self.registration = Registration(settings=settings, members=self.members)
+        self.registration = Registration(
+            settings=settings, members=self.members, era=self.era
+        )
         self.watch = StoreWatch(
             name=settings.name,
             address=settings.store,
             catalogue=self.catalogue,
             members=self.members,
+            era=self.era,
         )
         self.usage = Usage(
             window_s=bounds.usage_window_s,
@@ -110,6 +115,7 @@
         self.quarantine = PartQuarantine(
             name=settings.name,
             store=settings.store,
+            era=self.era,
             members=self.members,
             table=self.table,
         )
@@ -135,6 +141,7 @@
                 members=self.members,
                 remove_lost=self.registration.remove_lost,
                 catalogue=self.catalogue,
+                era=self.era,
                 usage=self.usage,
                 read_work=lambda: self.work.sum_rates(self.members.count_members()),
             )
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -36,6 +36,7 @@
 from .duty_lease import AnnouncedHold, DutyLease
 from .members import Member, Members
 from .model import BackendState, EdgeSettings, FleetBounds, Service
+from .store_era import StoreEra
 from .usage import Usage
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -71,6 +72,7 @@
         members: the other daemons, any of which may hold the lease.
         remove_lost: removes lost daemons from the store.
         catalogue: services and backend servers.
+        era: era of the store.
         usage: request counts to report.
         read_work: returns the work of all daemons by service, in server-seconds per
             second.
@@ -84,11 +86,12 @@
         members: Members,
         remove_lost: Callable[[], Awaitable[None]],
         catalogue: Catalogue,
+        era: StoreEra,
         usage: Usage,
         read_work: Callable[[], Mapping[str, float]],
     ) -> None:
         assert settings.cloud is not None
-        self.store = ObjectStore(address=settings.store)
+        self.store = ObjectStore(address=settings.store, note_era=era.note_answer)
         self.lease = DutyLease(
             store=self.store,
             holder=settings.name,
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -16,6 +16,7 @@
 from ..platform.headers import (
     decode_request,
     filter_response_headers,
+    parse_leaving,
     parse_load,
     parse_rate_limit,
     render_request,
@@ -280,6 +281,7 @@
             head = await self._await_head(context, exchange)
             answer_s = read_boottime() - sent_at
             self._note_limit(record, head)
+            self._note_leaving(record, head)
             if head.status == 421 or head.find(names.NOT_EXECUTED):
                 await self._await_body(context, exchange)
                 complete = True
@@ -339,6 +341,25 @@
             record.bad_limit = value
             log_event(LOGGER, "bad_limit", backend=record.backend.id, value=value[:40])
 
+    def _note_leaving(self, record: BackendRecord, head: AnswerHead) -> None:
+        """Records whether a server says that it leaves."""
+        value = head.find(names.LEAVING)
+        leaves = parse_leaving(value)
+        if leaves and not record.named_leaving:
+            record.named_leaving = True
+            log_event(
+                LOGGER,
+                "leaving_named",
+                backend=record.backend.id,
+                state=record.backend.state,
+                started_ms=record.backend.started_ms,
+            )
+        elif leaves is None and record.bad_leaving != value:
+            record.bad_leaving = value
+            log_event(
+                LOGGER, "bad_leaving", backend=record.backend.id, value=value[:40]
+            )
+
     def _note_break(
         self,
         context: RequestContext,
--- a/berylpost/edge/hold_store.py
+++ b/berylpost/edge/hold_store.py
@@ -21,6 +21,7 @@
 from ..policy.quarantine import MAX_HOLD_S, Observation, PartRecord
 from .members import Members
 from .model import Endpoint
+from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -53,6 +54,7 @@
 
     Args:
         address: address of the store.
+        era: era of the store.
         members: the other daemons, and the time of day that they agree on.
         list_owned: returns the records of the held parts that this daemon is to write.
         is_held: tells whether a part is held.
@@ -66,12 +68,14 @@
         self,
         *,
         address: Endpoint,
+        era: StoreEra,
         members: Members,
         list_owned: Callable[[], Mapping[int, PartRecord]],
         is_held: Callable[[int], bool],
         merge: Callable[[Mapping[int, PartRecord]], None],
     ) -> None:
         self._address = address
+        self._era = era
         self._members = members
         self.was_read = asyncio.Event()
         self._list_owned = list_owned
@@ -81,7 +85,7 @@
 
     async def run(self) -> None:
         """Reads the list, then writes what changes, until it is cancelled."""
-        store = ObjectStore(address=self._address)
+        store = ObjectStore(address=self._address, note_era=self._era.note_answer)
         alone_s = float("inf")  # time without other daemons since the last reading
         while True:
             try:
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import socket
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, NamedTuple, cast
 
 import httptools
@@ -19,10 +21,11 @@
 
 
 class HttpAnswer(NamedTuple):
-    """A complete answer."""
+    """A complete answer, with header names in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = MappingProxyType({})
 
 
 class _AnswerProtocol(asyncio.Protocol):
@@ -111,7 +114,9 @@
             # No call waits for this answer; later ones cannot be matched to calls.
             self.abort()
             return
-        self.answer.set_result(HttpAnswer(status, bytes(self._body)))
+        self.answer.set_result(
+            HttpAnswer(status, bytes(self._body), dict(self._headers))
+        )
 
     def abort(self) -> None:
         """Closes the connection at once and discards unsent bytes."""
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -29,6 +29,7 @@
 from .hold_store import HoldStore
 from .members import FAN_OUT, Members
 from .model import Endpoint
+from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -86,12 +87,19 @@
     Args:
         name: name of this daemon.
         store: address of the store.
+        era: era of the store.
         members: the other daemons.
         table: state of the backend servers.
     """
 
     def __init__(
-        self, *, name: str, store: Endpoint, members: Members, table: BackendTable
+        self,
+        *,
+        name: str,
+        store: Endpoint,
+        era: StoreEra,
+        members: Members,
+        table: BackendTable,
     ) -> None:
         self.state = PromptHolds(
             name=name, read_clock=read_boottime, on_change=self._pass_on
@@ -104,6 +112,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._hold_store = HoldStore(
             address=store,
+            era=era,
             members=members,
             list_owned=self._list_owned,
             is_held=lambda key: key in self.state.holds,
--- a/berylpost/edge/registration.py
+++ b/berylpost/edge/registration.py
@@ -16,6 +16,7 @@
 from ..platform.object_wire import ConflictError
 from .members import Members
 from .model import EdgeSettings
+from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -31,9 +32,13 @@
     Args:
         settings: settings of this daemon.
         members: gets the listed daemons.
+        era: era of the store.
     """
 
-    def __init__(self, *, settings: EdgeSettings, members: Members) -> None:
+    def __init__(
+        self, *, settings: EdgeSettings, members: Members, era: StoreEra
+    ) -> None:
+        self._era = era
         self._settings = settings
         self._members = members
         self._task: asyncio.Task[None] | None = None
@@ -50,7 +55,9 @@
     async def deregister(self) -> None:
         """Removes this daemon's entry; if that fails, another daemon will do it."""
         self.stop()
-        store = ObjectStore(address=self._settings.store)
+        store = ObjectStore(
+            address=self._settings.store, note_era=self._era.note_answer
+        )
         try:
             await store.delete(names.KIND_MEMBERS, self._settings.name)
         except PlatformError as error:
@@ -63,7 +70,9 @@
         lost = self._members.list_lost()
         if not lost:
             return
-        store = ObjectStore(address=self._settings.store)
+        store = ObjectStore(
+            address=self._settings.store, note_era=self._era.note_answer
+        )
         try:
             for name in lost:
                 await store.delete(names.KIND_MEMBERS, name)
@@ -77,7 +86,7 @@
     async def _run(self) -> None:
         """Writes this daemon's entry, then lists the others until gossip arrives."""
         settings = self._settings
-        store = ObjectStore(address=settings.store)
+        store = ObjectStore(address=settings.store, note_era=self._era.note_answer)
         spec = {
             "ip": settings.ip,
             "port": settings.peer.port,
--- a/berylpost/edge/store_watch.py
+++ b/berylpost/edge/store_watch.py
@@ -21,6 +21,7 @@
 from .clock import read_boottime
 from .members import Members
 from .model import Endpoint
+from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -51,11 +52,19 @@
         address: address of the store.
         catalogue: gets the listed objects and the changes.
         members: the other daemons.
+        era: era of the store.
     """
 
     def __init__(
-        self, *, name: str, address: Endpoint, catalogue: Catalogue, members: Members
+        self,
+        *,
+        name: str,
+        address: Endpoint,
+        catalogue: Catalogue,
+        members: Members,
+        era: StoreEra,
     ) -> None:
+        self._era = era
         self.n_calls = 0
         self.is_watching = False
         self._name = name
@@ -133,7 +142,7 @@
 
     async def _run_watch(self, kind: str) -> None:
         """Lists a kind once, then watches it while this daemon is to watch."""
-        store = ObjectStore(address=self._address)
+        store = ObjectStore(address=self._address, note_era=self._era.note_answer)
         revision: int | None = None
         pause_s = RETRY_PAUSE_S
         while True:
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -142,6 +142,11 @@
     return float(text)
 
 
+def parse_leaving(value: bytes) -> bool | None:
+    """Parses whether a server says that it leaves; None if it is malformed."""
+    return {b"": False, b"1": True}.get(value.strip())
+
+
 def parse_keep_alive(value: bytes) -> float | None:
     """Parses the seconds for which a server keeps an idle connection open."""
     for part in value.split(b","):
--- a/berylpost/platform/names.py
+++ b/berylpost/platform/names.py
@@ -42,8 +42,12 @@
 SIGNATURE: Final = b"x-berylpost-replica-signature"
 LOAD: Final = b"x-berylpost-replica-load"
 RATE_LIMIT: Final = b"server-limit"
+LEAVING: Final = b"server-leaving"
 NOT_EXECUTED: Final = b"x-berylpost-not-executed"
 
+# Header of all the store's responses.
+STORE_ERA: Final = b"store-era"
+
 # Headers of duty calls.
 DUTY_HOLDER: Final = "X-Berylpost-Duty-Holder"
 DUTY_FENCE: Final = "X-Berylpost-Fence-Token"
--- a/berylpost/platform/object_store.py
+++ b/berylpost/platform/object_store.py
@@ -4,10 +4,16 @@
 and a watch returns the changes after a revision.
 """
 
+import logging
+from collections.abc import Callable
 from typing import Any, Final
 
+from ..edge.clock import read_boottime
 from ..edge.http_channel import HttpAnswer, HttpChannel
 from ..edge.model import Endpoint
+from ..errors import LostAnswerError
+from ..logs import log_event
+from . import names
 from .object_wire import (
     Changes,
     Listing,
@@ -21,8 +27,11 @@
     make_kind_target,
     make_object_target,
     make_watch_target,
+    parse_era,
 )
 
+LOGGER: Final = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S: Final = 1.5  # enough for a store 60 times slower than its usual 4 ms
 CONNECT_TIMEOUT_S: Final = 0.7  # below 1 s, after which a lost SYN is sent again
 WATCH_SLACK_S: Final = 0.7  # an empty watch may end this much later than requested
@@ -33,9 +42,15 @@
 
     Args:
         address: address of the store.
+        note_era: called with the era that each answer names, None for none, and the
+            boot-time clock at which the call was made; tells whether the answer counts.
     """
 
-    def __init__(self, *, address: Endpoint) -> None:
+    def __init__(
+        self, *, address: Endpoint, note_era: Callable[[int | None, float], bool]
+    ) -> None:
+        self._note_era = note_era
+        self._bad_era = b""
         self._channel = HttpChannel(
             address=address, connect_timeout_s=CONNECT_TIMEOUT_S
         )
@@ -129,8 +144,19 @@
         body: bytes = b"",
         accept: tuple[int, ...] = (),
     ) -> HttpAnswer:
+        asked_at = read_boottime()
         answer = await self._channel.call(
             method, target, timeout_s=timeout_s, body=body
         )
+        if not self._note_era(self._read_era(answer), asked_at):
+            raise LostAnswerError(f"{method} {target}: answer of an earlier era")
         check_status(f"{method} {target}", answer.status, accept)
         return answer
+
+    def _read_era(self, answer: HttpAnswer) -> int | None:
+        value = answer.headers.get(names.STORE_ERA, b"")
+        era = parse_era(value)
+        if era is None and value != self._bad_era:
+            self._bad_era = value
+            log_event(LOGGER, "bad_store_era", logging.WARNING, value=value[:40])
+        return era
--- a/berylpost/platform/object_wire.py
+++ b/berylpost/platform/object_wire.py
@@ -12,6 +12,7 @@
 
 from ..errors import LostAnswerError, PlatformError
 from . import names
+from .headers import is_number
 
 OK_STATUSES: Final = frozenset({200, 201, 204})
 
@@ -190,6 +191,12 @@
     return decode_object(body)
 
 
+def parse_era(value: bytes) -> int | None:
+    """Parses the era of the store; None if it is missing or malformed."""
+    text = value.strip().decode("latin-1")
+    return int(text) if is_number(text) else None
+
+
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         document = msgspec.json.decode(body)
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -28,6 +28,7 @@
 from berylpost.edge.members import FAN_OUT
 from berylpost.edge.model import Endpoint
 from berylpost.edge.part_quarantine import PartQuarantine, _BrokenServer
+from berylpost.edge.store_era import StoreEra
 from berylpost.fakes.entry_world import API_KEY, HOST
 from berylpost.fakes.replica import N_EVENTS, list_shared_parts
 from berylpost.policy.quarantine import (
@@ -696,6 +697,7 @@
     )
     records = {}
     quarantine = PartQuarantine(
+        era=StoreEra(),
         name="d",
         store=Endpoint("127.0.0.1", 1),
         members=members,
