--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -4,11 +4,16 @@
 `PAGE_ITEMS` objects, and a watch waits at most `MAX_WAIT_S`. The history holds the last
 `N_HISTORY` changes; a watch from before them is answered with 410. `/calls` returns the
 number of calls by operation.
+
+`restore` brings it back from an older copy: its era rises, and it gives out the
+revisions since the copy again.
 """
 
 import asyncio
+import copy
 import json
 from collections import Counter, deque
+from dataclasses import dataclass
 from typing import Any, Final
 
 from .server import FakeServer, Reply, Request, reply_json
@@ -22,6 +27,14 @@
 Document = dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """All that the store held at one revision."""
+
+    kinds: dict[str, dict[str, Document]]
+    revision: int
+
+
 class ObjectStore:
     """The stored objects and their history.
 
@@ -29,16 +42,38 @@
         kinds: documents of the objects by kind and name.
         calls: number of calls by operation.
         revision: revision of the last change.
+        era: value of the header that names the era; empty for none.
     """
 
     def __init__(self, *, endpoint: str) -> None:
+        self.era = "1"
         self.kinds: dict[str, dict[str, Document]] = {}
         self.calls: Counter[str] = Counter()
         self.revision = 1
         self._history: deque[tuple[int, str, Document]] = deque(maxlen=N_HISTORY)
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
-        self.server = FakeServer(endpoint=endpoint, handle=self._handle)
+        self.server = FakeServer(
+            endpoint=endpoint, handle=self._handle, list_headers=self._list_headers
+        )
+
+    def _list_headers(self) -> tuple[tuple[str, str], ...]:
+        return (("Store-Era", self.era),) if self.era else ()
+
+    def take_copy(self) -> StoreCopy:
+        """Copies all that the store holds."""
+        return StoreCopy(kinds=copy.deepcopy(self.kinds), revision=self.revision)
+
+    async def restore(self, stored: StoreCopy) -> None:
+        """Comes back from an older copy."""
+        self.kinds = copy.deepcopy(stored.kinds)
+        self.revision = stored.revision
+        kept = [item for item in self._history if item[0] <= stored.revision]
+        self._history = deque(kept, maxlen=N_HISTORY)
+        if self.era.isdecimal():
+            self.era = str(int(self.era) + 1)
+        async with self._changed:
+            self._changed.notify_all()
 
     def compact_history(self) -> None:
         """Drops the whole history, as a compaction of the store does."""
@@ -141,7 +176,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while True:
-            if since < self._compacted_revision:
+            if not self._compacted_revision <= since <= self.revision:
                 return reply_json({"Error": "history is gone"}, 410)
             events = [
                 event
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -65,6 +65,8 @@
         fault: key of `FAULTS` for the next requests.
         limit: value of the header that names the requests a second that the server
             takes; empty for none.
+        leaving: value of the header that says whether the server leaves; empty for
+            none.
         received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
         unframed_moves: whether the answer to a move has no length.
@@ -96,6 +98,7 @@
         self.version = version
         self.fault = "none"
         self.limit = ""
+        self.leaving = ""
         self.received_at: list[float] = []
         self.work_s = 0.0
         self.loses_moves = False
@@ -230,6 +233,8 @@
     }
     if replica.limit:
         headers["Server-Limit"] = replica.limit
+    if replica.leaving:
+        headers["Server-Leaving"] = replica.leaving
     return headers
 
 
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -131,6 +131,7 @@
     Args:
         endpoint: IP-NUMBER:PORT to listen on.
         handle: returns the reply to a request.
+        list_headers: returns headers of all replies, refusals too.
 
     Attributes:
         faults: faults to inject, replaced by `POST /fault`.
@@ -139,7 +140,14 @@
         crashed_at: when it crashed, monotonic seconds.
     """
 
-    def __init__(self, *, endpoint: str, handle: Handler) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        handle: Handler,
+        list_headers: Callable[[], tuple[tuple[str, str], ...]] = tuple,
+    ) -> None:
+        self._list_headers = list_headers
         self.endpoint = endpoint
         self.faults = FaultPlan()
         self.refused_ips: set[str] = set()
@@ -240,7 +248,8 @@
     async def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> bool:
         """Sends a response; returns whether the connection may be used again."""
         head = f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Other')}\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
+        headers = (*reply.headers, *self._list_headers())
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers)
         if reply.stream is None:
             head += f"Content-Length: {len(reply.body)}\r\n\r\n"
             writer.write(head.encode("latin-1") + reply.body)
