Patch what is in force after the object API came back from an older copy

What operators saw in the scenarios, which failed before: a patch against the number in force is refused as stale_number ("the current number is 1") at every daemon, and patches that were accepted are gone from the object API for good.

A patch now applies to the newer of the stored document and the one in force; a watching daemon that reads an older one writes the one in force back, under the same conditional write. A patch that meets the write-back is tried again instead of being refused with its own number. A watch lists anew when the era has changed, since its revision may stand for other contents.

Left: a daemon that has just started and knows nothing of its neighbours yet may accept a patch on the copy.

--- a/berylpost/configurations.py
+++ b/berylpost/configurations.py
@@ -5,12 +5,16 @@
 whole document when some of those patches are no longer available. Patching is
 stateless: `submit_patch` runs in the thread of the operator's request, and its
 safety rests solely on the conditional write of the object API.
+
+The object API may come back from an older copy. What is in force is newer then: a patch
+applies to that, and a daemon that watches writes it back.
 """
 
 import logging
 import random
 import threading
 import time
+import uuid
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
@@ -68,6 +72,7 @@
     """A document read from the object API or produced by a patch accepted here."""
 
     versioned: VersionedConfiguration
+    is_watched: bool = False  # whether the object API holds it now
 
 
 def build_configuration_in_force(
@@ -163,6 +168,7 @@
     author: str,
     media_type: str,
     patch: Any,
+    in_force: VersionedConfiguration | None = None,
 ) -> VersionedConfiguration:
     """Applies an operator's patch to the numbered document in the object API.
 
@@ -175,6 +181,8 @@
         author: the operator's name.
         media_type: media type of the patch, which selects one of the two formats.
         patch: the decoded patch.
+        in_force: the document in force on this daemon, which may be newer than the one
+            in the object API after that came back from an older copy.
 
     Returns:
         The document that the patch produced, as it is now in the object API.
@@ -184,33 +192,82 @@
             `OUTCOME_UNKNOWN`, or an error of `apply_patch` or `parse_deployment`.
         PlatformError: the object API did not answer and nothing was written.
     """
+    while True:
+        snapshot, current = _read_newest(objects, name, in_force)
+        for entry in current.recent:
+            if entry.patch_id == patch_id:
+                # This patch has taken effect already; the answer may have been lost.
+                return msgspec.structs.replace(current, number=entry.number)
+        if base != current.number:
+            raise _stale(current.number)
+        document = apply_patch(current.document, media_type, patch)
+        parse_deployment(document)
+        entry = AuditEntry(
+            patch_id=patch_id,
+            author=author,
+            time=time.time(),
+            base=base,
+            number=base + 1,
+            media_type=media_type,
+            patch=patch,
+        )
+        recent = spill_audit(objects, name, (*current.recent, entry))
+        versioned = VersionedConfiguration(
+            name=name, number=base + 1, document=document, recent=recent
+        )
+        try:
+            _write_versioned(writer, snapshot, versioned)
+        except BerylpostError as error:
+            # The document was written back meanwhile, with the number of the base.
+            if error.fields.get("number") == base:
+                continue
+            raise
+        log_event(LOGGER, "patch_accepted", deployment=name, number=base + 1, by=author)
+        return versioned
+
+
+def _read_newest(
+    objects: Objects, name: str, in_force: VersionedConfiguration | None
+) -> tuple[ObjectSnapshot, VersionedConfiguration]:
+    """Reads a document; returns the one in force in its place if that is newer.
+
+    Raises:
+        BerylpostError: there is no such deployment.
+        PlatformError: the object API did not answer.
+    """
     snapshot, current = read_versioned(objects, name)
+    if in_force is not None and (current is None or current.number < in_force.number):
+        current = in_force
     if current is None:
         raise BerylpostError(ErrorKind.NOT_FOUND, f"no deployment {name!r}")
-    for entry in current.recent:
-        if entry.patch_id == patch_id:
-            # This patch has taken effect already; the answer may have been lost.
-            return msgspec.structs.replace(current, number=entry.number)
-    if base != current.number:
-        raise _stale(current.number)
-    document = apply_patch(current.document, media_type, patch)
-    parse_deployment(document)
-    entry = AuditEntry(
-        patch_id=patch_id,
-        author=author,
-        time=time.time(),
-        base=base,
-        number=base + 1,
-        media_type=media_type,
-        patch=patch,
-    )
-    recent = spill_audit(objects, name, (*current.recent, entry))
-    versioned = VersionedConfiguration(
-        name=name, number=base + 1, document=document, recent=recent
+    return snapshot, current
+
+
+def write_back(
+    objects: Objects, writer: ConditionalWriter, in_force: VersionedConfiguration
+) -> bool:
+    """Writes the document in force if the object API has an older one.
+
+    Returns:
+        Whether it was written.
+
+    Raises:
+        BerylpostError: another daemon wrote meanwhile, or the outcome is unknown.
+        PlatformError: the object API did not answer.
+    """
+    snapshot, stored = read_versioned(objects, in_force.name)
+    if stored is not None and stored.number >= in_force.number:
+        return False
+    _write_versioned(writer, snapshot, in_force)
+    log_event(
+        LOGGER,
+        "configuration_written_back",
+        logging.WARNING,
+        deployment=in_force.name,
+        number=in_force.number,
+        stored=stored.number if stored is not None else 0,
     )
-    _write_versioned(writer, snapshot, versioned)
-    log_event(LOGGER, "patch_accepted", deployment=name, number=base + 1, by=author)
-    return versioned
+    return True
 
 
 def _stale(number: int) -> BerylpostError:
@@ -300,7 +357,7 @@
         self._next_read_at = 0.0
         self._names = context.settings.daemon.deployments
         self._handlers: dict[type, Callable[[Any], None]] = {
-            ConfigurationReceived: lambda m: self._put_in_force(m.versioned),
+            ConfigurationReceived: self._handle_received,
             ConfigurationNumbersReceived: self._pull_newer,
             ConfigurationPull: self._answer_pull,
             ConfigurationPush: self._apply_push,
@@ -334,6 +391,21 @@
             if versioned is not None:
                 self._put_in_force(versioned)
 
+    def _handle_received(self, received: ConfigurationReceived) -> None:
+        versioned = received.versioned
+        present = self.in_force.read().get(versioned.name)
+        number = present.versioned.number if present is not None else 0
+        if received.is_watched and present is not None and versioned.number < number:
+            writer = ConditionalWriter(
+                objects=self._objects, writer=f"{self._self_id()}.{uuid.uuid4().hex}"
+            )
+            try:
+                write_back(self._objects, writer, present.versioned)
+            except (BerylpostError, PlatformError) as error:
+                log_event(LOGGER, "write_back_failed", logging.WARNING, error=error)
+            return
+        self._put_in_force(versioned)
+
     def _put_in_force(self, versioned: VersionedConfiguration) -> None:
         """Puts a document in force if its number is higher than the current one."""
         if versioned.name not in self._names:
@@ -440,9 +512,8 @@
         try:
             for key, stored in self._objects.watch(PREFIX, lambda: self._is_watching):
                 envelope = open_envelope(key, stored.value)
-                self.post(
-                    ConfigurationReceived(versioned=_decode_versioned(envelope.open()))
-                )
+                versioned = _decode_versioned(envelope.open())
+                self.post(ConfigurationReceived(versioned=versioned, is_watched=True))
         except (PlatformError, ValueError) as error:
             log_event(LOGGER, "watch_ended", logging.WARNING, error=error)
         finally:
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -6,7 +6,7 @@
 number of calls by operation.
 
 `restore` brings it back from an older copy: its era rises, and it gives out the
-revisions since the copy again.
+revisions since the copy again. Tests in other processes call `/copy` and `/restore`.
 """
 
 import asyncio
@@ -53,6 +53,7 @@
         self._history: deque[tuple[int, str, Document]] = deque(maxlen=N_HISTORY)
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
+        self._copy = self.take_copy()
         self.server = FakeServer(
             endpoint=endpoint, handle=self._handle, list_headers=self._list_headers
         )
@@ -95,6 +96,12 @@
     async def _handle(self, request: Request) -> Reply:
         if request.path == "/calls":
             return reply_json(dict(self.calls))
+        if request.path == "/copy":
+            self._copy = self.take_copy()
+            return reply_json({})
+        if request.path == "/restore":
+            await self.restore(self._copy)
+            return reply_json({})
         if not request.path.startswith(PREFIX):
             return reply_json({"Error": "no such path"}, 404)
         kind, _, name = request.path.removeprefix(PREFIX).partition("/")
--- a/berylpost/operator_api.py
+++ b/berylpost/operator_api.py
@@ -77,6 +77,7 @@
             author=operator.name,
             media_type=media_type,
             patch=patch,
+            in_force=app.read_slot("configurations")[name].versioned,
         )
     except PlatformError as error:
         raise BerylpostError(
--- a/berylpost/platform/objects.py
+++ b/berylpost/platform/objects.py
@@ -8,6 +8,7 @@
 """
 
 import base64
+import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final, Protocol
@@ -15,11 +16,14 @@
 import urllib3
 
 from ..errors import LostAnswerError, PlatformError
+from ..logs import log_event
 from ..metrics import STORE_CALLS
-from . import object_wire
+from . import names, object_wire
 from .object_wire import ConflictError, HistoryGoneError
 from .web import call, make_pool
 
+LOGGER: Final = logging.getLogger(__name__)
+
 WATCH_WAIT_S: Final = 10.0  # a third of the longest wait that the store allows
 WATCH_SLACK_S: Final = 2.0  # an empty watch may end this much later than requested
 KIND_PREFIX: Final = "berylpost-"
@@ -87,6 +91,7 @@
         self._url = url
         self._timeout_s = timeout_s
         self._pool = make_pool(timeout_s=timeout_s)
+        self._era: int | None = None  # as the last response that named one
 
     def read(self, key: str) -> StoredObject:
         """Reads one object; see `Objects.read`."""
@@ -132,9 +137,12 @@
         """Yields the current objects, then each change; see `Objects.watch`."""
         kind, _ = _split_key(prefix)
         revision: int | None = None
+        era: int | None = None
         while should_continue():
-            if revision is None:
+            if revision is None or era != self._era:
+                # After a restore, a revision stands for other contents.
                 listed, revision = self._list(prefix)
+                era = self._era
                 yield from listed
                 continue
             target = object_wire.make_watch_target(kind, revision, WATCH_WAIT_S)
@@ -145,6 +153,8 @@
             except HistoryGoneError:
                 revision = None
                 continue
+            if era != self._era:
+                continue
             changes = object_wire.decode_changes(response.data)
             revision = changes.revision
             for change in changes.changes:
@@ -183,6 +193,7 @@
         url = self._url + target
         try:
             response = call(self._pool, method, url, body=body, timeout_s=timeout_s)
+            self._note_era(response.headers.get(names.STORE_ERA.decode(), ""))
             object_wire.check_status(f"{method} {target}", response.status, accept)
         except LostAnswerError:
             STORE_CALLS.labels(operation, "lost").inc()
@@ -193,6 +204,12 @@
         STORE_CALLS.labels(operation, "answered").inc()
         return response
 
+    def _note_era(self, value: str) -> None:
+        era = object_wire.parse_era(value.encode("latin-1"))
+        if era is not None and era != self._era:
+            log_event(LOGGER, "store_era", era=era, before=self._era)
+            self._era = era
+
 
 def _split_key(key: str) -> tuple[str, str]:
     kind, _, name = key.partition("/")
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -35,6 +35,27 @@
     Then it is ready within 15 s with the last number in force
     And it serves a complete summary while the object API is down
 
+  @fresh_fleet
+  Scenario Outline: A patch after the object API came back from an older copy is in force
+    Given a copy of the object API from before 3 patches
+    When the object API comes back from the copy <trouble>
+    And a patch against the last number is sent
+    Then the answer contains the number after the last one
+    And within 15 s every daemon has the last number in force
+
+    Examples:
+      | trouble             |
+      | at once             |
+      | twice               |
+      | with the third daemon starting again |
+
+  @fresh_fleet
+  Scenario: Patches that the object API lost are written back
+    Given a copy of the object API from before 3 patches
+    When the object API comes back from the copy at once
+    Then within 15 s the object API has the last number
+    And all daemons that start again have the last number in force within 15 s
+
   Scenario: Configuration numbers never decrease on a daemon
     When 3000 generated sequences of audit entries reach a daemon
     Then its number never decreased and its document always matches its number
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import urllib.request
 from typing import Any
 
 from behave import given, then, when
@@ -20,7 +21,7 @@
 from berylpost.bench.fleet import wait_until
 from berylpost.client import Client, Problem
 from berylpost.configuration import MERGE_PATCH, AuditEntry, VersionedConfiguration
-from berylpost.configurations import apply_entries
+from berylpost.configurations import apply_entries, read_versioned
 
 
 def configuration_path(context: Context) -> str:
@@ -211,6 +212,77 @@
     assert is_complete_answer(answer, "in an outage", 25)
 
 
+def control_store(context: Context, path: str) -> None:
+    address = context.fleet.world_spec.objects
+    with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as answer:
+        assert answer.status == 200
+
+
+@given("a copy of the object API from before {n:d} patches")
+def copy_store(context: Context, n: int) -> None:
+    control_store(context, "/copy")
+    for number in range(1, 1 + n):
+        patch = make_patch(number)
+        answer = send_patch(
+            context, context.fleet.daemons[0].http, number, patch, f"lost-{number}"
+        )
+        assert answer == {"number": number + 1}, answer
+    context.last_number = 1 + n
+    check_in_force(context, 15)
+
+
+@when("the object API comes back from the copy {trouble}")
+def restore_store(context: Context, trouble: str) -> None:
+    control_store(context, "/restore")
+    if trouble == "twice":
+        control_store(context, "/restore")
+    elif trouble.startswith("with"):
+        daemon = context.fleet.daemons[2]
+        context.fleet.kill(daemon)
+        context.fleet.start_daemon(daemon, wait=True)
+        check_in_force(context, 15)
+
+
+@when("a patch against the last number is sent")
+def send_next(context: Context) -> None:
+    address = context.fleet.daemons[1].http
+    context.answer = send_patch(
+        context, address, context.last_number, make_patch(9), "after"
+    )
+
+
+@then("the answer contains the number after the last one")
+def check_next(context: Context) -> None:
+    context.last_number += 1
+    assert context.answer == {"number": context.last_number}, context.answer
+
+
+@then("within {bound:d} s the object API has the last number")
+def check_written_back(context: Context, bound: int) -> None:
+    name = context.fleet.spec.deployment
+
+    def read_stored() -> int:
+        _, versioned = read_versioned(context.fleet.objects, name)
+        return versioned.number if versioned is not None else 0
+
+    wait_until(
+        lambda: read_stored() == context.last_number,
+        timeout_s=bound,
+        description="the last number is written back",
+    )
+
+
+@then("all daemons that start again have the last number in force within {bound:d} s")
+def check_restarted(context: Context, bound: int) -> None:
+    for daemon in context.fleet.daemons:
+        context.fleet.kill(daemon)
+    for daemon in context.fleet.daemons:
+        context.fleet.start_daemon(daemon, wait=False)
+    for daemon in context.fleet.daemons:
+        context.fleet.wait_ready(daemon)
+    check_in_force(context, bound)
+
+
 @when("{n:d} generated sequences of audit entries reach a daemon")
 def apply_generated(context: Context, n: int) -> None:
     entries = [
