--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -67,6 +67,7 @@
             takes; empty for none.
         leaving: value of the header that says whether the server leaves; empty for
             none.
+        born: start of the server, Unix milliseconds; 0 to leave it out of its entry.
         received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
         unframed_moves: whether the answer to a move has no length.
@@ -99,6 +100,7 @@
         self.fault = "none"
         self.limit = ""
         self.leaving = ""
+        self.born = 0
         self.received_at: list[float] = []
         self.work_s = 0.0
         self.loses_moves = False
@@ -122,6 +124,7 @@
     def spec(self) -> dict[str, object]:
         """The server's entry in the store, without service, zone and state."""
         return {
+            **({"born": self.born} if self.born else {}),
             "Address": f"{self.ip}:{self.port}",
             "Version": self.version,
             "Slots": 8,
@@ -180,7 +183,10 @@
         self.methods.append(parser.get_method().decode())
         self.received.append(incoming)
         if incoming.headers.get("x-berylpost-expect-replica") != self.id:
-            _write(writer, 421, {"X-Berylpost-Replica-Id": self.id}, b"")
+            headers = {"X-Berylpost-Replica-Id": self.id}
+            if self.leaving:
+                headers["Server-Leaving"] = self.leaving
+            _write(writer, 421, headers, b"")
             return True
         self.n_running += 1
         crashes = not self.crashing_parts.isdisjoint(list_shared_parts(incoming))
