Send nothing more to an engine that says in its load report that it leaves

The same class in our own interface: engines name leaving in the load report of every answer, and the relay dropped it; only the cloud's list of VMs counted.

The relay hands what it reads to the backends task, which spreads it like any other change of a server. Such a record has no deadline: what runs there finishes, and streams are planned once the cloud's list names one. A record with a deadline replaces one without.

--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -46,12 +46,14 @@
         finished: the answer is complete; called with its finish reason and the time.
         failed: the request has failed and is not retried.
         retry_due: called with the time of a retry, in monotonic seconds.
+        leaving_named: called with the id of an engine that says that it leaves.
     """
 
     updated: Callable[[Stream], None]
     finished: Callable[[Stream, str, float], None]
     failed: Callable[[Stream, BerylpostError], None]
     retry_due: Callable[[float], None]
+    leaving_named: Callable[[str], None]
 
 
 class Attempts:
@@ -199,6 +201,8 @@
         if pool is not None:
             pool.report(stream.backend, report, now)
         self._limits.note_report(stream.backend, report.rate_limit)
+        if report.leaving:
+            self._callbacks.leaving_named(stream.backend)
 
     def _observe(self, stream: Stream, first_s: float | None, now: float) -> None:
         pool = self._queue.find_pool(stream.request)
--- a/berylpost/backends.py
+++ b/berylpost/backends.py
@@ -29,6 +29,11 @@
 _RANK: Final = {"running": 0, "leaving": 1, "gone": 2}
 
 
+def _rank(backend: Backend) -> tuple[int, bool]:
+    """Ranks what is known of a server; a leaving one may name its end later."""
+    return _RANK[backend.state], backend.deadline > 0
+
+
 def merge_backends(
     known: Mapping[str, Backend], received: Iterable[Backend]
 ) -> tuple[Mapping[str, Backend], tuple[Backend, ...]]:
@@ -40,8 +45,7 @@
     changed = tuple(
         backend
         for backend in received
-        if backend.id not in known
-        or _RANK[backend.state] > _RANK[known[backend.id].state]
+        if backend.id not in known or _rank(backend) > _rank(known[backend.id])
     )
     if not changed:
         return known, ()
--- a/berylpost/messages.py
+++ b/berylpost/messages.py
@@ -52,7 +52,7 @@
         name: the model or service that it runs.
         state: `running`, `leaving` or `gone`.
         deadline: wall clock time at which the VM of a leaving server is removed,
-            in seconds.
+            in seconds; 0 while it is not known.
     """
 
     id: str
--- a/berylpost/reclaims.py
+++ b/berylpost/reclaims.py
@@ -72,6 +72,8 @@
         self._recorder = recorder
         self._mover = mover
         self._post = post
+        # Backend servers whose streams were planned when they named their end.
+        self._planned: set[str] = set()
 
     def refresh_pools(self) -> None:
         """Applies the table of backend servers and reclaims those that leave."""
@@ -80,11 +82,14 @@
         groups = group_backends(table.values(), "engine")
         for key in groups.keys() - self._queue.pools.keys():
             self._queue.pools[key] = Pool(deployment=key[0], model=key[1])
+        ending: set[str] = set()
         for key, pool in self._queue.pools.items():
-            before = pool.leaving
             pool.set_backends(groups.get(key, ()), n_daemons)
-            for backend_id in pool.leaving - before:
-                self._reclaim_backend(table[backend_id])
+            # A server that only says that it leaves finishes what it runs.
+            ending |= {b for b in pool.leaving if table[b].deadline > 0}
+        for backend_id in ending - self._planned:
+            self._reclaim_backend(table[backend_id])
+        self._planned = ending
 
     def _reclaim_backend(self, backend: Backend) -> None:
         """Plans for the streams on a leaving backend server and acts on the plans."""
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -18,6 +18,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
+import msgspec
+
 from .admission import AdmissionQueue
 from .attempts import AttemptCallbacks, Attempts
 from .callers import Caller
@@ -28,6 +30,7 @@
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Context, Inbox, Plugin, Slot, register_plugin, run_step
+from .logs import log_event
 from .messages import (
     Backend,
     HeldRequest,
@@ -110,6 +113,7 @@
             find_stream=self._streams.get,
             end_orphan=self._end_orphan,
         )
+        self._context = context
         self._queue = AdmissionQueue(
             settings=self._settings, in_force=self._in_force, recorder=recorder
         )
@@ -143,6 +147,7 @@
                 finished=self._finish,
                 failed=self._fail,
                 retry_due=lambda when: self._schedule(when, self._start_queued),
+                leaving_named=self._note_leaving,
             ),
         )
         self._reclaims = Reclaims(
@@ -319,6 +324,15 @@
         self._reclaims.refresh_pools()
         self._start_queued()
 
+    def _note_leaving(self, backend_id: str) -> None:
+        """Tells all daemons of an engine that says in an answer that it leaves."""
+        backend = self._backends.read().get(backend_id)
+        if backend is None or backend.state != "running":
+            return
+        log_event(LOGGER, "leaving_named", backend=backend_id)
+        leaving = msgspec.structs.replace(backend, state="leaving")
+        self._context.post("backends", BackendsReceived(backends=(leaving,)))
+
     def _fail_held(self) -> None:
         """Fails queued requests whose prompt has become held."""
         for stream in list(self._queue.queued.values()):
--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -1,4 +1,4 @@
-Feature: An engine of our own interface gets no more requests than the rate it names
+Feature: Daemons of our own interface keep to what an engine says in its answers
 
   @fresh_fleet
   Scenario: One of two engines names a rate
@@ -13,3 +13,10 @@
     When callers send 30 summaries a second over all daemons for 8 s
     Then each engine gets at most 29 requests in any 4 s
     And summaries that were not answered were refused as not run
+
+  @fresh_fleet
+  Scenario: An engine says in its answers only that it leaves
+    Given the first engine says that it leaves, in its answers only
+    When callers send 30 summaries a second over all daemons for 5 s
+    Then the first engine gets no request later than 0.5 s after its first answer
+    And nine in ten summaries were answered in time
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -79,3 +79,18 @@
     assert refused and len(refused) < len(context.answers)
     for answer in refused:
         assert answer.status == 503 and answer.ran == "not_run", answer
+
+
+@given("the first engine says that it leaves, in its answers only")
+def step_leave(context: Context) -> None:
+    context.leaving = list_engines(context)[0]
+    context.leaving.give_notice()
+
+
+@then(
+    "the first engine gets no request later than {seconds:g} s after its first answer"
+)
+def step_check_left(context: Context, seconds: float) -> None:
+    received_at = context.leaving.received_at
+    late = [at for at in received_at if at > received_at[0] + seconds]
+    assert received_at and not late, (len(late), len(received_at))
