Log a digest of the request that failed at a server

It is equal for requests of one caller that differ in nothing but their ids, so that the log tells whether servers end under one and the same request.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -11,7 +11,7 @@
 from .model import Customer, RequestHead, Route, RouteKind, ServingConfiguration
 from .part_quarantine import PartQuarantine
 from .quotas import Quotas
-from .work import RequestContext, make_refusal
+from .work import RequestContext, list_suspects, make_refusal
 
 # The store or another daemon is usually reachable again after about this time.
 NO_STATE_RETRY_S: Final = 0.5
@@ -101,6 +101,7 @@
             service=service,
             units=units,
             expires_at=request.arrived_at + limit_s,
+            suspects=list_suspects(request, head, customer.name if customer else ""),
             is_part_trial=is_part_trial,
         )
 
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -5,6 +5,8 @@
 
 from ..errors import BerylpostError, ErrorKind
 from ..event_stream import EventSplitter
+from ..hashing import hash_text
+from ..prompt_holds import Suspects, digest_request
 from .callers import CallerRequest
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, ServingConfiguration
@@ -20,6 +22,7 @@
 
     Attributes:
         expires_at: boot-time clock by which the request must be answered.
+        suspects: what of the request may crash servers.
         may_have_run: whether an attempt may have run the request.
         n_sent: number of attempts that were sent.
         n_run: number of attempts that may have run.
@@ -45,6 +48,7 @@
     service: str
     units: float
     expires_at: float
+    suspects: Suspects
     may_have_run: bool = False
     n_sent: int = 0
     n_run: int = 0
@@ -101,6 +105,18 @@
     return BerylpostError(kind, detail, retry_after_s=retry_after_s)
 
 
+def list_suspects(request: CallerRequest, head: RequestHead, customer: str) -> Suspects:
+    """Lists what of a request may crash servers; ids of attempts do not count."""
+    whole = digest_request(
+        head.method,
+        head.host.encode("latin-1"),
+        head.target,
+        customer.encode(),
+        request.body,
+    )
+    return Suspects(tuple(map(hash_text, head.shared_parts)), whole)
+
+
 def render_parts(head: RequestHead) -> str:
     """Renders the shared parts of a prompt for a log line."""
     return ",".join(head.shared_parts[:MAX_LOGGED_PARTS])
--- a/berylpost/prompt_holds.py
+++ b/berylpost/prompt_holds.py
@@ -8,11 +8,11 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
-from .hashing import hash_text
+from .hashing import hash_bytes, hash_text
 from .logs import log_event
 from .policy.quarantine import (
     Hold,
@@ -36,6 +36,24 @@
 NEVER: Final = float("-inf")
 
 
+class Suspects(NamedTuple):
+    """What of one request may crash servers, as hashes.
+
+    Attributes:
+        parts: parts of the prompt that other requests may share, in order.
+        whole: the whole request, equal for requests of one caller that differ in
+            nothing but their ids.
+    """
+
+    parts: tuple[int, ...]
+    whole: int
+
+
+def digest_request(*fields: bytes) -> int:
+    """Digests what makes a request the same as another one."""
+    return hash_bytes(b"".join(b"%d:%b" % (len(field), field) for field in fields))
+
+
 class WireRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record on the wire, with ages in place of times.
 
