Add failing scenarios for a request that crashes the servers that run it

The fake server ends when it begins to run a request with a given body. The scenarios on what is held fail because nothing is: a request without a prompt leaves no record.

--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -62,6 +62,8 @@
     Attributes:
         crashing_parts: prompt parts that crash the server when it begins to answer a
             request that shares one of them.
+        crashing_bodies: bodies of requests that crash the server when it begins to run
+            one of them.
         fault: key of `FAULTS` for the next requests.
         limit: value of the header that names the requests a second that the server
             takes; empty for none.
@@ -93,6 +95,7 @@
         self.on_run = on_run
         self.on_crash = on_crash
         self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_bodies: frozenset[bytes] = frozenset()
         self.id = id
         self.ip = ip
         self.port = port
@@ -189,8 +192,11 @@
             _write(writer, 421, headers, b"")
             return True
         self.n_running += 1
-        crashes = not self.crashing_parts.isdisjoint(list_shared_parts(incoming))
-        handle = _crash if crashes else FAULTS[self.fault]
+        handle = FAULTS[self.fault]
+        if not self.crashing_parts.isdisjoint(list_shared_parts(incoming)):
+            handle = _crash
+        elif incoming.body in self.crashing_bodies:
+            handle = _crash_silently
         work = asyncio.ensure_future(handle(self, incoming, writer))
         disconnect = asyncio.ensure_future(reader.read(1))
         try:
@@ -504,6 +510,17 @@
     return False
 
 
+async def _crash_silently(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and ends the whole server before it answers."""
+    _record_run(replica, incoming)
+    await asyncio.sleep(CRASH_DELAY_S)
+    await replica.stop()
+    replica.on_crash(replica)
+    return False
+
+
 async def _stay_silent(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
--- /dev/null
+++ b/features/steps/entry_crash_request_steps.py
@@ -0,0 +1,417 @@
+"""Steps for requests that crash the servers which run them."""
+
+import asyncio
+import itertools
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+from steps.entry_quarantine_steps import (
+    PAUSE_S,
+    RESTART_S,
+    WAIT_S,
+    cut_links,
+    heal_links,
+    list_quarantines,
+    make_prompt_headers,
+    start_crashing,
+)
+from steps.entry_steps import make_request_line, send_request
+from steps.entry_version_steps import list_daemons, wait_until
+
+from berylpost.edge.clock import read_boottime
+from berylpost.edge.daemon import EdgeDaemon
+from berylpost.edge.part_quarantine import _BrokenServer
+from berylpost.fakes.entry_world import HOST, make_configuration
+from berylpost.prompt_holds import Suspects, digest_request
+
+ATTEMPTS_S = 1.0  # between two tries of a caller
+_numbers = itertools.count()
+
+
+def send_body(daemon, kind, body, **options):
+    line = make_request_line(kind)
+    return send_request(
+        daemon, line, f"c-{next(_numbers)}", body=body.encode(), **options
+    )
+
+
+def make_suspects(kind, body):
+    """Makes what the daemons know a request of the customer `one` by."""
+    method, target = make_request_line(kind).encode().split()
+    whole = digest_request(method, HOST.encode(), target, b"one", body.encode())
+    return Suspects((), whole)
+
+
+def holds(daemon, kind="read", body="bad"):
+    return daemon.quarantine.is_held(make_suspects(kind, body))
+
+
+def list_runs(context, body):
+    """Lists when servers received requests with a body."""
+    return sorted(
+        at
+        for replica in context.world.replicas
+        for at, incoming in zip(replica.received_at, replica.received, strict=True)
+        if incoming.body == body.encode()
+    )
+
+
+@given('{n:d} entry daemons and {k:d} servers that crash on the body "{body}"')
+def step_start(context: Context, n: int, k: int, body: str) -> None:
+    start_crashing(context, n, k)
+    for replica in context.world.replicas:
+        replica.crashing_bodies = frozenset({body.encode()})
+
+
+async def send_all(context, seconds, send, *bodies):
+    """Sends requests with each body at all daemons in turn."""
+    context.answers = {body: [] for body in bodies}
+    ends_at = time.monotonic() + seconds
+
+    async def send_one(daemon, body):
+        sent_at = time.monotonic()
+        context.answers[body].append((sent_at, await send(daemon, body)))
+
+    async def send_body_again(body):
+        tasks = []
+        for number in itertools.count():
+            if time.monotonic() >= ends_at:
+                break
+            daemons = list_daemons(context)
+            daemon = daemons[number % len(daemons)]
+            tasks.append(asyncio.ensure_future(send_one(daemon, body)))
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.gather(*tasks)
+
+    await asyncio.gather(*map(send_body_again, bodies))
+    context.ended_at = ends_at
+
+
+@when('callers send "{kind}" requests with the bodies "{a}" and "{b}" for {n:d} s')
+def step_send(context: Context, kind: str, a: str, b: str, n: int) -> None:
+    work = send_all(context, n, lambda d, body: send_body(d, kind, body), a, b)
+    context.world.run(work, timeout_s=n + 20)
+
+
+@when(
+    'callers send streams of the parts "{parts}" with the bodies "{a}" and "{b}" '
+    "for {n:d} s"
+)
+def step_send_prompts(context: Context, parts: str, a: str, b: str, n: int) -> None:
+    def send(daemon, body):
+        headers = make_prompt_headers(*parts.split(","))
+        return send_body(daemon, "stream", body, extra_headers=headers)
+
+    context.world.run(send_all(context, n, send, a, b), timeout_s=n + 20)
+
+
+@then(
+    'at most {n:d} with the body "{body}" reached servers later than {seconds:d} s '
+    "after the third crash"
+)
+def step_check_late(context: Context, n: int, body: str, seconds: int) -> None:
+    assert len(context.crashes) >= 3, context.crashes
+    received = list_runs(context, body)
+    late = [at for at in received if at > context.crashes[2] + seconds]
+    assert len(late) <= n, (len(late), len(context.crashes))
+
+
+@then('nine in ten with the body "{body}" were answered in the last {seconds:d} s')
+def step_check_sound(context: Context, body: str, seconds: int) -> None:
+    answers = [
+        answer
+        for sent_at, answer in context.answers[body]
+        if sent_at > context.ended_at - seconds
+    ]
+    n_whole = sum(a.status == 200 and a.complete for a in answers)
+    assert answers and n_whole >= 0.9 * len(answers), (n_whole, len(answers))
+
+
+async def crash_with(context, daemons, until, kind="read", body="bad"):
+    """Sends a request to some daemons until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        for number in itertools.count():
+            if until():
+                return
+            await send_body(daemons[number % len(daemons)], kind, body)
+            await asyncio.sleep(PAUSE_S)
+
+
+@given('the "{kind}" request with the body "{body}" is held everywhere')
+def step_hold(context: Context, kind: str, body: str) -> None:
+    daemons = list_daemons(context)
+
+    async def hold():
+        await crash_with(
+            context, daemons, lambda: all(holds(d, kind, body) for d in daemons)
+        )
+        await asyncio.sleep(RESTART_S + 0.4)  # until all servers are back
+
+    context.world.run(hold())
+    context.received.clear()
+    context.n_crashes_before = len(context.crashes)
+
+
+@when('callers send the "{kind}" request with the body "{body}" to all daemons')
+def step_send_held(context: Context, kind: str, body: str) -> None:
+    async def send():
+        return [await send_body(d, kind, body) for d in list_daemons(context)]
+
+    began_at = time.monotonic()
+    context.answers = context.world.run(send())
+    context.took_s = time.monotonic() - began_at
+
+
+@when("the servers no longer crash")
+def step_mend(context: Context) -> None:
+    for replica in context.world.replicas:
+        replica.crashing_bodies = frozenset()
+
+
+DIFFERENCES = {
+    "body": ("GET /read/a", b"bad2", "key-one"),
+    "path": ("GET /read/b", b"bad", "key-one"),
+    "query": ("GET /read/a?q", b"bad", "key-one"),
+    "method": ("POST /read/a", b"bad", "key-one"),
+    "customer": ("GET /read/a", b"bad", "key-two"),
+}
+
+
+@when("callers send the held request with another {difference}")
+def step_send_other(context: Context, difference: str) -> None:
+    world = context.world
+    line, body, key = DIFFERENCES[difference]
+    tenants = [
+        {"Name": name, "ApiKeys": [f"key-{name}"], "RatePerS": 0, "Burst": 0}
+        for name in ("one", "two")
+    ]
+    world.run(world.put_configuration(make_configuration(2, Tenants=tenants)))
+    time.sleep(1.0)
+
+    async def send():
+        return [
+            await send_request(d, line, f"o-{next(_numbers)}", body=body, key=key)
+            for d in list_daemons(context)
+        ]
+
+    context.answers = world.run(send())
+
+
+@then("all of them are answered 200")
+def step_check_answered(context: Context) -> None:
+    assert context.answers and all(a.status == 200 for a in context.answers)
+
+
+@when('callers send {n:d} "{kind}" requests with the body "{body}", {pause:f} s apart')
+def step_send_slowly(
+    context: Context, n: int, kind: str, body: str, pause: float
+) -> None:
+    daemons = list_daemons(context)
+
+    async def note_hold():
+        while not all(holds(daemon, kind, body) for daemon in daemons):
+            await asyncio.sleep(0.001)
+        context.held_at = time.monotonic()
+
+    async def send():
+        tasks = [asyncio.ensure_future(asyncio.wait_for(note_hold(), WAIT_S))]
+        for number in range(n):
+            daemon = daemons[number % len(daemons)]
+            tasks.append(asyncio.ensure_future(send_body(daemon, kind, body)))
+            await asyncio.sleep(pause)
+        await asyncio.gather(*tasks)
+
+    context.world.run(send())
+
+
+@then(
+    'no attempt reaches a server once the "{kind}" request with the body "{body}" '
+    "is held"
+)
+def step_check_attempts(context: Context, kind: str, body: str) -> None:
+    late = [at for at in list_runs(context, body) if at > context.held_at]
+    assert not late, (late, context.held_at)
+
+
+@when(
+    'another daemon starts and gets the "{kind}" request with the body "{body}" at once'
+)
+def step_start_another(context: Context, kind: str, body: str) -> None:
+    start_and_send(context, 9, kind, body)
+
+
+@when("all daemons are killed and one starts and gets that request")
+def step_kill_all(context: Context) -> None:
+    world = context.world
+    wait_until(lambda: bool(world.store.kinds.get("berylpost-holds")), 3.0)
+
+    async def kill():
+        for name in list(world.daemons):
+            world.daemons.pop(name).kill()
+
+    world.run(kill())
+    start_and_send(context, 0, "read", "bad")
+
+
+def start_and_send(context, number, kind, body):
+    """Starts a daemon and sends it a request before it can know what is held."""
+    world = context.world
+
+    async def send():
+        daemon = EdgeDaemon(settings=world.make_settings(number), log_stream=None)
+        world.daemons[daemon.settings.name] = daemon
+        await daemon.start()
+        while daemon.catalogue.configuration is None or not daemon.table.records:
+            await asyncio.sleep(0.0005)
+        return await asyncio.gather(*(send_body(daemon, kind, body) for _ in range(6)))
+
+    began_at = time.monotonic()
+    context.answers = world.run(send())
+    context.took_s = time.monotonic() - began_at - 0.5
+
+
+@when(
+    "two halves of the daemons are cut from each other and one half holds the "
+    '"{kind}" request "{body}"'
+)
+def step_cut_halves(context: Context, kind: str, body: str) -> None:
+    daemons = list_daemons(context)
+    first, second = daemons[::2], daemons[1::2]
+    cut_links(context, first, second)
+    context.world.run(
+        crash_with(context, first, lambda: all(holds(d, kind, body) for d in first))
+    )
+    assert not any(holds(d, kind, body) for d in second)
+    heal_links(context)
+    context.second = second
+
+
+@then(
+    'the other half holds the "{kind}" request "{body}" within {seconds:g} s after '
+    "the cut"
+)
+def step_check_halves(context: Context, kind: str, body: str, seconds: float) -> None:
+    wait_until(lambda: all(holds(d, kind, body) for d in context.second), seconds)
+
+
+@when(
+    'the last daemon hears from no other and callers send it the "{kind}" request '
+    '"{body}"'
+)
+def step_isolate(context: Context, kind: str, body: str) -> None:
+    *others, alone = list_daemons(context)
+    cut_links(context, [alone], others)
+    context.alone = alone
+    context.world.run(crash_with(context, [alone], lambda: holds(alone, kind, body)))
+
+
+@then(
+    'at most {n:d} servers crashed and only that daemon holds the "{kind}" request '
+    '"{body}"'
+)
+def step_check_alone(context: Context, n: int, kind: str, body: str) -> None:
+    assert len(context.crashes) <= n, context.crashes
+    for daemon in list_daemons(context):
+        assert holds(daemon, kind, body) == (daemon is context.alone)
+
+
+# Servers that end for another reason, under a request that is not at fault.
+
+
+async def send_same(context, n):
+    daemons = list_daemons(context)
+    sent = [send_body(daemons[k % len(daemons)], "read", "same") for k in range(n)]
+    return await asyncio.gather(*sent)
+
+
+async def break_answers(context):
+    for replica in context.world.replicas:
+        replica.fault = "cut"
+    for _ in range(6):
+        await send_same(context, 4)
+
+
+async def end_leaving(context):
+    world = context.world
+    for replica in world.replicas[:3]:
+        task = asyncio.ensure_future(send_same(context, 12))
+        await asyncio.sleep(0.1)
+        await world.put_replica(replica, State="draining")
+        await asyncio.sleep(0.1)
+        await replica.stop()
+        await task
+        await asyncio.sleep(0.3)
+
+
+async def end_together(context):
+    task = asyncio.ensure_future(send_same(context, 12))
+    await asyncio.sleep(0.12)
+    for replica in context.world.replicas:
+        await replica.stop()
+    await task
+
+
+async def end_in_turn(context):
+    for replica in context.world.replicas[:3]:
+        task = asyncio.ensure_future(send_same(context, 12))
+        await asyncio.sleep(0.12)
+        await replica.stop()
+        await task
+        await asyncio.sleep(0.4)
+
+
+OTHER_ENDS = {
+    "servers break answers off without ending": break_answers,
+    "servers end that were to leave": end_leaving,
+    "all servers end at one moment": end_together,
+    "servers end one by one while others answer it": end_in_turn,
+}
+
+
+@when("under one and the same request {cause}")
+def step_end_servers(context: Context, cause: str) -> None:
+    for replica in context.world.replicas:
+        replica.work_s = 0.3
+    context.world.run(OTHER_ENDS[cause](context))
+
+
+@then("no daemon holds anything")
+def step_check_none(context: Context) -> None:
+    time.sleep(0.5)  # until reports under way have arrived
+    held = [quarantine.n_held for quarantine in list_quarantines(context)]
+    assert not any(held), held
+
+
+@when('callers go on with the "{kind}" request "{body}" for {n:d} s')
+def step_go_on(context: Context, kind: str, body: str, n: int) -> None:
+    work = send_all(context, n, lambda d, text: send_body(d, kind, text), body)
+    context.world.run(work, timeout_s=n + 20)
+
+
+@then("the last of them were answered and no daemon holds anything")
+def step_check_released(context: Context) -> None:
+    ((_, sent),) = context.answers.items()
+    sent.sort(key=lambda pair: pair[0])
+    assert all(answer.status == 200 for _, answer in sent[-5:]), sent[-5:]
+    step_check_none(context)
+
+
+@when("{n:d} different requests are on each of three crashes")
+def step_invent(context: Context, n: int) -> None:
+    daemon = list_daemons(context)[0]
+    record = next(iter(daemon.table.records.values()))
+
+    async def crash():
+        for _ in range(3):
+            broken = _BrokenServer(record=record, broke_at=read_boottime())
+            broken.requests += [Suspects((), next(_numbers)) for _ in range(n)]
+            daemon.quarantine._record_crash(broken)
+
+    context.world.run(crash())
+
+
+@then("the daemon keeps at most {n:d} records")
+def step_check_records(context: Context, n: int) -> None:
+    records = list_daemons(context)[0].quarantine.state.records
+    assert len(records) <= n, len(records)
