Hold back a request that crashes the servers which run it

What callers saw: one request, sent again by its caller at any daemon, ended four servers of a service every 3.5 s; whatever else the service serves was refused or broke with them.

Cause: only parts of prompts had records. A request without a prompt left none, so each try was new to every daemon.

Change: the quarantine of parts gets one more key for each request, a digest of method, host, target, customer and body, that ranks as more specific than any part. Records, merging, exchange, store and trials are the same. Crashes of a whole request count one by one once two of them are 0.1 s apart, because its repeat at the next server follows within milliseconds; for parts nothing changes. Any complete answer below 500 within 30 s is proof for it. Requests wait at most 0.5 s after a daemon's start until it can know what is held; this held for prompts only. Both daemons: engines of our own interface get the same key from owner and body.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -23,7 +23,7 @@
     Args:
         catalogue: source of the configuration in force.
         quotas: quotas of customers.
-        quarantine: prompt parts that are held back.
+        quarantine: requests and prompt parts that are held back.
 
     Attributes:
         shutdown_at: boot-time clock at which this daemon shuts down; None until it is
@@ -84,7 +84,9 @@
                 is_stream=is_stream, timeout_s=limit_s, left_s=left_s
             ):
                 raise make_refusal(ErrorKind.LEAVING, "this daemon is leaving", 0.0)
-        is_part_trial = self._quarantine.admit(head.shared_parts)
+        customer_name = customer.name if customer is not None else ""
+        suspects = list_suspects(request, head, customer_name)
+        is_trial = self._quarantine.admit(suspects)
         units = count_units(customer, head)
         if customer is not None:
             wait_s = self._quotas.take_units(customer, units)
@@ -101,8 +103,8 @@
             service=service,
             units=units,
             expires_at=request.arrived_at + limit_s,
-            suspects=list_suspects(request, head, customer.name if customer else ""),
-            is_part_trial=is_part_trial,
+            suspects=suspects,
+            is_trial=is_trial,
         )
 
 
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -72,7 +72,7 @@
         catalogue: source of the configuration in force.
         table: state of the backend servers.
         origins: software versions of the streams that callers take up.
-        quarantine: prompt parts that are held back.
+        quarantine: requests and prompt parts that are held back.
         limits: request rates that servers name.
         leaving: servers that said that they leave.
         quotas: quotas of customers and retry budgets of services.
@@ -120,8 +120,7 @@
         outcome = "answered"
         detail = ""
         try:
-            if head.shared_parts:
-                await self._quarantine.await_start()
+            await self._quarantine.await_start()
             context = self.admission.admit(request, head)
             if context.route.can_resume and head.last_event_id:
                 await self._origins.resolve(context)
@@ -164,7 +163,7 @@
                 return
             if self._is_held(context):
                 record.pool.release(connection)
-                refusal = self._quarantine.make_refusal(context.head.shared_parts)
+                refusal = self._quarantine.make_refusal(context.suspects)
                 if not context.may_have_run:
                     raise refusal
                 self._give_up(context, caller, refusal.detail)
@@ -200,14 +199,12 @@
                 if not self._may_retry(context):
                     self._give_up(context, caller, str(failure))
                     return
-                context.is_part_trial = False
+                context.is_trial = False
                 await self._quarantine.await_check(record)
 
     def _is_held(self, context: RequestContext) -> bool:
-        """Tells whether a part of the prompt has become held since the admission."""
-        return not context.is_part_trial and self._quarantine.is_held(
-            context.head.shared_parts
-        )
+        """Tells whether the request has become held since its admission."""
+        return not context.is_trial and self._quarantine.is_held(context.suspects)
 
     def _may_retry(self, context: RequestContext) -> bool:
         outcome = (
@@ -309,7 +306,7 @@
                 complete = True
                 self._table.note_success(record, None)
                 if context.splitter.n_events:
-                    self._quarantine.note_answered(context.head.shared_parts)
+                    self._quarantine.note_answered(context.suspects)
                 return
             await self._await_body(context, exchange)
             complete = True
@@ -373,7 +370,7 @@
         error: BaseException | None,
     ) -> None:
         if isinstance(error, UpstreamError) and error.kind in BREAKS:
-            self._quarantine.note_broken(record, context.head.shared_parts)
+            self._quarantine.note_broken(record, context.suspects)
 
     async def _await_head(
         self, context: RequestContext, exchange: Exchange
@@ -466,8 +463,8 @@
         load = parse_load(head.find(names.LOAD))
         comparable = load is not None and load.waiting == 0
         self._table.note_success(record, answer_s if comparable else None)
-        if head.status < 300:
-            self._quarantine.note_answered(context.head.shared_parts)
+        if head.status < MIN_RETRY_STATUS:
+            self._quarantine.note_answered(context.suspects)
         self._send_answer(context, caller, head, body)
 
     def _send_answer(
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/part_quarantine.py
@@ -1,9 +1,9 @@
-"""Holds back prompt parts that crash the servers which begin to answer them.
+"""Holds back requests, and parts of prompts, that crash the servers which run them.
 
-A daemon whose streams break on a server checks whether the server has ended, and then
-reports the parts of these requests to a few other daemons. Each daemon decides from the
-records that it has. When a part becomes held or is released, the record passes from
-daemon to daemon at once; every daemon also asks a random other one for what it has
+A daemon whose answers break on a server checks whether the server has ended, and then
+reports the requests and their parts to a few other daemons. Each daemon decides from
+the records that it has. When something becomes held or is released, the record passes
+from daemon to daemon at once; every daemon also asks a random other one for what it has
 missed, and `hold_store` tells daemons that reach no other.
 """
 
@@ -22,7 +22,7 @@
 from ..logs import log_event
 from ..policy.quarantine import PartRecord
 from ..policy.stream_version import rank_keepers
-from ..prompt_holds import MAX_PARTS, TRIAL_S, PromptHolds, WireRecord
+from ..prompt_holds import TRIAL_S, PromptHolds, Suspects, WireRecord
 from .anti_entropy import ask_regularly
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
@@ -74,12 +74,12 @@
 
     record: BackendRecord
     broke_at: float
-    prompts: list[tuple[str, ...]] = field(default_factory=list)
+    requests: list[Suspects] = field(default_factory=list)
     checked: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class PartQuarantine:
-    """The prompt parts that this daemon holds back.
+    """The requests and prompt parts that this daemon holds back.
 
     Args:
         name: name of this daemon.
@@ -124,7 +124,7 @@
 
     @property
     def n_held(self) -> int:
-        """Number of parts held back."""
+        """Number of requests and parts held back."""
         return len(self.state.holds)
 
     def start(self) -> None:
@@ -152,45 +152,46 @@
             except TimeoutError:
                 pass  # without the store, the neighbours tell
 
-    def admit(self, parts: tuple[str, ...]) -> bool:
-        """Decides whether a prompt with these shared parts is accepted.
+    def admit(self, request: Suspects) -> bool:
+        """Decides whether a request is accepted.
 
         Returns:
-            Whether the request tries a held part.
+            Whether the request tries what is held.
 
         Raises:
-            BerylpostError: a part is held; the request is refused and has not run.
+            BerylpostError: something of it is held; it is refused and has not run.
         """
-        held = self.state.list_held(map(hash_text, parts)) if self.n_held else []
+        held = self.state.list_held(request)
         if not held:
             return False
         if self.state.find_wait(held) > 0 or not all(map(self._is_first_keeper, held)):
-            raise self.make_refusal(parts)
+            raise self.make_refusal(request)
         self.state.begin_trial(held)
         return True
 
-    def make_refusal(self, parts: tuple[str, ...]) -> BerylpostError:
-        """Makes the error that refuses a prompt with held parts before it has run."""
-        held = self.state.list_held(map(hash_text, parts))
+    def make_refusal(self, request: Suspects) -> BerylpostError:
+        """Makes the error that refuses a held request before it has run."""
+        held = self.state.list_held(request)
         wait_s = self.state.find_wait(held) if held else 0.0
+        detail = "the request is held back"
+        if request.whole not in held:
+            detail = "a part of the prompt is held back"
         return BerylpostError(
-            ErrorKind.QUARANTINED,
-            "a part of the prompt is held back",
-            retry_after_s=max(wait_s, TRIAL_S),
+            ErrorKind.QUARANTINED, detail, retry_after_s=max(wait_s, TRIAL_S)
         )
 
-    def is_held(self, parts: tuple[str, ...]) -> bool:
-        """Tells whether any of these shared parts is held."""
-        return bool(self.state.list_held(map(hash_text, parts)))
+    def is_held(self, request: Suspects) -> bool:
+        """Tells whether a request or any of its parts is held."""
+        return bool(self.state.list_held(request))
 
-    def note_answered(self, parts: tuple[str, ...]) -> None:
-        """Records that a prompt with these shared parts was answered completely."""
-        self.state.note_answered(map(hash_text, parts))
+    def note_answered(self, request: Suspects) -> None:
+        """Records that a request was answered completely."""
+        self.state.note_answered(request)
 
-    def note_broken(self, record: BackendRecord, parts: tuple[str, ...]) -> None:
+    def note_broken(self, record: BackendRecord, request: Suspects) -> None:
         """Records that an answer broke off; finds out whether its server has ended."""
         # A server that was to leave has not crashed.
-        if not parts or record.shutdown_at is not None:
+        if record.shutdown_at is not None:
             return
         server = record.backend.id
         broken = self._broken.get(server)
@@ -198,7 +199,7 @@
             broken = _BrokenServer(record=record, broke_at=read_boottime())
             self._broken[server] = broken
             self._spawn(self._check_server(broken))
-        broken.prompts.append(parts[:MAX_PARTS])
+        broken.requests.append(request)
 
     async def await_check(self, record: BackendRecord) -> None:
         """Waits until it is known whether a server has ended, or for a short time."""
@@ -215,14 +216,16 @@
         has_ended = await self._has_ended(broken.record)
         backend = broken.record.backend
         del self._broken[backend.id]
-        parts = sorted({part for prompt in broken.prompts for part in prompt})
+        parts = sorted({part for request in broken.requests for part in request.parts})
+        wholes = sorted({request.whole for request in broken.requests})
         log_event(
             LOGGER,
             "backend_ended" if has_ended else "backend_still_up",
             backend=backend.id,
             version=backend.software_version,
-            n_requests=len(broken.prompts),
-            parts=",".join(parts[:MAX_LOGGED_PARTS]),
+            n_requests=len(broken.requests),
+            requests=_render_keys(wholes),
+            parts=_render_keys(parts),
             after_s=read_boottime() - broken.broke_at,
         )
         if has_ended:
@@ -247,8 +250,7 @@
     def _record_crash(self, broken: _BrokenServer) -> None:
         backend = broken.record.backend
         server = hash_text(f"{backend.id}/{backend.started_ms}")
-        prompts = [tuple(map(hash_text, prompt)) for prompt in broken.prompts]
-        keys = self.state.record_crash(server, prompts, broken.broke_at)
+        keys = self.state.record_crash(server, broken.requests, broken.broke_at)
         # Parts that were on one server are reported together, so that each keeper can
         # tell the culprit from the others.
         alive = {m.name: m.address for m in self._members.list_alive()}
@@ -296,6 +298,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _render_keys(keys: list[int]) -> str:
+    return ",".join(f"{key:016x}" for key in keys[:MAX_LOGGED_PARTS])
+
+
 async def _probe(address: Endpoint) -> _Probe:
     """Opens a connection and closes it at once."""
     loop = asyncio.get_running_loop()
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -37,7 +37,7 @@
         may_be_stopped: whether the server of the last attempt stopped the run, or may
             have done so, in order to move it.
         moved_to: backend server that continues the run; empty for any.
-        is_part_trial: whether the request tries a part that is otherwise held back.
+        is_trial: whether the request tries what is otherwise held back.
     """
 
     request: CallerRequest
@@ -61,7 +61,7 @@
     kv_source: str = ""
     may_be_stopped: bool = False
     moved_to: str = ""
-    is_part_trial: bool = False
+    is_trial: bool = False
     n_moves: int = 0
     stream_version: str | None = None
     backend_id: str = ""
--- a/berylpost/engine_holds.py
+++ b/berylpost/engine_holds.py
@@ -1,9 +1,10 @@
-"""Prompts that the relay holds back because engines end while they answer them.
+"""Requests that the relay holds back because engines end while they answer them.
 
 Owned by the relay's thread. The parts of a prompt are the messages of a chat, or the
-beginning and the whole of a text. An engine whose answer was cut has ended if it
-refuses a new connection; another thread finds that out. The records go to other
-daemons by messages, as in `edge.part_quarantine`.
+beginning and the whole of a text; the whole request is known by its body and owner. An
+engine whose answer was cut has ended if it refuses a new connection; another thread
+finds that out. The records go to other daemons by messages, as in
+`edge.part_quarantine`.
 """
 
 import logging
@@ -15,6 +16,8 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+import msgspec
+
 from .errors import BerylpostError, ErrorKind
 from .hashing import hash_text
 from .kernel import Slot
@@ -22,7 +25,7 @@
 from .messages import Message, PartPull, PartReport
 from .policy.membership import Table, list_active
 from .policy.stream_version import rank_keepers
-from .prompt_holds import TRIAL_S, PromptHolds
+from .prompt_holds import TRIAL_S, PromptHolds, Suspects, digest_request
 from .settings import split_endpoint
 from .streams import Stream, StreamRequest
 
@@ -47,7 +50,7 @@
     backend: str
     has_ended: bool
     broke_at: float
-    parts: tuple[int, ...]
+    request: Suspects
 
 
 class EngineHolds:
@@ -88,7 +91,7 @@
 
     def admit(self, request: StreamRequest) -> BerylpostError | None:
         """Decides on a new request; returns the refusal of a held prompt."""
-        held = self._state.list_held(list_parts(request))
+        held = self._state.list_held(list_suspects(request))
         if not held:
             return None
         wait_s = self._state.find_wait(held)
@@ -106,17 +109,17 @@
         """Tells whether an accepted request must not be sent to an engine."""
         if not self._state.holds or request.id in self._trials:
             return False
-        return bool(self._state.list_held(list_parts(request)))
+        return bool(self._state.list_held(list_suspects(request)))
 
     def note_answered(self, request: StreamRequest) -> None:
         """Records that a request was answered completely."""
-        self._state.note_answered(list_parts(request))
+        self._state.note_answered(list_suspects(request))
 
     def note_broken(self, stream: Stream, backend: str, address: str) -> None:
         """Records that an engine's answer was cut; finds out whether it has ended."""
         self._trials.pop(stream.request.id, None)
         broke_at = time.monotonic()
-        parts = list_parts(stream.request)
+        request = list_suspects(stream.request)
 
         def check() -> None:
             self._post(
@@ -124,7 +127,7 @@
                     backend=backend,
                     has_ended=_refuses_connections(address),
                     broke_at=broke_at,
-                    parts=parts,
+                    request=request,
                 )
             )
 
@@ -136,13 +139,14 @@
             LOGGER,
             "backend_ended" if message.has_ended else "backend_still_up",
             backend=message.backend,
-            parts=",".join(f"{key:016x}" for key in message.parts[:8]),
+            request=f"{message.request.whole:016x}",
+            parts=",".join(f"{key:016x}" for key in message.request.parts[:8]),
         )
         if not message.has_ended:
             return
         crashed_at = time.time() - (time.monotonic() - message.broke_at)
         server = hash_text(f"{message.backend}/{int(crashed_at / INCARNATION_S)}")
-        keys = self._state.record_crash(server, [message.parts], message.broke_at)
+        keys = self._state.record_crash(server, [message.request], message.broke_at)
         others = self._list_others()
         keepers = {
             name for key in keys for name in rank_keepers(str(key), others)[:N_KEEPERS]
@@ -192,14 +196,17 @@
                 self._send(target, PartReport(sender=self._self_id, records=records))
 
 
-def list_parts(request: StreamRequest) -> tuple[int, ...]:
-    """Lists the hashes of the parts of a prompt, the most shared one first."""
+def list_suspects(request: StreamRequest) -> Suspects:
+    """Lists what of a request may crash engines, the most shared part first."""
     if request.chat:
         texts = [_join_message(message) for message in request.body["messages"]]
     else:
         prompt = request.prompt
         texts = [prompt[:PREFIX_CHARS], prompt]
-    return tuple(dict.fromkeys(map(hash_text, texts)))
+    whole = digest_request(
+        request.owner.encode(), msgspec.json.encode(request.body, order="sorted")
+    )
+    return Suspects(tuple(dict.fromkeys(map(hash_text, texts))), whole)
 
 
 def _join_message(message: Mapping[str, Any]) -> str:
--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -1,9 +1,11 @@
-"""Decides which prompt parts are held back because servers end while they answer them.
+"""Decides what is held back because servers end while they answer it.
 
 A part of a prompt may crash every server that begins to answer it, whatever else the
-request holds. Each daemon records which parts were on a server when it ended and which
-parts were answered completely. The records of two daemons merge in any order, so that
-all daemons reach the same decision by exchanging them.
+request holds; so may a whole request, which its caller sends again. Each daemon records
+which parts and requests were on a server when it ended and which were answered
+completely. The records of two daemons merge in any order, so that all daemons reach the
+same decision by exchanging them. In this module a whole request is a part that is more
+specific than all others.
 
 Requests that break together with the culprit share its servers and most of its parts.
 What tells them apart: sound parts are answered completely elsewhere, the culprit is on
@@ -17,6 +19,11 @@
 
 # Two servers may end by chance while they answer the same rare part.
 MIN_CRASHES: Final = 3
+# Depth of a whole request, below all parts of a prompt.
+WHOLE_DEPTH: Final = 1 << 16
+# A whole request is repeated at the next server when one has ended, so that its crashes
+# may follow one another at once. Fewer of them have to be apart.
+MIN_WHOLE_CAUSES: Final = 2
 # Servers that end within this time, as when an availability zone fails, count once.
 SAME_CAUSE_S: Final = 0.1
 # A complete answer shows for this long that its parts do not crash servers.
@@ -119,14 +126,14 @@
         suspects = {
             part: crashes
             for part, crashes in suspects.items()
-            if count_causes(crash.at for crash in crashes.values()) >= MIN_CRASHES
+            if _count_evidence(crashes) >= MIN_CRASHES
         }
         if not suspects:
             break
         part = max(suspects, key=lambda p: (_rate_suspicion(suspects[p]), p))
         explained = suspects.pop(part)
-        times = [crash.at for crash in explained.values()]
-        hold = find_hold(count_causes(times), max(times))
+        last_crash_at = max(crash.at for crash in explained.values())
+        hold = find_hold(_count_evidence(explained), last_crash_at)
         if now < hold.dropped_at:
             holds[part] = hold
         suspects = {
@@ -180,6 +187,13 @@
     return len(crashes) ** 2 / n_requests, depth
 
 
+def _count_evidence(crashes: Mapping[int, Observation]) -> int:
+    """Counts the crashes that speak against a part, or against a whole request."""
+    n_causes = count_causes(crash.at for crash in crashes.values())
+    is_whole = any(crash.depth >= WHOLE_DEPTH for crash in crashes.values())
+    return len(crashes) if is_whole and n_causes >= MIN_WHOLE_CAUSES else n_causes
+
+
 def count_causes(crashes: Iterable[float]) -> int:
     """Counts crashes; those that follow one another at once have one cause.
 
--- a/berylpost/prompt_holds.py
+++ b/berylpost/prompt_holds.py
@@ -1,8 +1,8 @@
-"""One daemon's records of prompt parts that crash servers, and what it holds back.
+"""One daemon's records of requests that crash servers, and what it holds back.
 
 Both daemons use it; each has its own way to find out that a server has ended and to
-exchange the records. Parts are known by the hashes of their ids or texts.
-`policy.quarantine` decides what is held.
+exchange the records. Parts of prompts are known by the hashes of their ids or texts,
+whole requests by a digest. `policy.quarantine` decides what is held.
 """
 
 import logging
@@ -15,6 +15,7 @@
 from .hashing import hash_bytes, hash_text
 from .logs import log_event
 from .policy.quarantine import (
+    WHOLE_DEPTH,
     Hold,
     Observation,
     PartRecord,
@@ -27,7 +28,7 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 MAX_RECORDS: Final = 512
-# Parts answered within the time that an answer counts as proof, at 50 a second.
+# Parts and requests answered in the time for which an answer is proof, at 250 a second.
 MAX_ANSWERED: Final = 8_192
 MAX_PARTS: Final = 64  # of one prompt that are recorded
 MAX_OBSERVATIONS_TOLD: Final = 32  # in one message, 30 bytes each
@@ -48,6 +49,15 @@
     parts: tuple[int, ...]
     whole: int
 
+    def list_depths(self) -> list[tuple[int, int]]:
+        """Lists the hashes, each with its depth."""
+        parts = [(key, depth) for depth, key in enumerate(self.parts[:MAX_PARTS])]
+        return [*parts, (self.whole, WHOLE_DEPTH)]
+
+    def list_keys(self) -> list[int]:
+        """Lists the hashes."""
+        return [key for key, _ in self.list_depths()]
+
 
 def digest_request(*fields: bytes) -> int:
     """Digests what makes a request the same as another one."""
@@ -92,9 +102,11 @@
         self._answered: OrderedDict[int, float] = OrderedDict()
         self._trials: dict[int, float] = {}
 
-    def list_held(self, keys: Iterable[int]) -> list[int]:
-        """Lists which of these parts are held."""
-        return [key for key in keys if key in self.holds] if self.holds else []
+    def list_held(self, request: Suspects) -> list[int]:
+        """Lists what of a request is held."""
+        if not self.holds:
+            return []
+        return [key for key in request.list_keys() if key in self.holds]
 
     def find_wait(self, held: Iterable[int]) -> float:
         """Returns the seconds until held parts may be tried; 0 if one may now."""
@@ -111,11 +123,11 @@
             self._trials[key] = now
             log_event(LOGGER, "part_tried", part=f"{key:016x}")
 
-    def note_answered(self, keys: Iterable[int]) -> None:
-        """Records that a prompt with these parts was answered completely."""
+    def note_answered(self, request: Suspects) -> None:
+        """Records that a request was answered completely."""
         now = self._read_clock()
         is_suspect = False
-        for key in list(keys)[:MAX_PARTS]:
+        for key in request.list_keys():
             self._answered.pop(key, None)
             self._answered[key] = now
             record = self.records.get(key)
@@ -128,21 +140,21 @@
             self.decide("answered")
 
     def record_crash(
-        self, server: int, prompts: Iterable[tuple[int, ...]], at: float
+        self, server: int, requests: Iterable[Suspects], at: float
     ) -> list[int]:
-        """Records the prompts that were on a server when it ended.
+        """Records the requests that were on a server when it ended.
 
         Args:
             server: hash that identifies the incarnation of the server.
-            prompts: the parts of each prompt, in order.
+            requests: what of each request may have crashed it.
             at: time of the crash.
 
         Returns:
-            The parts recorded.
+            The parts and whole requests recorded.
         """
         keys = set()
-        for prompt in prompts:
-            for depth, key in enumerate(prompt[:MAX_PARTS]):
+        for request in requests:
+            for key, depth in request.list_depths():
                 record = self._find_record(key)
                 own = record.observations.get((server, self._reporter))
                 n_requests = 1 + (own.n_requests if own is not None else 0)
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -1,6 +1,5 @@
 Feature: A request that crashes servers is held back, and nothing else
 
-  @known_red
   Scenario Outline: A "<kind>" request that crashed three servers reaches no more of them
     Given 3 entry daemons and 4 servers that crash on the body "bad"
     When callers send "<kind>" requests with the bodies "bad" and "good" for 7 s
@@ -14,14 +13,12 @@
       | stream      |
       | stream/once |
 
-  @known_red
   Scenario: A held request is refused at once as not run, whatever its id
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And the "read" request with the body "bad" is held everywhere
     When callers send the "read" request with the body "bad" to all daemons
     Then all are refused as not run with a time to come back, and reach no server
 
-  @known_red
   Scenario Outline: A request with another <difference> than a held one is served
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And the "read" request with the body "bad" is held everywhere
@@ -37,41 +34,35 @@
       | method     |
       | customer   |
 
-  @known_red
   Scenario: Parts of a prompt that a crashing request shares with others are not held
     Given 3 entry daemons and 4 servers that crash on the body "bad"
     When callers send streams of the parts "shared,own" with the bodies "bad" and "good" for 7 s
     Then at most 3 with the body "bad" reached servers later than 3 s after the third crash
     And nine in ten with the body "good" were answered in the last 3 s
 
-  @known_red
   Scenario: A request is not sent again once it has become held
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And the servers crash 0.4 s after they begin to answer
     When callers send 8 "read" requests with the body "bad", 0.17 s apart
     Then no attempt reaches a server once the "read" request with the body "bad" is held
 
-  @known_red
   Scenario: A daemon that has just started refuses a held request
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And the "read" request with the body "bad" is held everywhere
     When another daemon starts and gets the "read" request with the body "bad" at once
     Then all are refused as not run with a time to come back, and reach no server
 
-  @known_red
   Scenario: A request stays held when all daemons are lost at once
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And the "read" request with the body "bad" is held everywhere
     When all daemons are killed and one starts and gets that request
     Then all are refused as not run with a time to come back, and reach no server
 
-  @known_red
   Scenario: Daemons that were cut from each other agree afterwards
     Given 4 entry daemons and 4 servers that crash on the body "bad"
     When two halves of the daemons are cut from each other and one half holds the "read" request "bad"
     Then the other half holds the "read" request "bad" within 2.5 s after the cut
 
-  @known_red
   Scenario: A daemon alone holds a request from its own observations
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     When the last daemon hears from no other and callers send it the "read" request "bad"
@@ -89,7 +80,6 @@
       | all servers end at one moment                         |
       | servers end one by one while others answer it         |
 
-  @known_red
   Scenario: A request that servers answer again is released everywhere
     Given 2 entry daemons and 4 servers that crash on the body "bad"
     And a held part may be tried after 1 s
@@ -98,7 +88,6 @@
     And callers go on with the "read" request "bad" for 4 s
     Then the last of them were answered and no daemon holds anything
 
-  @known_red
   Scenario: Only one caller at a time tries a held request
     Given 3 entry daemons and 4 servers that crash on the body "bad"
     And a held part may be tried after 1 s
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -31,6 +31,7 @@
 from berylpost.edge.store_era import StoreEra
 from berylpost.fakes.entry_world import API_KEY, HOST
 from berylpost.fakes.replica import N_EVENTS, list_shared_parts
+from berylpost.hashing import hash_text
 from berylpost.policy.quarantine import (
     Observation,
     PartRecord,
@@ -38,6 +39,7 @@
     find_holds,
     merge_record,
 )
+from berylpost.prompt_holds import Suspects
 
 STREAM = make_request_line("stream")
 RESTART_S = 0.6  # a crashed server is back after this time
@@ -55,9 +57,16 @@
     ]
 
 
+def make_suspects(*parts):
+    """Makes what the daemons know a prompt by, in a request unlike all others."""
+    return Suspects(tuple(map(hash_text, parts)), next(_numbers))
+
+
 def send_prompt(daemon, request_id, *shared, extra_headers=()):
+    """Sends a prompt whose text, the body, is unlike all others."""
     headers = [*make_prompt_headers(*shared), *extra_headers]
-    return send_request(daemon, STREAM, request_id, extra_headers=headers)
+    body = f"prompt {next(_numbers)}".encode()
+    return send_request(daemon, STREAM, request_id, body=body, extra_headers=headers)
 
 
 def is_whole(answer):
@@ -172,7 +181,7 @@
 
 
 def is_held(quarantine, part):
-    return quarantine.is_held((part,))
+    return quarantine.is_held(make_suspects(part))
 
 
 async def crash_with(context, part, daemons, until):
@@ -333,7 +342,7 @@
                             backend=SimpleNamespace(id=f"gone-{at}", started_ms=0)
                         ),
                         broke_at=read_boottime() - at,
-                        prompts=[("shared", part)],
+                        requests=[make_suspects("shared", part)],
                     )
                     daemon.quarantine._record_crash(broken)
                 return await acquire(max_idle_s=max_idle_s)
@@ -668,8 +677,9 @@
     async def crash():
         for _ in range(3):
             broken = _BrokenServer(record=record, broke_at=read_boottime())
-            broken.prompts += [
-                tuple(f"{next(_numbers):x}" for _ in range(k)) for _ in range(n)
+            broken.requests += [
+                make_suspects(*(f"{next(_numbers):x}" for _ in range(k)))
+                for _ in range(n)
             ]
             daemon.quarantine._record_crash(broken)
 
