Hold back calls that crash the servers of a plain service of our own interface

Calls are known by customer, service, method, path and body, without their keys. The relay keeps the records, as for model requests, and publishes what is held; the threads that forward calls read that and ask the relay only for what is held, so that a trial is given to one. A call that broke off is not repeated once it is held.

--- a/berylpost/engine_holds.py
+++ b/berylpost/engine_holds.py
@@ -12,7 +12,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterable, Mapping
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -31,6 +31,7 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 
+HELD_SLOT: Final = "held_requests"  # slot with the keys of all that is held
 N_KEEPERS: Final = 8  # daemons that each part's records are reported to
 FAN_OUT: Final = 8  # daemons that are told of a change at once
 MAX_HELD_TOLD: Final = 32  # held parts named in one message
@@ -53,15 +54,39 @@
     request: Suspects
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallAnswered:
+    """A call to a plain service was answered completely."""
+
+    request: Suspects
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallBroken:
+    """The answer to a call broke off."""
+
+    backend: str
+    address: str
+    request: Suspects
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmitCall:
+    """Asks whether a call that is held may be tried; answered with its refusal."""
+
+    request: Suspects
+    answer: "Future[BerylpostError | None]"
+
+
 class EngineHolds:
-    """What the relay of one daemon holds back.
+    """What one daemon holds back, of model requests and of calls to services.
 
     Args:
         self_id: id of this daemon.
         members: the slot with the table of members.
         send: sends a message to a member.
         post: puts a message into the relay's mailbox; callable from any thread.
-        on_held: called when a part has become held.
+        on_held: called with all that is held when it has changed.
     """
 
     def __init__(
@@ -71,7 +96,7 @@
         members: Slot[Table],
         send: Callable[[str, Message], None],
         post: Callable[[Any], None],
-        on_held: Callable[[], None],
+        on_held: Callable[[frozenset[int]], None],
     ) -> None:
         self._self_id = self_id
         self._members = members
@@ -91,19 +116,25 @@
 
     def admit(self, request: StreamRequest) -> BerylpostError | None:
         """Decides on a new request; returns the refusal of a held prompt."""
-        held = self._state.list_held(list_suspects(request))
+        refusal, is_trial = self._decide(list_suspects(request))
+        if is_trial:
+            self._trials[request.id] = time.monotonic()
+        return refusal
+
+    def handle_admit(self, message: AdmitCall) -> None:
+        """Decides on a call to a plain service."""
+        message.answer.set_result(self._decide(message.request)[0])
+
+    def _decide(self, request: Suspects) -> tuple[BerylpostError | None, bool]:
+        """Returns the refusal of a held request, and whether it tries what is held."""
+        held = self._state.list_held(request)
         if not held:
-            return None
+            return None, False
         wait_s = self._state.find_wait(held)
         if wait_s <= 0 and all(map(self._is_first_keeper, held)):
             self._state.begin_trial(held)
-            self._trials[request.id] = time.monotonic()
-            return None
-        return BerylpostError(
-            ErrorKind.QUARANTINED,
-            "a part is held back",
-            retry_after_s=max(wait_s, TRIAL_S),
-        )
+            return None, True
+        return make_refusal(max(wait_s, TRIAL_S)), False
 
     def is_held(self, request: StreamRequest) -> bool:
         """Tells whether an accepted request must not be sent to an engine."""
@@ -118,8 +149,18 @@
     def note_broken(self, stream: Stream, backend: str, address: str) -> None:
         """Records that an engine's answer was cut; finds out whether it has ended."""
         self._trials.pop(stream.request.id, None)
+        self._check_server(backend, address, list_suspects(stream.request))
+
+    def handle_broken(self, message: CallBroken) -> None:
+        """Finds out whether the server of a call that broke off has ended."""
+        self._check_server(message.backend, message.address, message.request)
+
+    def handle_answered(self, message: CallAnswered) -> None:
+        """Records that a call was answered completely."""
+        self._state.note_answered(message.request)
+
+    def _check_server(self, backend: str, address: str, request: Suspects) -> None:
         broke_at = time.monotonic()
-        request = list_suspects(stream.request)
 
         def check() -> None:
             self._post(
@@ -180,7 +221,7 @@
         others = self._list_others()
         targets = random.sample(others, min(FAN_OUT, len(others)))
         self._send_records(changed | self._state.holds.keys(), targets)
-        self._on_held()
+        self._on_held(frozenset(self._state.holds))
 
     def _is_first_keeper(self, key: int) -> bool:
         names = [*self._list_others(), self._self_id]
@@ -196,6 +237,13 @@
                 self._send(target, PartReport(sender=self._self_id, records=records))
 
 
+def make_refusal(wait_s: float) -> BerylpostError:
+    """Makes the error that refuses a held request before it has run."""
+    return BerylpostError(
+        ErrorKind.QUARANTINED, "the request is held back", retry_after_s=wait_s
+    )
+
+
 def list_suspects(request: StreamRequest) -> Suspects:
     """Lists what of a request may crash engines, the most shared part first."""
     if request.chat:
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -75,8 +75,9 @@
             connection closed gracefully, instead of reset.
         framed: whether streamed responses have chunks; if not, they end with their
             connection.
-        crash_on: text in the prompts that crash an engine which begins to answer them;
-            it is back after `CRASH_S`. Empty for none.
+        crash_on: text in the prompts that crash an engine which begins to answer them,
+            or in the paths and bodies of calls that crash a service which begins to run
+            them; the server is back after `CRASH_S`. Empty for none.
         rate_limit: requests a second that an engine names in its load reports; negative
             for none.
         endless: number of responses that go on without end until the caller closes.
--- a/berylpost/fakes/service.py
+++ b/berylpost/fakes/service.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .server import FakeServer, Reply, Request, reply_json
+from .server import CRASH_S, FakeServer, Reply, Request, reply_json
 
 N_EVENTS: Final = 4
 
@@ -39,9 +39,14 @@
         self.executed = executed
         self.n_running = 0
         self._work_s = work_s
+        self._crash: asyncio.Future[None] | None = None
         self.server = FakeServer(endpoint=endpoint, handle=self._handle)
 
     async def _handle(self, request: Request) -> Reply:
+        crash_on = self.server.faults.crash_on
+        if crash_on and (crash_on in request.path or crash_on.encode() in request.body):
+            self._crash = asyncio.ensure_future(self.server.crash())
+            await asyncio.sleep(CRASH_S)
         if request.path == "/load":
             return reply_json({"running": self.n_running, "slots": 64})
         if request.path == "/bookings" and request.method == "POST":
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -19,6 +19,13 @@
 
 import urllib3
 
+from .engine_holds import (
+    HELD_SLOT,
+    AdmitCall,
+    CallAnswered,
+    CallBroken,
+    make_refusal,
+)
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
 from .event_stream import CONTENT_TYPE, ends_inside_event
 from .invariants import check_invariant
@@ -29,6 +36,7 @@
 from .policy.retry import Budget, Failure, GiveUp, decide_retry, earn_budget
 from .policy.routing import Replica, choose_plain
 from .policy.stream_end import EndedStream, find_missing_end
+from .prompt_holds import TRIAL_S, Suspects, digest_request
 from .services import ReportOutcome, RequestGrant
 
 HOP_HEADERS: Final = frozenset(
@@ -47,6 +55,7 @@
     }
 )
 
+HOLD_ANSWER_TIMEOUT_S: Final = 0.5  # the relay's thread answers in milliseconds
 READ_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 4 << 20  # as of a buffered answer at the entry daemon
 
@@ -66,6 +75,12 @@
     key: str
     deadline_s: float
 
+    @property
+    def suspects(self) -> Suspects:
+        """What of the call may crash servers; its id and key do not count."""
+        fields = (self.deployment, self.customer, self.service, self.method, self.path)
+        return Suspects((), digest_request(*map(str.encode, fields), self.body))
+
 
 class OutstandingCalls:
     """Counts this daemon's service calls in progress, per backend server."""
@@ -116,10 +131,38 @@
         Raises:
             BerylpostError: the call was refused, failed or has an unknown outcome.
         """
+        self._check_held(call)
         if idempotent:
             return self._call_idempotent(call)
         return self._call_non_idempotent(call)
 
+    def _check_held(self, call: ServiceCall) -> None:
+        """Refuses a call that is held back, unless it may be tried.
+
+        Raises:
+            BerylpostError: `QUARANTINED`; this call has not run.
+        """
+        if not self._is_held(call):
+            return
+        answer: Future[BerylpostError | None] = Future()
+        message = AdmitCall(request=call.suspects, answer=answer)
+        self._context.post("relay", message)
+        try:
+            refusal = answer.result(timeout=HOLD_ANSWER_TIMEOUT_S)
+        except FutureTimeoutError:
+            refusal = make_refusal(TRIAL_S)
+        if refusal is not None:
+            raise refusal
+
+    def _is_held(self, call: ServiceCall) -> bool:
+        slot = self._context.slots.get(HELD_SLOT)
+        return slot is not None and call.suspects.whole in slot.read()
+
+    def _tell_holds(self, message: CallAnswered | CallBroken) -> None:
+        """Tells the relay, which keeps the records, how a call ended."""
+        if "relay" in self._context.tasks:
+            self._context.post("relay", message)
+
     # Idempotent calls.
 
     def _call_idempotent(self, call: ServiceCall) -> Outcome:
@@ -135,6 +178,10 @@
                 return self._send(call, replica, left_s)
             except _SendError as error:
                 failed.add(replica.id)
+                if self._is_held(call):
+                    raise BerylpostError(
+                        ErrorKind.BACKEND_FAILED, f"{error}; the call is held back"
+                    ) from error
                 decision = decide_retry(
                     failure=error.failure,
                     idempotent=True,
@@ -205,12 +252,24 @@
         ) as error:
             raise _SendError(Failure.UNSENT, str(error)) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            backend = self._backends.read().get(replica.id)
+            # A server that was to leave has not crashed.
+            if backend is not None and backend.state == "running":
+                self._tell_holds(
+                    CallBroken(
+                        backend=replica.id,
+                        address=replica.address,
+                        request=call.suspects,
+                    )
+                )
             raise _SendError(Failure.CUT, str(error)) from error
         finally:
             self._outstanding.add(replica.id, -1)
         missing = _find_missing_end(response, body)
         if missing:
             raise _SendError(Failure.CUT, missing)
+        if response.status < 500:
+            self._tell_holds(CallAnswered(request=call.suspects))
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -25,7 +25,14 @@
 from .callers import Caller
 from .configurations import ConfigurationInForce
 from .connections import Connections
-from .engine_holds import EngineChecked, EngineHolds
+from .engine_holds import (
+    HELD_SLOT,
+    AdmitCall,
+    CallAnswered,
+    CallBroken,
+    EngineChecked,
+    EngineHolds,
+)
 from .engine_limits import EngineLimits
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
@@ -117,6 +124,7 @@
         self._queue = AdmissionQueue(
             settings=self._settings, in_force=self._in_force, recorder=recorder
         )
+        self._held: Slot[frozenset[int]] = context.open_slot(HELD_SLOT, frozenset())
         self._holds = EngineHolds(
             self_id=context.settings.daemon.id,
             members=context.slots["members"],
@@ -124,7 +132,7 @@
                 "peers", Send(to=to, message=message)
             ),
             post=self.post,
-            on_held=self._fail_held,
+            on_held=self._handle_holds,
         )
         self._limits = EngineLimits(
             self_id=context.settings.daemon.id,
@@ -173,6 +181,9 @@
             BackendsReceived: self._handle_backends_received,
             CacheMoved: self._reclaims.handle_cache_moved,
             EngineChecked: self._holds.handle_checked,
+            AdmitCall: self._holds.handle_admit,
+            CallAnswered: self._holds.handle_answered,
+            CallBroken: self._holds.handle_broken,
             PartReport: self._holds.handle_report,
             PartPull: self._holds.handle_pull,
             RateReport: self._limits.handle_report,
@@ -333,8 +344,13 @@
         leaving = msgspec.structs.replace(backend, state="leaving")
         self._context.post("backends", BackendsReceived(backends=(leaving,)))
 
+    def _handle_holds(self, held: frozenset[int]) -> None:
+        """Publishes what is held for the threads that forward calls."""
+        self._held.publish(held)
+        self._fail_held()
+
     def _fail_held(self) -> None:
-        """Fails queued requests whose prompt has become held."""
+        """Fails queued requests that have become held."""
         for stream in list(self._queue.queued.values()):
             if self._holds.is_held(stream.request):
                 self._fail_one_held(stream)
--- a/features/held_prompts.feature
+++ b/features/held_prompts.feature
@@ -1,4 +1,4 @@
-Feature: A prompt that crashes engines is held back by the daemons of our own interface
+Feature: A request that crashes servers is held back by the daemons of our own interface
 
   @fresh_fleet
   Scenario Outline: A <kind> that crashes engines is refused after a few crashes
@@ -12,3 +12,16 @@
       | kind    |
       | chat    |
       | summary |
+
+  @fresh_fleet
+  Scenario Outline: A <kind> that crashes the servers of a service is refused after a few crashes
+    Given the servers of the service crash on calls with the text "poison"
+    When callers send a <kind> with that text and sound ones over all daemons for 8 s
+    Then at most 3 servers crash later than 3 s after the third crash
+    And calls with the text are refused as quarantined and not run
+    And nine in ten sound calls were answered in the last 3 s
+
+    Examples:
+      | kind    |
+      | booking |
+      | look-up |
--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 import time
+import uuid
 
 from behave import given, then, when
 from behave.runner import Context
@@ -17,6 +18,17 @@
 PAUSE_S = 0.1
 
 
+def send_call(client, kind, text, number):
+    """Sends a summary or chat, or a call to the plain service."""
+    if kind == "booking":
+        headers = {"Idempotency-Key": f"{text}-{uuid.uuid4().hex}"}
+        path, document = "/v1/services/intake/bookings", {"reference": text}
+        return client.call("POST", path, document=document, headers=headers)
+    if kind == "look-up":
+        return client.call("GET", f"/v1/services/intake/count/{text}")
+    return client.call("POST", PATHS[kind], document=make_prompt(kind, text, number))
+
+
 def make_prompt(kind, text, number):
     """Makes a chat with its own last message, or the same summary each time."""
     if kind == "summary":
@@ -36,6 +48,13 @@
     context.crash_text = text
 
 
+@given('the servers of the service crash on calls with the text "{text}"')
+def step_crash_service(context: Context, text: str) -> None:
+    for service in context.fleet.world.world.services.values():
+        context.fleet.set_fault(service.server.endpoint, crash_on=text)
+    context.crash_text = text
+
+
 @when(
     "callers send a {kind} with that text and sound ones over all daemons for {n:d} s"
 )
@@ -49,9 +68,8 @@
             if time.monotonic() > ends_at:
                 return
             sent_at = time.monotonic()
-            document = make_prompt(kind, text, number)
             try:
-                answer = client.call("POST", PATHS[kind], document=document)
+                answer = send_call(client, kind, text, number)
             except Problem as problem:
                 answer = problem
             results[text].append((sent_at, answer))
@@ -78,6 +96,16 @@
     assert len(late) <= n, [at - crashes[0] for at in crashes]
 
 
+@then("at most {n:d} servers crash later than {seconds:d} s after the third crash")
+def step_check_services(context: Context, n: int, seconds: int) -> None:
+    services = context.fleet.world.world.services.values()
+    crashes = sorted(at for s in services for at in s.server.crashed_at)
+    assert len(crashes) >= 3, crashes
+    late = [at for at in crashes if at > crashes[2] + seconds]
+    assert len(late) <= n, [at - crashes[0] for at in crashes]
+
+
+@then("calls with the text are refused as quarantined and not run")
 @then("prompts with the text are refused as quarantined and not run")
 def step_check_refused(context: Context) -> None:
     last = [answer for _, answer in context.results[context.crash_text][-6:]]
@@ -87,6 +115,7 @@
         assert answer.ran == "not_run", answer
 
 
+@then("nine in ten sound calls were answered in the last {n:d} s")
 @then("nine in ten sound prompts were answered in the last {n:d} s")
 def step_check_sound(context: Context, n: int) -> None:
     answers = [
