Let the soak restore its store, leave by answers and send requests that crash

Three new things that a run draws: the store comes back from a copy up to four seconds old, after which operator and servers write again; a server says in its answers only that it leaves; callers send one and the same request that ends the servers which run it. Promises: no request runs on such a server later than two seconds after its caller's daemon passed the answer on, a pause of the daemon excepted; at most three runs later than three seconds after the third crash. A restore excuses no daemon from going back to an older configuration, nor from serving a revoked key.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -51,6 +51,7 @@
             request takes up; empty for a new request.
         received: Events of that stream that were received before.
         part: Shared part of the prompt besides the first one; empty without a prompt.
+        bad_request: Name of the request that crashes servers; empty for others.
     """
 
     id: str
@@ -70,6 +71,12 @@
     resumed_id: str = ""
     received: bytes = b""
     part: str = ""
+    bad_request: str = ""
+
+    @property
+    def path(self) -> str:
+        """Path of the request; the same for all that crash servers."""
+        return f"/{self.kind}/{self.bad_request or self.id}"
 
     @property
     def events(self) -> bytes:
@@ -126,6 +133,8 @@
             return None
         daemon, n_starts, reader, writer = connection
         request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        bad_request = self._choose_bad_request(kind, key, lost)
+        body = request_id.encode() * self._random.choice((1, 40, 400))
         record = RequestRecord(
             id=request_id,
             kind=kind,
@@ -134,7 +143,8 @@
             n_starts=n_starts,
             sent_at=time.monotonic(),
             reused=reused,
-            body=request_id.encode() * self._random.choice((1, 40, 400)),
+            body=bad_request.encode() if bad_request else body,
+            bad_request=bad_request,
             resumed_id=(lost.resumed_id or lost.id) if lost is not None else "",
             received=lost.events if lost is not None else b"",
             part=self._choose_part(kind, lost),
@@ -164,10 +174,21 @@
         if not kind.startswith("stream"):
             return ""
         bad_part = self._world.bad_part
-        if bad_part and self._random.random() < BAD_PART_SHARE:
+        is_request = bad_part in self._world.bad_requests
+        if bad_part and not is_request and self._random.random() < BAD_PART_SHARE:
             return bad_part
         return f"good-{self._random.randrange(N_GOOD_PARTS)}"
 
+    def _choose_bad_request(
+        self, kind: str, key: str, lost: RequestRecord | None
+    ) -> str:
+        """Returns the name of the request that crashes servers, or an empty text."""
+        name = self._world.bad_part
+        is_sent = name in self._world.bad_requests and kind == "read" and not key
+        if lost is not None or not is_sent:
+            return ""
+        return name if self._random.random() < BAD_PART_SHARE else ""
+
     def close(self) -> None:
         """Closes the idle connection."""
         if self._idle_connection is not None:
@@ -235,7 +256,7 @@
     deadline_s = DEADLINE_S.get(record.kind, DEFAULT_DEADLINE_S)
     method = "GET" if record.kind in ("read", "open") else "POST"
     head = (
-        f"{method} /{record.kind}/{record.id} HTTP/1.1\r\n"
+        f"{method} {record.path} HTTP/1.1\r\n"
         f"Host: {HOST}\r\n"
         f"X-Berylpost-Attempt-Id: {record.id}\r\n"
         f"X-Berylpost-Deadline-Ms: {int(deadline_s * 1_000)}\r\n"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,7 +14,7 @@
 from berylpost.fakes.replica import FAULTS
 
 from .proxy import Mode, Proxy
-from .world import DRAIN_S, Daemon, World
+from .world import DRAIN_S, HEARTBEAT_S, Daemon, World
 
 FAULT_PHASE_S: Final = (5.0, 11.0)
 # The strict checks do not apply in its first three seconds (`STEADY_S` of `judge`).
@@ -27,6 +27,8 @@
 MIN_BACKENDS: Final = 2
 LIMIT_RATES: Final = (0.5, 1.0, 4.0)  # requests a second; each server gets 20 or more
 LIMIT_S: Final = (8.0, 12.0)  # longer than it takes until the rate must be kept
+# From a restore until entries of servers that have ended are gone again.
+RESTORE_LASTS_S: Final = 3 * HEARTBEAT_S
 LINK_MODES: Final = (Mode.DELAY, Mode.SILENT, Mode.CUT_UP, Mode.CUT_DOWN)
 
 Action = Callable[[], Awaitable[None]]
@@ -57,6 +59,7 @@
             "backend_pause": self._pause_backend,
             "store_fault": self._disturb_store,
             "backend_limit": self._limit_backend,
+            "store_restore": self._restore_store,
         }
         self.planned_actions: dict[str, Action] = {
             "stop": self._restart,
@@ -65,6 +68,7 @@
             "configuration": self._update_configuration,
             "revoke": self._revoke_key,
             "drain": self._drain_backend,
+            "drain_by_answers": self._drain_by_answers,
         }
 
     async def run(self, seconds: float) -> None:
@@ -81,8 +85,8 @@
         await self._wait_for_actions()
 
     async def _run_crash_phase(self) -> None:
-        """Lets a prompt part crash servers, with nothing but planned work beside it."""
-        self._world.begin_bad_part()
+        """Lets a prompt part, or one request, crash servers, beside planned work."""
+        self._world.begin_bad_part(is_request=self._random.random() < 0.5)
         await self._run_phase(
             self.planned_actions, CRASH_PHASE_S, QUIET_INTERVAL_S, float("inf")
         )
@@ -275,8 +279,40 @@
             backend.process.kill()
         await self._world.store.remove("servers", backend.id)
 
+    async def _drain_by_answers(self) -> None:
+        """Replaces a backend server whose answers alone say that it leaves."""
+        backends = self._world.list_active_backends()
+        if len(backends) < MIN_BACKENDS:
+            return
+        backend = self._random.choice(backends)
+        self._world.record_disturbance("drain", backend.id, planned=True)
+        backend.entry_says_leaving = False
+        backend.draining_since = time.monotonic() + 60.0
+        await self._world.start_backend()
+        self._world.name_leaving(backend)
+        await asyncio.sleep(DRAIN_S + 6.0)
+        if not backend.killed:
+            backend.killed = True
+            backend.process.kill()
+        await self._world.store.remove("servers", backend.id)
+
     # Store and operator.
 
+    async def _restore_store(self) -> None:
+        """Brings the store back from a copy some seconds old."""
+        stored = self._world.store.take_copy()
+        await asyncio.sleep(self._random.uniform(0.2, 4.0))
+        away_s = self._random.choice((0.0, self._random.uniform(0.1, 0.7)))
+        self._world.record_disturbance(
+            "store_fault", "all", lasts_s=away_s + RESTORE_LASTS_S
+        )
+        faults = self._world.store.server.faults
+        faults.down = faults.down or away_s > 0
+        await asyncio.sleep(away_s)
+        await self._world.restore_store(stored)
+        if away_s:
+            faults.down = False
+
     async def _disturb_store(self) -> None:
         faults = self._world.store.server.faults
         seconds = self._random.uniform(0.5, 6.0)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -27,6 +27,7 @@
 MIN_TAKEN_UP: Final = 12  # streams from which on the share of those that go on counts
 MIN_TAKEN_UP_SHARE: Final = 0.5  # of the share of new streams that begin
 N_CRASHES: Final = 5  # after which a part that crashes servers must be known
+N_REQUEST_CRASHES: Final = 3  # after which a request that crashes servers must be known
 LIMIT_WINDOW_S: Final = 4.0  # in which the requests of a limited server are counted
 MAX_LATE_RUNS: Final = 3  # of such a part, later than `STEADY_S` after that
 MIN_SOUND: Final = 20  # sound streams from which on the share of those begun counts
@@ -138,6 +139,7 @@
             self._check_bad_part(part, crashes)
         for period in self.world.limit_periods:
             self._check_limit(period)
+        self._check_named_leaving()
         for violation in self.world.cloud.checker.violations:
             self._add_violation("holders", "-", violation)
         for exit_text in self.world.unexpected_exits:
@@ -158,16 +160,19 @@
             self._add_violation("taken up", "-", f"{taken_up:.2f} against {new:.2f}")
 
     def _check_bad_part(self, part: str, crashes: list[float]) -> None:
-        """Checks that a part which crashes servers is held back, and nothing else."""
-        if len(crashes) >= N_CRASHES:
-            held_at = crashes[N_CRASHES - 1] + STEADY_S
+        """Checks that what crashes servers is held back, and nothing else."""
+        n_crashes = N_CRASHES
+        if part in self.world.bad_requests:
+            n_crashes = N_REQUEST_CRASHES
+        if len(crashes) >= n_crashes:
+            held_at = crashes[n_crashes - 1] + STEADY_S
             n_late = sum(
                 at > held_at
                 and not self.world.was_daemon_disturbed(
                     record.daemon, at - STEADY_S, at
                 )
                 for record in self.records
-                if record.part == part
+                if part in (record.part, record.bad_request)
                 for at, _ in self.runs.get(record.id, ())
             )
             if n_late > MAX_LATE_RUNS:
@@ -175,7 +180,7 @@
         if not crashes:
             return
         # The answers of sound streams while the part is held, against the rest.
-        since = crashes[:N_CRASHES][-1] + 2 * STEADY_S
+        since = crashes[:n_crashes][-1] + 2 * STEADY_S
         until = self.world.bad_part_ended_at[part]
         during: Counter[bool] = Counter()
         outside: Counter[bool] = Counter()
@@ -219,6 +224,31 @@
                 )
                 return
 
+    def _check_named_leaving(self) -> None:
+        """Checks that servers whose answers say that they leave get no new requests.
+
+        A request of which the caller saw such an answer counts from the answer's end,
+        at the same start of the same daemon.
+        """
+        named: dict[tuple[str, int, str], float] = {}
+        for record in sorted(self.records, key=lambda r: r.ended_at):
+            if record.complete and record.headers.get("server-leaving") == "1":
+                for _, backend in self.runs.get(record.id, ()):
+                    if not backend.entry_says_leaving:
+                        key = (record.daemon, record.n_starts, backend.id)
+                        named.setdefault(key, record.ended_at)
+        for record in self.records:
+            for at, backend in self.runs.get(record.id, ()):
+                key = (record.daemon, record.n_starts, backend.id)
+                named_at = named.get(key, float("inf"))
+                if record.sent_at <= named_at + DRAIN_S:
+                    continue
+                # Only a pause of the daemon excuses it.
+                if not self.world.was_paused(record.daemon, named_at, at):
+                    self._add_violation(
+                        "leaving", record.id, f"ran {at - named_at:.1f} s after"
+                    )
+
     def _check_success(self, record: RequestRecord) -> None:
         echoed = record.headers.get("x-berylpost-attempt-id")
         signed = record.headers.get("x-berylpost-replica-signature") == SIGNATURE
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -2,8 +2,9 @@
 
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
 has an effect. From standard input it reads the fault to inject, one name a line,
-`crash PART` for a prompt part that ends the process when it begins to answer it, and
-`limit RATE` for the request rate to name in answers, `limit` for none.
+`crash NAME` for a prompt part, or a whole body, that ends the process when it begins to
+answer it, `limit RATE` for the request rate to name in answers, `limit` for none, and
+`leaving` to say in all answers that it leaves.
 """
 
 import asyncio
@@ -44,7 +45,11 @@
         if order in FAULTS:
             replica.fault = order
         elif order.startswith("crash "):
-            replica.crashing_parts |= {order.removeprefix("crash ")}
+            name = order.removeprefix("crash ")
+            replica.crashing_parts |= {name}
+            replica.crashing_bodies |= {name.encode()}
+        elif order == "leaving":
+            replica.leaving = "1"
         elif order.startswith("limit"):
             replica.limit = order.removeprefix("limit").strip()
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,13 +7,13 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import IO, Any, Final
 
 from berylpost.fakes.duty_api import DutyApi
 from berylpost.fakes.entry_world import make_configuration, make_route
-from berylpost.fakes.objects import ObjectStore
+from berylpost.fakes.objects import ObjectStore, StoreCopy
 
 from .proxy import Proxy
 
@@ -80,8 +80,10 @@
         ip: IP address that it listens on.
         link: Proxy from the daemons to it.
         process: Its process.
+        born_ms: When it was started, Unix milliseconds.
         draining_since: When its entry was marked as draining, monotonic seconds;
             infinite before, and in the future once it is chosen for draining.
+        entry_says_leaving: Whether its entry tells when it drains; else its answers do.
         killed: Whether the process was killed.
     """
 
@@ -90,7 +92,9 @@
     ip: str
     link: Proxy
     process: asyncio.subprocess.Process
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1_000))
     draining_since: float = float("inf")
+    entry_says_leaving: bool = True
     killed: bool = False
 
 
@@ -138,6 +142,7 @@
         configured_at: When the latest configuration was written, monotonic seconds.
         bad_part: Prompt part that crashes servers and that callers send now; empty for
             none.
+        bad_requests: Those of these names that are whole requests, not prompt parts.
         crashes: When servers crashed, by prompt part, monotonic seconds.
         limit_periods: When backend servers named a request rate.
         bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
@@ -162,11 +167,13 @@
         self.configuration_number = 1
         self.configured_at = 0.0
         self.bad_part = ""
+        self.bad_requests: set[str] = set()
         self.crashes: dict[str, list[float]] = {}
         self.bad_part_ended_at: dict[str, float] = {}
         self.limit_periods: list[LimitPeriod] = []
         self.store = ObjectStore(endpoint=f"{address_prefix}.0.1:{PORT}")
         self.cloud = DutyApi(endpoint=f"{address_prefix}.0.2:{PORT}")
+        self._document: dict[str, Any] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._n_backends = 0
 
@@ -266,6 +273,16 @@
             for disturbance in self.disturbances
         )
 
+    def was_paused(self, daemon: str, started_at: float, ended_at: float) -> bool:
+        """Tells whether a daemon was paused in a period."""
+        return any(
+            disturbance.kind == "pause"
+            and disturbance.target == daemon
+            and disturbance.started_at <= ended_at
+            and disturbance.ended_at >= started_at
+            for disturbance in self.disturbances
+        )
+
     # Daemons.
 
     async def _make_daemon(self, number: int) -> Daemon:
@@ -420,6 +437,7 @@
             "State": state,
             "ColdLeftMs": 0,
             "Seq": 1,
+            "born": backend.born_ms,
         }
         await self.store.put("servers", backend.id, spec)
 
@@ -450,10 +468,16 @@
         period.ended_at = time.monotonic()
         self._order(period.backend, "limit")
 
-    def begin_bad_part(self) -> str:
-        """Lets callers send a new prompt part that crashes servers; returns it."""
+    def begin_bad_part(self, *, is_request: bool) -> str:
+        """Lets callers send a prompt part that crashes servers; returns its name.
+
+        Args:
+            is_request: Whether callers send one and the same request instead.
+        """
         part = f"bad-{len(self.crashes)}"
         self.crashes[part] = []
+        if is_request:
+            self.bad_requests.add(part)
         for backend in self.backends:
             self._order(backend, f"crash {part}")
         self.bad_part = part
@@ -464,6 +488,31 @@
         self.bad_part_ended_at[self.bad_part] = time.monotonic()
         self.bad_part = ""
 
+    def name_leaving(self, backend: Backend) -> None:
+        """Lets a backend server say in its answers only that it leaves."""
+        self._order(backend, "leaving")
+
+    async def restore_store(self, stored: StoreCopy) -> None:
+        """Brings the store back from an older copy.
+
+        The operator and the servers write again what they wrote, and the entries of
+        servers that have ended expire.
+        """
+        await self.store.restore(stored)
+        await self.store.put("config", "main", self._document)
+        for backend in self.backends:
+            if backend.killed:
+                self.spawn(self._expire(backend))
+            else:
+                is_draining = time.monotonic() >= backend.draining_since
+                has_entry = not is_draining or backend.entry_says_leaving
+                state = "draining" if is_draining and has_entry else "ready"
+                await self.put_backend(backend, state)
+
+    async def _expire(self, backend: Backend) -> None:
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.store.remove("servers", backend.id)
+
     async def _watch_backend(self, backend: Backend) -> None:
         """Replaces a backend server that crashed by itself."""
         await backend.process.wait()
@@ -506,6 +555,7 @@
         document["Routes"].append(
             make_route(f"v{self.configuration_number}", "idempotent")
         )
+        self._document = document
         await self.store.put("config", "main", document)
         self.configured_at = time.monotonic()
 
