--- a/berylpost/errors.py
+++ b/berylpost/errors.py
@@ -122,7 +122,9 @@
         503, _NOT_RUN, "No backend server can take this."
     ),
     ErrorKind.QUARANTINED: _make_response(
-        503, _NOT_RUN, "A part of this prompt has crashed backend servers."
+        503,
+        _NOT_RUN,
+        "This request or a part of its prompt has crashed backend servers.",
     ),
     ErrorKind.STORE_UNAVAILABLE: _make_response(
         503, _NOT_RUN, "The platform's object API is not available."
--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -189,7 +189,7 @@
     ErrorKind.RATE_LIMITED: "Retry, no sooner than Retry-After.",
     ErrorKind.DEADLINE_UNREACHABLE: "Retry later, or allow more time by Prefer: wait.",
     ErrorKind.NO_BACKEND: "Retry; operators: see `berylpost vms`.",
-    ErrorKind.QUARANTINED: "Do not repeat the prompt before Retry-After.",
+    ErrorKind.QUARANTINED: "Do not repeat it before Retry-After.",
     ErrorKind.STORE_UNAVAILABLE: "Retry with the same key, no sooner than Retry-After.",
     ErrorKind.BACKEND_FAILED: "Retry if the call may be repeated.",
     ErrorKind.ANSWER_CUT: "The received part is not the whole answer; retry.",
