Name the quarantine after requests and split what a restore withholds

For a reader: part_quarantine, prompt_holds and engine_holds hold whole requests and calls too and are request_quarantine, request_holds and relay_holds now; the withheld entries leave the catalogue for edge/withdrawals.py; the regular question belongs to the datagram channel; two step modules share the ways in which servers end. No decision changes.

--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -15,7 +15,6 @@
 
 from .admission import AdmissionQueue
 from .configurations import ConfigurationInForce
-from .engine_holds import EngineHolds
 from .engine_limits import EngineLimits
 from .errors import BerylpostError, ErrorKind
 from .invariants import check_invariant
@@ -26,6 +25,7 @@
 from .policy.routing import CHARS_PER_TOKEN
 from .pools import Pool
 from .recording import Recorder
+from .relay_holds import RelayHolds
 from .settings import RelaySettings
 from .streams import Stream, StreamState, build_body
 from .upstream import AttemptEnded, LoadReport, Refusal, Token, Upstream, UpstreamEvent
@@ -78,7 +78,7 @@
         settings: RelaySettings,
         in_force: Slot[Mapping[str, ConfigurationInForce]],
         queue: AdmissionQueue,
-        holds: EngineHolds,
+        holds: RelayHolds,
         limits: EngineLimits,
         recorder: Recorder,
         random_state: random.Random,
--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -9,8 +9,8 @@
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, RouteKind, ServingConfiguration
-from .part_quarantine import PartQuarantine
 from .quotas import Quotas
+from .request_quarantine import RequestQuarantine
 from .work import RequestContext, list_suspects, make_refusal
 
 # The store or another daemon is usually reachable again after about this time.
@@ -31,7 +31,7 @@
     """
 
     def __init__(
-        self, *, catalogue: Catalogue, quotas: Quotas, quarantine: PartQuarantine
+        self, *, catalogue: Catalogue, quotas: Quotas, quarantine: RequestQuarantine
     ) -> None:
         self.shutdown_at: float | None = None
         self._catalogue = catalogue
--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -12,7 +12,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Final
 
 from ..hashing import hash_text
@@ -20,10 +20,10 @@
 from ..platform import names
 from ..platform.entries import InvalidEntryError, decode_backend, decode_configuration
 from ..platform.object_wire import Changes, Listing
-from ..policy.store_era import may_be_copy
 from .clock import read_boottime
 from .model import Backend, BackendState, ServingConfiguration
 from .store_era import UNKNOWN_ERA
+from .withdrawals import Withdrawals
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -46,19 +46,6 @@
 Listener = Callable[[], None]
 
 
-@dataclass(slots=True, kw_only=True)
-class _Withdrawal:
-    """An entry that was removed, or said that its server leaves, in an earlier era.
-
-    Attributes:
-        revision: revision of that change.
-        first_seen: revision at which the entry was first seen in the present era.
-    """
-
-    revision: int
-    first_seen: int | None = None
-
-
 class Catalogue:
     """The configuration and the backend servers known to this daemon.
 
@@ -74,7 +61,7 @@
         self.era = UNKNOWN_ERA
         self._expiry_s = EXPIRY_HEARTBEATS * heartbeat_s + EXPIRY_MARGIN_S
         self._era_began_at = -1e9
-        self._withdrawn: dict[str, _Withdrawal] = {}
+        self._withdrawals = Withdrawals()
         self.configuration: ServingConfiguration | None = None
         self.configuration_spec: Any = None
         self.backends: dict[str, Backend] = {}
@@ -112,16 +99,7 @@
         self.outage_ended_at = now
         if self.configuration is not None:
             self.configuration = replace(self.configuration, revision=CARRIED_OVER)
-        for withdrawal in self._withdrawn.values():
-            withdrawal.first_seen = None
-        for name, (_, end) in self._removed.items():
-            if end != CARRIED_OVER:
-                self._withdrawn[name] = _Withdrawal(revision=end)
-        for name, backend in self.backends.items():
-            if backend.state is BackendState.LEAVING:
-                revision = self._entries[name][0]
-                if revision != CARRIED_OVER:
-                    self._withdrawn[name] = _Withdrawal(revision=revision)
+        self._withdrawals.begin_era(self._list_withdrawn())
         self._entries = {
             name: (CARRIED_OVER, spec) for name, (_, spec) in self._entries.items()
         }
@@ -135,7 +113,7 @@
             "era_began",
             era=era,
             n_backends=len(self.backends),
-            n_withdrawn=len(self._withdrawn),
+            n_withdrawn=len(self._withdrawals),
             configuration=self.configuration.number if self.configuration else 0,
         )
         asyncio.get_running_loop().call_later(
@@ -351,7 +329,9 @@
         self._missing.discard(name)
         try:
             backend = decode_backend(name, spec)
-            if self._is_withheld(backend, revision):
+            if revision != CARRIED_OVER and self._withdrawals.withholds(
+                backend, revision
+            ):
                 return
         except InvalidEntryError as error:
             if name not in self._bad_entries:
@@ -374,34 +354,25 @@
                 revision=revision,
             )
 
-    def _is_withheld(self, backend: Backend, revision: int) -> bool:
-        """Tells whether an entry may show what its server was before it left."""
-        withdrawal = self._withdrawn.get(backend.id)
-        if withdrawal is None or revision == CARRIED_OVER:
-            return False
-        if backend.state is BackendState.READY and may_be_copy(
-            revision,
-            withdrawn_at=withdrawal.revision,
-            first_seen=withdrawal.first_seen,
-        ):
-            if withdrawal.first_seen is None:
-                withdrawal.first_seen = revision
-                log_event(
-                    LOGGER, "entry_withheld", backend=backend.id, revision=revision
-                )
-            return True
-        del self._withdrawn[backend.id]
-        return False
+    def _list_withdrawn(self) -> dict[str, int]:
+        """Lists the servers that left in this era, and the revisions that say so."""
+        withdrawn = {name: end for name, (_, end) in self._removed.items()}
+        withdrawn |= {
+            name: self._entries[name][0]
+            for name, backend in self.backends.items()
+            if backend.state is BackendState.LEAVING
+        }
+        return {n: r for n, r in withdrawn.items() if r != CARRIED_OVER}
 
     def _end_withdrawals(self, era: int) -> None:
         """Takes the entries that stand although their servers had time to expire."""
         if era != self.era:
             return
-        withdrawn, self._withdrawn = self._withdrawn, {}
-        for name in withdrawn.keys() & self._entries.keys():
-            revision, spec = self._entries[name]
-            log_event(LOGGER, "entry_released", backend=name, revision=revision)
-            self._set_backend(name, revision, spec)
+        for name in self._withdrawals.release_all():
+            if name in self._entries:
+                revision, spec = self._entries[name]
+                log_event(LOGGER, "entry_released", backend=name, revision=revision)
+                self._set_backend(name, revision, spec)
         self._notify()
 
     def _remove_backend(self, name: str, revision: int, *, keep: bool) -> None:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -32,9 +32,9 @@
 from .members import Member, Members, Progress
 from .metrics import observe_request, render_metrics
 from .model import CallerLimits, EdgeSettings, Endpoint
-from .part_quarantine import PartQuarantine
 from .quotas import Quotas
 from .registration import Registration
+from .request_quarantine import RequestQuarantine
 from .server_limits import ServerLimits
 from .store_era import StoreEra
 from .store_watch import StoreWatch
@@ -116,7 +116,7 @@
             table=self.table, read_store_age=self.catalogue.read_confirmation_age
         )
         self.origins = StreamOrigins(members=self.members, catalogue=self.catalogue)
-        self.quarantine = PartQuarantine(
+        self.quarantine = RequestQuarantine(
             name=settings.name,
             store=settings.store,
             era=self.era,
--- a/berylpost/edge/datagrams.py
+++ b/berylpost/edge/datagrams.py
@@ -1,5 +1,6 @@
 """Messages of one module to the same module of other daemons, one in a datagram."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 import msgspec
 
 from ..logs import log_event
+from .anti_entropy import ask_regularly
 from .members import FAN_OUT, Members
 from .model import Endpoint
 
@@ -42,8 +44,31 @@
             message_type
         )
         self._handle = handle
+        self._task: asyncio.Task[None] | None = None
         members.bind_messages(self._receive, mark)
 
+    def start_asking(
+        self, make_question: Callable[[], M], on_round: Callable[[], None]
+    ) -> None:
+        """Asks a random daemon in each round; called from the event loop.
+
+        Args:
+            make_question: returns the message to send.
+            on_round: called in each round, also without other daemons.
+        """
+        self._task = asyncio.create_task(
+            ask_regularly(
+                self._members,
+                lambda address: self.send(address, make_question()),
+                on_round,
+            )
+        )
+
+    def stop_asking(self) -> None:
+        """Ends the rounds."""
+        if self._task is not None:
+            self._task.cancel()
+
     def send(self, address: Endpoint, message: M) -> None:
         """Sends a message, which may be lost."""
         self._members.send_message(address, _ENCODER.encode(message), self._mark)
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -29,8 +29,8 @@
 from .clock import read_boottime
 from .leaving_servers import LeavingServers
 from .model import RequestHead, Route, RouteKind
-from .part_quarantine import PartQuarantine
 from .quotas import Quotas
+from .request_quarantine import RequestQuarantine
 from .routing import Router
 from .server_limits import ServerLimits
 from .stream_origins import StreamOrigins
@@ -88,7 +88,7 @@
         catalogue: Catalogue,
         table: BackendTable,
         origins: StreamOrigins,
-        quarantine: PartQuarantine,
+        quarantine: RequestQuarantine,
         limits: ServerLimits,
         leaving: LeavingServers,
         quotas: Quotas,
--- a/berylpost/edge/leaving_servers.py
+++ b/berylpost/edge/leaving_servers.py
@@ -5,7 +5,6 @@
 also asks a random other one for what it has missed.
 """
 
-import asyncio
 import random
 from collections import OrderedDict
 from typing import Final
@@ -13,7 +12,6 @@
 import msgspec
 
 from ..hashing import hash_text
-from .anti_entropy import ask_regularly
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
 from .datagrams import DatagramChannel
@@ -59,19 +57,17 @@
             message_type=_Told | _Question,
             handle=self._handle,
         )
-        self._task: asyncio.Task[None] | None = None
         table.bind_leaving(self.is_leaving)
 
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
-        self._task = asyncio.create_task(
-            ask_regularly(self._members, self._ask, self._drop_outdated)
+        self._channel.start_asking(
+            lambda: _Question(self._digest()), self._drop_outdated
         )
 
     def stop(self) -> None:
         """Stops asking."""
-        if self._task is not None:
-            self._task.cancel()
+        self._channel.stop_asking()
 
     def is_leaving(self, backend: Backend) -> bool:
         """Tells whether a server said that it leaves since it was started."""
@@ -119,9 +115,6 @@
         for server in [s for s, at in self._said_at.items() if at <= horizon]:
             del self._said_at[server]
 
-    def _ask(self, address: Endpoint) -> None:
-        self._channel.send(address, _Question(self._digest()))
-
     def _handle(self, message: _Told | _Question, address: Endpoint) -> None:
         match message:
             case _Told(servers):
--- a/berylpost/edge/part_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -22,8 +22,7 @@
 from ..logs import log_event
 from ..policy.quarantine import PartRecord
 from ..policy.stream_version import rank_keepers
-from ..prompt_holds import TRIAL_S, PromptHolds, Suspects, WireRecord
-from .anti_entropy import ask_regularly
+from ..request_holds import TRIAL_S, RequestHolds, Suspects, WireRecord
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
 from .datagrams import DatagramChannel
@@ -78,7 +77,7 @@
     checked: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-class PartQuarantine:
+class RequestQuarantine:
     """The requests and prompt parts that this daemon holds back.
 
     Args:
@@ -98,7 +97,7 @@
         members: Members,
         table: BackendTable,
     ) -> None:
-        self.state = PromptHolds(
+        self.state = RequestHolds(
             name=name, read_clock=read_boottime, on_change=self._pass_on
         )
         self._name = name
@@ -129,14 +128,13 @@
 
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
-        self._spawn(
-            ask_regularly(self._members, self._pull, lambda: self.state.decide("time"))
-        )
+        self._channel.start_asking(self._make_pull, lambda: self.state.decide("time"))
         self._spawn(self._hold_store.run())
         self._started_at = read_boottime()
 
     def stop(self) -> None:
         """Stops all tasks."""
+        self._channel.stop_asking()
         for task in list(self._tasks):
             task.cancel()
 
@@ -273,9 +271,8 @@
         random.shuffle(alive)
         self._send_records(changed | self.state.holds.keys(), alive[:FAN_OUT])
 
-    def _pull(self, address: Endpoint) -> None:
-        held = tuple(list(self.state.holds)[:MAX_HELD_TOLD])
-        self._channel.send(address, _Pull(held))
+    def _make_pull(self) -> _Pull:
+        return _Pull(tuple(list(self.state.holds)[:MAX_HELD_TOLD]))
 
     def _handle(self, message: _Report | _Pull, address: Endpoint) -> None:
         """Handles a message of another daemon."""
--- a/berylpost/edge/server_limits.py
+++ b/berylpost/edge/server_limits.py
@@ -4,13 +4,11 @@
 pass it on. `rate_limits` keeps the rates and this daemon's slots.
 """
 
-import asyncio
 from typing import Final
 
 import msgspec
 
 from ..rate_limits import RateLimits, Statement
-from .anti_entropy import ask_regularly
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
 from .datagrams import DatagramChannel
@@ -52,7 +50,6 @@
             list_others=members.list_serving,
             on_change=self._pass_on,
         )
-        self._task: asyncio.Task[None] | None = None
         self._channel: DatagramChannel[_Told | _Question] = DatagramChannel(
             members=members,
             mark=DATAGRAM_MARK,
@@ -67,14 +64,13 @@
 
     def start(self) -> None:
         """Starts to ask the other daemons; called from the event loop."""
-        self._task = asyncio.create_task(
-            ask_regularly(self._members, self._ask, self._drop_outdated)
+        self._channel.start_asking(
+            lambda: _Question(self._rates.digest()), self._drop_outdated
         )
 
     def stop(self) -> None:
         """Stops asking."""
-        if self._task is not None:
-            self._task.cancel()
+        self._channel.stop_asking()
 
     def note_answer(self, record: BackendRecord, rate: float | None) -> None:
         """Records what an answer says of the rate; None if it names none."""
@@ -97,9 +93,6 @@
         for statements in self._rates.export(servers):
             self._channel.spread(_Told(statements))
 
-    def _ask(self, address: Endpoint) -> None:
-        self._channel.send(address, _Question(self._rates.digest()))
-
     def _handle(self, message: _Told | _Question, address: Endpoint) -> None:
         """Handles a message of another daemon."""
         match message:
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -6,7 +6,7 @@
 from ..errors import BerylpostError, ErrorKind
 from ..event_stream import EventSplitter
 from ..hashing import hash_text
-from ..prompt_holds import Suspects, digest_request
+from ..request_holds import Suspects, digest_request
 from .callers import CallerRequest
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, ServingConfiguration
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -19,13 +19,6 @@
 
 import urllib3
 
-from .engine_holds import (
-    HELD_SLOT,
-    AdmitCall,
-    CallAnswered,
-    CallBroken,
-    make_refusal,
-)
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
 from .event_stream import CONTENT_TYPE, ends_inside_event
 from .invariants import check_invariant
@@ -36,7 +29,14 @@
 from .policy.retry import Budget, Failure, GiveUp, decide_retry, earn_budget
 from .policy.routing import Replica, choose_plain
 from .policy.stream_end import EndedStream, find_missing_end
-from .prompt_holds import TRIAL_S, Suspects, digest_request
+from .relay_holds import (
+    HELD_SLOT,
+    AdmitCall,
+    CallAnswered,
+    CallBroken,
+    make_refusal,
+)
+from .request_holds import TRIAL_S, Suspects, digest_request
 from .services import ReportOutcome, RequestGrant
 
 HOP_HEADERS: Final = frozenset(
--- a/berylpost/messages.py
+++ b/berylpost/messages.py
@@ -13,8 +13,8 @@
 
 from .configuration import AuditEntry, VersionedConfiguration
 from .errors import ErrorKind, ExecutionStatus
-from .prompt_holds import WireRecord
 from .rate_limits import Statement
+from .request_holds import WireRecord
 
 
 class Member(Struct, frozen=True, kw_only=True, array_like=True):
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -25,14 +25,6 @@
 from .callers import Caller
 from .configurations import ConfigurationInForce
 from .connections import Connections
-from .engine_holds import (
-    HELD_SLOT,
-    AdmitCall,
-    CallAnswered,
-    CallBroken,
-    EngineChecked,
-    EngineHolds,
-)
 from .engine_limits import EngineLimits
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
@@ -51,6 +43,14 @@
 from .peers import BackendsReceived, Send
 from .reclaims import CacheMoved, Reclaims
 from .recording import Recorder
+from .relay_holds import (
+    HELD_SLOT,
+    AdmitCall,
+    CallAnswered,
+    CallBroken,
+    EngineChecked,
+    RelayHolds,
+)
 from .relay_messages import (
     Attach,
     CountOpen,
@@ -125,7 +125,7 @@
             settings=self._settings, in_force=self._in_force, recorder=recorder
         )
         self._held: Slot[frozenset[int]] = context.open_slot(HELD_SLOT, frozenset())
-        self._holds = EngineHolds(
+        self._holds = RelayHolds(
             self_id=context.settings.daemon.id,
             members=context.slots["members"],
             send=lambda to, message: context.post(
--- a/berylpost/engine_holds.py
+++ b/berylpost/relay_holds.py
@@ -4,7 +4,7 @@
 beginning and the whole of a text; the whole request is known by its body and owner. An
 engine whose answer was cut has ended if it refuses a new connection; another thread
 finds that out. The records go to other daemons by messages, as in
-`edge.part_quarantine`.
+`edge.request_quarantine`.
 """
 
 import logging
@@ -25,7 +25,7 @@
 from .messages import Message, PartPull, PartReport
 from .policy.membership import Table, list_active
 from .policy.stream_version import rank_keepers
-from .prompt_holds import TRIAL_S, PromptHolds, Suspects, digest_request
+from .request_holds import TRIAL_S, RequestHolds, Suspects, digest_request
 from .settings import split_endpoint
 from .streams import Stream, StreamRequest
 
@@ -78,7 +78,7 @@
     answer: "Future[BerylpostError | None]"
 
 
-class EngineHolds:
+class RelayHolds:
     """What one daemon holds back, of model requests and of calls to services.
 
     Args:
@@ -103,7 +103,7 @@
         self._send = send
         self._post = post
         self._on_held = on_held
-        self._state = PromptHolds(
+        self._state = RequestHolds(
             name=self_id, read_clock=time.monotonic, on_change=self._pass_on
         )
         self._trials: dict[str, float] = {}
--- a/berylpost/prompt_holds.py
+++ b/berylpost/request_holds.py
@@ -78,7 +78,7 @@
     observations: tuple[tuple[int, int, float, int, int], ...]
 
 
-class PromptHolds:
+class RequestHolds:
     """The records of one daemon and the parts that it holds back.
 
     Args:
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -74,11 +74,11 @@
     Then no daemon holds anything
 
     Examples:
-      | cause                                                 |
+      | cause                                                    |
       | servers break answers off without ending              |
       | servers end that were to leave                        |
-      | all servers end at one moment                         |
-      | servers end one by one while others answer it         |
+      | all servers end at the same moment                     |
+      | servers end one by one while others complete their parts |
 
   Scenario: A request that servers answer again is released everywhere
     Given 2 entry daemons and 4 servers that crash on the body "bad"
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from steps.entry_quarantine_steps import (
+    OTHER_ENDS,
     PAUSE_S,
     RESTART_S,
     WAIT_S,
@@ -21,9 +22,9 @@
 
 from berylpost.edge.clock import read_boottime
 from berylpost.edge.daemon import EdgeDaemon
-from berylpost.edge.part_quarantine import _BrokenServer
+from berylpost.edge.request_quarantine import _BrokenServer
 from berylpost.fakes.entry_world import HOST, make_configuration
-from berylpost.prompt_holds import Suspects, digest_request
+from berylpost.request_holds import Suspects, digest_request
 
 ATTEMPTS_S = 1.0  # between two tries of a caller
 _numbers = itertools.count()
@@ -325,55 +326,11 @@
     return await asyncio.gather(*sent)
 
 
-async def break_answers(context):
-    for replica in context.world.replicas:
-        replica.fault = "cut"
-    for _ in range(6):
-        await send_same(context, 4)
-
-
-async def end_leaving(context):
-    world = context.world
-    for replica in world.replicas[:3]:
-        task = asyncio.ensure_future(send_same(context, 12))
-        await asyncio.sleep(0.1)
-        await world.put_replica(replica, State="draining")
-        await asyncio.sleep(0.1)
-        await replica.stop()
-        await task
-        await asyncio.sleep(0.3)
-
-
-async def end_together(context):
-    task = asyncio.ensure_future(send_same(context, 12))
-    await asyncio.sleep(0.12)
-    for replica in context.world.replicas:
-        await replica.stop()
-    await task
-
-
-async def end_in_turn(context):
-    for replica in context.world.replicas[:3]:
-        task = asyncio.ensure_future(send_same(context, 12))
-        await asyncio.sleep(0.12)
-        await replica.stop()
-        await task
-        await asyncio.sleep(0.4)
-
-
-OTHER_ENDS = {
-    "servers break answers off without ending": break_answers,
-    "servers end that were to leave": end_leaving,
-    "all servers end at one moment": end_together,
-    "servers end one by one while others answer it": end_in_turn,
-}
-
-
 @when("under one and the same request {cause}")
 def step_end_servers(context: Context, cause: str) -> None:
     for replica in context.world.replicas:
         replica.work_s = 0.3
-    context.world.run(OTHER_ENDS[cause](context))
+    context.world.run(OTHER_ENDS[cause](context, send_same))
 
 
 @then("no daemon holds anything")
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -27,7 +27,7 @@
 from berylpost.edge.daemon import EdgeDaemon
 from berylpost.edge.members import FAN_OUT
 from berylpost.edge.model import Endpoint
-from berylpost.edge.part_quarantine import PartQuarantine, _BrokenServer
+from berylpost.edge.request_quarantine import RequestQuarantine, _BrokenServer
 from berylpost.edge.store_era import StoreEra
 from berylpost.fakes.entry_world import API_KEY, HOST
 from berylpost.fakes.replica import N_EVENTS, list_shared_parts
@@ -39,7 +39,7 @@
     find_holds,
     merge_record,
 )
-from berylpost.prompt_holds import Suspects
+from berylpost.request_holds import Suspects
 
 STREAM = make_request_line("stream")
 RESTART_S = 0.6  # a crashed server is back after this time
@@ -550,17 +550,17 @@
     return await asyncio.gather(*sent)
 
 
-async def break_answers(context):
+async def break_answers(context, send):
     for replica in context.world.replicas:
         replica.fault = "cut"
     for _ in range(6):
-        await send_sound(context, 4)
+        await send(context, 4)
 
 
-async def end_leaving(context):
+async def end_leaving(context, send):
     world = context.world
     for replica in world.replicas[:3]:
-        task = asyncio.ensure_future(send_sound(context, 8))
+        task = asyncio.ensure_future(send(context, 8))
         await asyncio.sleep(0.1)
         await world.put_replica(replica, State="draining")
         await asyncio.sleep(0.1)
@@ -569,17 +569,17 @@
         await asyncio.sleep(0.3)
 
 
-async def end_together(context):
-    task = asyncio.ensure_future(send_sound(context, 12))
+async def end_together(context, send):
+    task = asyncio.ensure_future(send(context, 12))
     await asyncio.sleep(0.12)
     for replica in context.world.replicas:
         await replica.stop()
     await task
 
 
-async def end_in_turn(context):
+async def end_in_turn(context, send):
     for replica in context.world.replicas[:3]:
-        task = asyncio.ensure_future(send_sound(context, 12))
+        task = asyncio.ensure_future(send(context, 12))
         await asyncio.sleep(0.12)
         await replica.stop()
         await task
@@ -596,12 +596,12 @@
 
 @when("servers {end}")
 def step_end_servers(context: Context, end: str) -> None:
-    context.world.run(OTHER_ENDS[f"servers {end}"](context))
+    context.world.run(OTHER_ENDS[f"servers {end}"](context, send_sound))
 
 
 @when("all servers end at the same moment")
 def step_end_all(context: Context) -> None:
-    context.world.run(end_together(context))
+    context.world.run(end_together(context, send_sound))
 
 
 @then("no daemon holds any part")
@@ -706,7 +706,7 @@
         send_message=lambda _address, data, mark: sent.append(len(data) + len(mark)),
     )
     records = {}
-    quarantine = PartQuarantine(
+    quarantine = RequestQuarantine(
         era=StoreEra(),
         name="d",
         store=Endpoint("127.0.0.1", 1),
