Do not drop a server that had come back when a neighbour's state is merged

Traced: it had been removed and come back before; when an era begins, its old removal and its entry were both carried over at revision 0, and a removal at the same revision as the entry wins. A daemon that merged a neighbour's whole state in that time dropped the server at once.

Removals of entries that are there again are no longer carried over. The scenario that merges whole states fails without this and passes with it; the steps now wait until each change before the restore has been seen.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -103,7 +103,11 @@
         self._entries = {
             name: (CARRIED_OVER, spec) for name, (_, spec) in self._entries.items()
         }
-        self._removed = dict.fromkeys(self._removed, (CARRIED_OVER, CARRIED_OVER))
+        self._removed = {
+            name: (CARRIED_OVER, CARRIED_OVER)
+            for name in self._removed
+            if name not in self._entries  # others have come back since
+        }
         self._forgotten_revision = self.backends_revision = CARRIED_OVER
         self.backends_digest = 0
         for name in self._entries:
@@ -356,7 +360,11 @@
 
     def _list_withdrawn(self) -> dict[str, int]:
         """Lists the servers that left in this era, and the revisions that say so."""
-        withdrawn = {name: end for name, (_, end) in self._removed.items()}
+        withdrawn = {
+            name: end
+            for name, (_, end) in self._removed.items()
+            if name not in self._entries
+        }
         withdrawn |= {
             name: self._entries[name][0]
             for name, backend in self.backends.items()
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -101,6 +101,12 @@
     When the store comes back from the copy at once
     Then within 6 s the first server gets requests
 
+  Scenario: A neighbour's whole state does not drop a server that had come back
+    Given 3 entry daemons whose first server came after a copy of the store
+    When the store comes back from the copy at once
+    And every daemon merges the whole state of every other
+    Then for 0.5 s the first server gets requests
+
   Scenario: A server that does not write its entry again is dropped
     Given 3 entry daemons whose first server came after a copy of the store
     When the store comes back from the copy at once
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -250,21 +250,20 @@
 def step_change_server(context: Context, n: int, change: str) -> None:
     start_world(context, n_daemons=n)
     world = context.world
+    first = world.replicas[0].id
+
+    def is_used(expected):
+        return all(
+            expected == any(r.backend.id == first for r in d.table.list_usable("app"))
+            for d in list_daemons(context)
+        )
+
     before, after = CHANGES[change]
     world.run(before(world))
+    wait_until(lambda: is_used(change != "came"))
     context.copy = world.store.take_copy()
     world.run(after(world))
-    expected = int(change == "came")
-    first = world.replicas[0].id
-
-    def is_known():
-        usable = [
-            sum(r.backend.id == first for r in daemon.table.list_usable("app"))
-            for daemon in list_daemons(context)
-        ]
-        return usable == [expected] * n
-
-    wait_until(is_known)
+    wait_until(lambda: is_used(change == "came"))
 
 
 async def count_first(context, n_requests=10):
@@ -302,6 +301,20 @@
         time.sleep(0.05)
 
 
+@when("every daemon merges the whole state of every other")
+def step_merge_states(context: Context) -> None:
+    catalogues = [daemon.catalogue for daemon in list_daemons(context)]
+    wait_until(lambda: all(c.era == catalogues[0].era == 2 for c in catalogues))
+
+    async def merge():
+        states = [catalogue.export_state() for catalogue in catalogues]
+        for catalogue in catalogues:
+            for state in states:
+                catalogue.import_state(state)
+
+    context.world.run(merge())
+
+
 @then("within {seconds:g} s no daemon lists the first server")
 def step_check_dropped(context: Context, seconds: float) -> None:
     first = context.world.replicas[0].id
