Keep the lease of the duties across a store that comes back from a copy

The fencing number was the store's revision, which goes back; a lease that the copy lacks was free to anybody at once, beside its holder.

The era stands in front of the revision in the fencing number. When an era begins the hold ends: the holder of before acquires again at once while its hold lasts and keeps its reports, all others wait for a whole term from when they learn of it. A holder that was not the one before does not report windows on which a report may have been sent and lost. A write that was answered in another era than it was made on does not count.

With three daemons the duties go on after two restores, and after one in which the holder is killed.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -102,6 +102,7 @@
                 saved, settings.name, incarnation
             ),
         )
+        era.add_listener(self.lease.begin_era)
         self._settings = settings
         self._members = members
         self._remove_lost = remove_lost
@@ -246,6 +247,8 @@
             if counts is None:
                 if self.lease.reports and window < max(self.lease.reports):
                     continue
+                if self._may_be_reported(window):
+                    continue
                 counts = self._usage.total(window)
                 if not await self.lease.record_report(window, counts):
                     return
@@ -264,6 +267,12 @@
                 fence=self.lease.fence,
             )
 
+    def _may_be_reported(self, window: int) -> bool:
+        """Tells whether a report on a window may be lost with the store's copy."""
+        window_s = self._settings.bounds.usage_window_s
+        ended_s = (self._usage.read_window() - (window + 1)) * window_s
+        return read_boottime() - ended_s < self.lease.reports_since
+
     async def _order_fleet(self) -> None:
         configuration = self._catalogue.configuration
         if configuration is None:
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -3,7 +3,8 @@
 The lease is a single object in the store that is replaced only if its revision still
 matches. Its spec also holds the last usage reports, written before they are sent, so
 that a successor sends identical reports and never contradicts one. The fencing number
-is the revision at which the holder acquired the lease, so it only increases.
+is made of the store's era and the revision at which the holder acquired the lease, so
+it only increases, also when the store comes back from an older copy.
 """
 
 import logging
@@ -17,6 +18,7 @@
 from ..platform.object_store import ObjectStore
 from ..platform.object_wire import ConflictError, StoredObject
 from .clock import read_boottime
+from .store_era import UNKNOWN_ERA
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -30,6 +32,7 @@
 # Extra wait of a former holder, beyond the platform's minimum, before it may reacquire.
 REACQUIRE_MARGIN_S: Final = 0.3
 N_KEPT_REPORTS: Final = 3
+ERA_FACTOR: Final = 1 << 32  # revisions of one era are lower
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,6 +72,10 @@
         clock: boot-time clock, seconds.
         export_counts: returns the usage counts to save with each renewal.
         import_counts: called with the counts that the previous holder saved.
+
+    Attributes:
+        reports_since: reports on windows that ended earlier may have been sent and
+            then lost with the store's older copy; time of the clock.
     """
 
     def __init__(
@@ -102,6 +109,11 @@
         self._last_seen: StoredObject | None = None
         self._last_seen_at = 0.0
         self._renew_at = 0.0
+        self._era = UNKNOWN_ERA
+        # After a restore, only the holder of before may acquire the lease at once.
+        self._resume_until = float("-inf")
+        self._wait_until = float("-inf")
+        self.reports_since = float("-inf")
 
     def is_held(self) -> bool:
         """Tells whether this daemon may act now."""
@@ -119,6 +131,20 @@
         """Returns the last stored renewal's sequence number and the seconds left."""
         return [self._held_sequence, round(self.remaining_s(), 2)]
 
+    def begin_era(self, era: int) -> None:
+        """Ends this daemon's hold, since the store came back from an older copy.
+
+        The copy may name a former holder, or none. Whoever held the lease may act until
+        its hold runs out, so the others wait for a whole term.
+        """
+        known, self._era = self._era, era
+        if known == UNKNOWN_ERA:
+            return
+        self._resume_until = self.held_until
+        self._wait_until = self.reports_since = self._clock() + self._term_s
+        self._last_seen = None
+        self.abandon()
+
     async def try_acquire(self, ended: AnnouncedHold | None = None) -> bool:
         """Acquires the lease if it is free or its term has expired.
 
@@ -131,6 +157,11 @@
         """
         stored = await self._store.read(names.KIND_LEASES, LEASE_NAME)
         now = self._clock()
+        resumes = now < self._resume_until
+        if resumes:
+            return await self._write(stored)
+        if now < self._wait_until:
+            return False
         if stored is None:
             return await self._write(None)
         if self._last_seen is None or stored.revision != self._last_seen.revision:
@@ -168,6 +199,8 @@
         Raises:
             PlatformError: the store did not answer or refused.
         """
+        if not self.is_held():
+            return False
         before = self.reports
         kept = sorted({*before, window})[-N_KEPT_REPORTS:]
         self.reports = {w: before.get(w, counts) for w in kept}
@@ -217,8 +250,11 @@
         """Writes the lease for this daemon if `previous` is still what is stored."""
         asked_at = self._clock()
         acquiring = not self.is_held()
+        resumes = asked_at < self._resume_until
+        era = self._era
         if acquiring and previous is not None:
-            self.reports = _read_reports(previous)
+            own_reports = self.reports if resumes else {}
+            self.reports = {**_read_reports(previous), **own_reports}
             self._import_counts(_read_list(previous, "counts"))
         self._sequence += 1
         spec = self._make_spec()
@@ -235,10 +271,15 @@
                 self.abandon()
                 raise
             stored = found
+        if era not in (UNKNOWN_ERA, self._era):
+            # The store has lost what this was written on.
+            self.abandon()
+            return False
         self._last_seen, self._last_seen_at = stored, self._clock()
         if acquiring:
-            self.is_first = previous is None
-            self.fence = stored.revision
+            self.is_first = previous is None and self._wait_until == float("-inf")
+            self.reports_since = float("-inf") if resumes else self.reports_since
+            self.fence = max(0, self._era) * ERA_FACTOR + stored.revision
             log_event(LOGGER, "duties_taken", fence=self.fence, term_s=self._term_s)
         self.held_until = asked_at + self._term_s * ACTIVE_SHARE
         self._held_sequence = self._sequence
--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -3,6 +3,9 @@
   Scenario: No interleaving yields two concurrent holders of the duties
     Then over 10000 interleavings of acquisitions, renewals, reports, pauses, restarts and lost answers no lease rule is violated
 
+  Scenario: No lease rule is violated when the store comes back from an older copy
+    Then over 10000 interleavings of these and of restored copies of the store no lease rule is violated
+
   Scenario: Retries of all daemons together stay within the budget
     Then over 300 random fleets and loads no window has more retries than the ratio and the extra retries allow
 
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -118,3 +118,14 @@
     And the operator writes the last change again and then a new one
     Then within 2 s every daemon serves the new route and none of an older version
     And the store got at most 12 lists of configuration and servers since
+
+  Scenario Outline: The duties go on <what> and no holder breaks a rule
+    Given 3 entry daemons with duties
+    When the store comes back from an older copy <what>
+    Then no duty holder breaks a rule
+    And reports go on within 12 s
+
+    Examples:
+      | what                                |
+      | twice                               |
+      | and the duty holder is killed       |
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -83,6 +83,8 @@
         self.revision = 0
         self.fault = 0
         self.delayed_writes = []
+        self.era = 1
+        self.take_copy()
 
     async def read(self, _kind, _name):
         if self.fault in (1, 2):
@@ -120,6 +122,15 @@
         )
         return self.stored
 
+    def take_copy(self):
+        self._copy = (self.stored, self.revision)
+
+    def restore(self):
+        """Comes back from the last copy; writes in transit are lost with it."""
+        self.stored, self.revision = self._copy
+        self.delayed_writes.clear()
+        self.era += 1
+
     def apply_delayed_writes(self):
         for write in self.delayed_writes:
             try:
@@ -129,6 +140,32 @@
         self.delayed_writes.clear()
 
 
+class HolderStore:
+    """The lease store as one holder calls it; it learns the era from each answer."""
+
+    def __init__(self, world, holder):
+        self._world = world
+        self._holder = holder
+
+    def __getattr__(self, name):
+        call = getattr(self._world.store, name)
+
+        async def call_and_learn(*args, **options):
+            store = self._world.store
+            is_lost = False
+            try:
+                return await call(*args, **options)
+            except LostAnswerError:
+                is_lost = True
+                raise
+            finally:
+                if not is_lost and self._holder.era != store.era:
+                    self._holder.era = store.era
+                    self._holder.lease.begin_era(store.era)
+
+        return call_and_learn
+
+
 class Holder:
     """A daemon that competes for the lease of the duties."""
 
@@ -142,8 +179,9 @@
     def restart(self):
         self.incarnation += 1
         self.announced_hold = None
+        self.era = self.world.store.era
         self.lease = DutyLease(
-            store=self.world.store,
+            store=HolderStore(self.world, self),
             holder=self.name,
             incarnation=self.incarnation,
             min_lease_s=LEASE_S,
@@ -151,6 +189,8 @@
             import_counts=lambda _saved: None,
             clock=lambda: self.world.now,
         )
+        # A daemon lists the store when it starts.
+        self.lease.begin_era(self.era)
 
     def step(self, choice):
         lease = self.lease
@@ -167,6 +207,8 @@
             elif choice % 3 == 1:
                 window = int(self.world.now / 5)
                 counts = lease.reports.get(window)
+                if counts is None and 5 * window <= lease.reports_since:
+                    return
                 if counts is None:
                     counts = {"one": self.world.now}
                     if not run_coroutine(lease.record_report(window, counts)):
@@ -188,7 +230,8 @@
 class LeaseWorld:
     """Three daemons, a lease store and a virtual clock."""
 
-    def __init__(self):
+    def __init__(self, *, has_restores=False):
+        self.has_restores = has_restores
         self.now = 100.0
         self.store = LeaseStore()
         self.checker = DutyCallChecker(lease_s=LEASE_S)
@@ -198,7 +241,7 @@
         while not choices.is_exhausted():
             choice = choices.take()
             holder = self.holders[choice % 3]
-            kind = choice // 3 % 8
+            kind = choice // 3 % (10 if self.has_restores else 8)
             if kind < 3:
                 self.store.fault = choices.take() % 8
                 holder.step(choices.take())
@@ -207,8 +250,12 @@
                 self.now += (choices.take() % 40) / 10
             elif kind == 4:
                 self.store.apply_delayed_writes()
-            elif kind == 5:
+            elif kind == 5 and not self.store.era > 1:
                 holder.restart()
+            elif kind == 8:
+                self.store.take_copy()
+            elif kind == 9:
+                self.store.restore()
             else:
                 self._announce_hold(holder)
             self.now += 0.05
@@ -233,13 +280,25 @@
     "lost answers no lease rule is violated"
 )
 def step_lease(context: Context, n: int) -> None:
+    check_interleavings(n, has_restores=False)
+
+
+@then(
+    "over {n:d} interleavings of these and of restored copies of the store no lease "
+    "rule is violated"
+)
+def step_restored_lease(context: Context, n: int) -> None:
+    check_interleavings(n, has_restores=True)
+
+
+def check_interleavings(n, *, has_restores):
     n_acts = 0
 
     @settings(DETERMINISTIC, max_examples=n)
     @given_examples(st.binary(min_size=30, max_size=120))
     def play(data):
         nonlocal n_acts
-        world = LeaseWorld()
+        world = LeaseWorld(has_restores=has_restores)
         world.play(ByteChoices(data))
         n_acts += world.checker.n_calls
         assert not world.checker.violations, world.checker.violations
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -7,6 +7,7 @@
 from behave.runner import Context
 from steps.entry_quarantine_steps import cut_links, heal_links
 from steps.entry_steps import (
+    find_holder,
     kill_daemon,
     make_request_line,
     send_request,
@@ -415,3 +416,27 @@
             await asyncio.sleep(0.05)
 
     context.world.run(check())
+
+
+@when("the store comes back from an older copy {what}")
+def step_restore_lease(context: Context, what: str) -> None:
+    world = context.world
+    holder = find_holder(context)
+    # Revisions must have risen beyond those that the copy gives out again.
+    context.copy = world.store.take_copy()
+    checker = world.duty_api.checker
+    wait_until(lambda: checker.reports, 15.0)
+    for _ in range(2):
+        world.run(world.store.restore(context.copy))
+        if what.endswith("killed"):
+            kill_daemon(context, holder)
+            break
+        time.sleep(1.5)
+    context.n_reports = len(checker.reports)
+
+
+@then("reports go on within {seconds:g} s")
+def step_check_reports(context: Context, seconds: float) -> None:
+    checker = context.world.duty_api.checker
+    wait_until(lambda: len(checker.reports) > context.n_reports, seconds)
+    assert not checker.violations, checker.violations
