Write own entries again after the store came back from an older copy

A daemon's entry and what it keeps held in the store were gone with the copy until they changed: a daemon that starts later did not find the others, and one that starts after all were lost did not know what is held.

--- a/berylpost/edge/hold_store.py
+++ b/berylpost/edge/hold_store.py
@@ -82,6 +82,8 @@
         self._is_held = is_held
         self._merge = merge
         self._written: dict[int, int] = {}  # number of observations written, by part
+        # What was written may be lost when the store comes back from an older copy.
+        era.add_listener(lambda _era: self._written.clear())
 
     async def run(self) -> None:
         """Reads the list, then writes what changes, until it is cancelled."""
@@ -127,7 +129,7 @@
             # A part that is still held has another writer now.
             if not self._is_held(part):
                 await store.delete(names.KIND_HOLDS, f"{part:016x}")
-            del self._written[part]
+            self._written.pop(part, None)
         for part, record in owned.items():
             n_observations = len(record.observations)
             if self._written.get(part) != n_observations:
--- a/berylpost/edge/registration.py
+++ b/berylpost/edge/registration.py
@@ -93,11 +93,12 @@
             "zone": settings.zone,
             "incarnation": self._members.incarnation,
         }
-        registered = False
+        entry_era: int | None = None
         while True:
             try:
-                if not registered:
-                    registered = await self._write_entry(store, spec)
+                if entry_era != self._era.number:
+                    await self._write_entry(store, spec)
+                    entry_era = self._era.number
                 listing = await store.list_objects(names.KIND_MEMBERS)
                 for item in listing.items:
                     self._members.introduce_entry(item.name, item.spec)
@@ -106,10 +107,11 @@
                 await asyncio.sleep(random.uniform(*RETRY_DELAY_RANGE_S))
                 continue
             await asyncio.sleep(RELIST_INTERVAL_S * random.uniform(0.8, 1.2))
-            while self._members.list_alive():
+            # The entry may be lost when the store comes back from an older copy.
+            while self._members.list_alive() and entry_era == self._era.number:
                 await asyncio.sleep(RELIST_INTERVAL_S)
 
-    async def _write_entry(self, store: ObjectStore, spec: Any) -> bool:
+    async def _write_entry(self, store: ObjectStore, spec: Any) -> None:
         name = self._settings.name
         try:
             await store.create(names.KIND_MEMBERS, name, spec)
@@ -117,4 +119,3 @@
             if conflict.current is not None and conflict.current.spec != spec:
                 revision = conflict.current.revision
                 await store.replace(names.KIND_MEMBERS, name, spec, revision=revision)
-        return True
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -100,3 +100,11 @@
     When 3000 different requests are on each of three crashes
     Then no daemon holds anything
     And the daemon keeps at most 512 records
+
+  Scenario: A request stays held in the store when that comes back from an older copy
+    Given 2 entry daemons and 4 servers that crash on the body "bad"
+    And a copy of the store
+    And the "read" request with the body "bad" is held everywhere
+    When the store comes back from the copy at once
+    And all daemons are killed and one starts and gets that request
+    Then all are refused as not run with a time to come back, and reach no server
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -129,3 +129,8 @@
       | what                                |
       | twice                               |
       | and the duty holder is killed       |
+
+  Scenario: Daemons are listed in the store again after a restore
+    Given 3 entry daemons and a copy of the store before the last daemon was listed
+    When the store comes back from the copy at once
+    Then within 8 s the store lists 3 daemons
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -139,6 +139,11 @@
             await asyncio.sleep(PAUSE_S)
 
 
+@given("a copy of the store")
+def step_copy(context: Context) -> None:
+    context.copy = context.world.store.take_copy()
+
+
 @given('the "{kind}" request with the body "{body}" is held everywhere')
 def step_hold(context: Context, kind: str, body: str) -> None:
     daemons = list_daemons(context)
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -440,3 +440,16 @@
     checker = context.world.duty_api.checker
     wait_until(lambda: len(checker.reports) > context.n_reports, seconds)
     assert not checker.violations, checker.violations
+
+
+@given("{n:d} entry daemons and a copy of the store before the last daemon was listed")
+def step_copy_members(context: Context, n: int) -> None:
+    start_world(context, n_daemons=n)
+    context.copy = context.world.store.take_copy()
+    assert context.copy.kinds["berylpost-members"].popitem()
+
+
+@then("within {seconds:g} s the store lists {n:d} daemons")
+def step_check_members(context: Context, seconds: float, n: int) -> None:
+    kinds = context.world.store.kinds
+    wait_until(lambda: len(kinds["berylpost-members"]) == n, seconds)
