Do not lengthen a hold by crashes under way, nor spend a trial that was not sent

Two faults of the same scenario: crashes under repeats that were under way each lengthened the hold of a whole request by a factor of four, and a trial that no server could take (none was listed yet) was spent, so that the next one waited for 10 s.

A hold now grows with crashes that are apart; a trial that is refused before it was sent is given back. Six rows of crashes and the scenario "A trial that no server could take is not spent" hold it; the latter fails without the change.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -91,6 +91,8 @@
         if customer is not None:
             wait_s = self._quotas.take_units(customer, units)
             if wait_s is not None:
+                if is_trial:
+                    self._quarantine.cancel_trial(suspects)
                 raise make_refusal(ErrorKind.RATE_LIMITED, "quota is used up", wait_s)
         service = pick_service(route, self._random)
         self._quotas.note_request(service)
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -128,6 +128,8 @@
         except BerylpostError as error:
             outcome = error.kind.value
             detail = error.detail
+            if context is not None and context.is_trial and not context.n_sent:
+                self._quarantine.cancel_trial(context.suspects)
             if (
                 context is not None
                 and not context.may_have_run
--- a/berylpost/edge/request_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -169,6 +169,10 @@
         self.state.begin_trial(held)
         return True
 
+    def cancel_trial(self, request: Suspects) -> None:
+        """Lets another request try what is held, since this one was not sent."""
+        self.state.cancel_trial(request)
+
     def make_refusal(self, request: Suspects) -> BerylpostError:
         """Makes the error that refuses a held request before it has run."""
         held = self.state.list_held(request)
--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -132,8 +132,10 @@
             break
         part = max(suspects, key=lambda p: (_rate_suspicion(suspects[p]), p))
         explained = suspects.pop(part)
-        last_crash_at = max(crash.at for crash in explained.values())
-        hold = find_hold(_count_evidence(explained), last_crash_at)
+        times = [crash.at for crash in explained.values()]
+        # Crashes under repeats that were under way lengthen the hold of a whole request
+        # no more than one crash does.
+        hold = find_hold(max(MIN_CRASHES, count_causes(times)), max(times))
         if now < hold.dropped_at:
             holds[part] = hold
         suspects = {
--- a/berylpost/request_holds.py
+++ b/berylpost/request_holds.py
@@ -123,6 +123,11 @@
             self._trials[key] = now
             log_event(LOGGER, "part_tried", part=f"{key:016x}")
 
+    def cancel_trial(self, request: Suspects) -> None:
+        """Notes that a request which was to try what is held was never sent."""
+        for key in request.list_keys():
+            self._trials.pop(key, None)
+
     def note_answered(self, request: Suspects) -> None:
         """Records that a request was answered completely."""
         now = self._read_clock()
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -95,6 +95,15 @@
     And callers go on with the "read" request "bad" for 4 s
     Then the last of them were answered and no daemon holds anything
 
+  Scenario: A trial that no server could take is not spent
+    Given 2 entry daemons and 4 servers that crash on the body "bad"
+    And a held part may be tried after 1 s
+    And the "read" request with the body "bad" is held everywhere
+    When the servers no longer crash
+    And callers try the "read" request "bad" while no server is listed
+    And callers go on with the "read" request "bad" for 4 s
+    Then the last of them were answered and no daemon holds anything
+
   Scenario: Only one caller at a time tries a held request
     Given 3 entry daemons and 4 servers that crash on the body "bad"
     And a held part may be tried after 1 s
@@ -115,3 +124,15 @@
     When the store comes back from the copy at once
     And all daemons are killed and one starts and gets that request
     Then all are refused as not run with a time to come back, and reach no server
+
+  Scenario Outline: A request on <crashes> crashes <pause> s apart is <state>
+    Then a request on <crashes> crashes <pause> s apart is "<state>"
+
+    Examples:
+      | crashes | pause | state          |
+      | 2       | 5.0   | free           |
+      | 3       | 0.02  | free           |
+      | 3       | 0.06  | held for 30 s  |
+      | 6       | 0.03  | held for 30 s  |
+      | 3       | 5.0   | held for 30 s  |
+      | 4       | 5.0   | held for 120 s |
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -24,6 +24,12 @@
 from berylpost.edge.daemon import EdgeDaemon
 from berylpost.edge.request_quarantine import _BrokenServer
 from berylpost.fakes.entry_world import HOST, make_configuration
+from berylpost.policy.quarantine import (
+    WHOLE_DEPTH,
+    Observation,
+    PartRecord,
+    find_holds,
+)
 from berylpost.request_holds import Suspects, digest_request
 
 ATTEMPTS_S = 1.0  # between two tries of a caller
@@ -351,6 +357,25 @@
     assert not any(held), held
 
 
+@when('callers try the "{kind}" request "{body}" while no server is listed')
+def step_try_in_vain(context: Context, kind: str, body: str) -> None:
+    world = context.world
+    time.sleep(1.0)  # until one may try it
+
+    async def try_in_vain():
+        for replica in world.replicas:
+            await world.store.remove("servers", replica.id)
+        await asyncio.sleep(0.5)
+        for daemon in list_daemons(context):
+            assert not daemon.table.list_usable("app")
+            await send_body(daemon, kind, body)
+        for replica in world.replicas:
+            await world.put_replica(replica)
+        await asyncio.sleep(0.5)
+
+    world.run(try_in_vain())
+
+
 @when('callers go on with the "{kind}" request "{body}" for {n:d} s')
 def step_go_on(context: Context, kind: str, body: str, n: int) -> None:
     work = send_all(context, n, lambda d, text: send_body(d, kind, text), body)
@@ -383,3 +408,17 @@
 def step_check_records(context: Context, n: int) -> None:
     records = list_daemons(context)[0].quarantine.state.records
     assert len(records) <= n, len(records)
+
+
+@then('a request on {n:d} crashes {pause:f} s apart is "{state}"')
+def step_check_hold(context: Context, n: int, pause: float, state: str) -> None:
+    record = PartRecord(
+        observations={
+            (server, 0): Observation(server * pause, 1, WHOLE_DEPTH)
+            for server in range(n)
+        }
+    )
+    last_at = (n - 1) * pause
+    hold = find_holds({1: record}, now=last_at).get(1)
+    found = "free" if hold is None else f"held for {hold.until - last_at:.0f} s"
+    assert found == state, found
