Let the fake service never answer a call that has crashed it

Traced: part_released, answered_s=0.058. A connection that the fake accepted while it crashed was not aborted with the others and got its answer 0.6 s later, which is proof that the call is sound. A server that has ended answers nothing; the check is unchanged.

--- a/berylpost/fakes/service.py
+++ b/berylpost/fakes/service.py
@@ -47,6 +47,7 @@
         if crash_on and (crash_on in request.path or crash_on.encode() in request.body):
             self._crash = asyncio.ensure_future(self.server.crash())
             await asyncio.sleep(CRASH_S)
+            raise ConnectionResetError("the server has ended")
         if request.path == "/load":
             return reply_json({"running": self.n_running, "slots": 64})
         if request.path == "/bookings" and request.method == "POST":
--- a/berylpost/relay_holds.py
+++ b/berylpost/relay_holds.py
@@ -1,4 +1,4 @@
-"""Requests that the relay holds back because engines end while they answer them.
+"""Requests and calls that are held back because servers end while they answer them.
 
 Owned by the relay's thread. The parts of a prompt are the messages of a chat, or the
 beginning and the whole of a text; the whole request is known by its body and owner. An
