Do not count it against a whole request that it is sent many times at once

Traced: the culprit was under way from three daemons at once, 7 requests on its crashes; the sound summary was on three of the same crashes with one request each. The rating divides by the number of requests, since a part that others share is on a server more often than the culprit; so the sound one ranked first and stayed held, as nothing held is answered.

A whole request is rated by the servers that ended under it alone; equal ones by how often they were sent. Parts are rated as before.

--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -178,22 +178,29 @@
     return crashes
 
 
-def _rate_suspicion(crashes: Mapping[int, Observation]) -> tuple[float, int]:
+def _rate_suspicion(crashes: Mapping[int, Observation]) -> tuple[float, int, int]:
     """Rates how likely a part is the culprit.
 
     A culprit is on many crashed servers, with one request on most of them; a part
-    before it in the prompts may be on as many, with more requests.
+    before it in the prompts may be on as many, with more requests. A whole request may
+    be under way many times at once, so that this does not count against it.
     """
     n_requests = sum(crash.n_requests for crash in crashes.values())
     depth = max(crash.depth for crash in crashes.values())
-    return len(crashes) ** 2 / n_requests, depth
+    rate = len(crashes) if _is_whole(crashes) else len(crashes) ** 2 / n_requests
+    return rate, depth, n_requests
+
+
+def _is_whole(crashes: Mapping[int, Observation]) -> bool:
+    return any(crash.depth >= WHOLE_DEPTH for crash in crashes.values())
 
 
 def _count_evidence(crashes: Mapping[int, Observation]) -> int:
     """Counts the crashes that speak against a part, or against a whole request."""
     n_causes = count_causes(crash.at for crash in crashes.values())
-    is_whole = any(crash.depth >= WHOLE_DEPTH for crash in crashes.values())
-    return len(crashes) if is_whole and n_causes >= MIN_WHOLE_CAUSES else n_causes
+    if _is_whole(crashes) and n_causes >= MIN_WHOLE_CAUSES:
+        return len(crashes)
+    return n_causes
 
 
 def count_causes(crashes: Iterable[float]) -> int:
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -125,6 +125,9 @@
     And all daemons are killed and one starts and gets that request
     Then all are refused as not run with a time to come back, and reach no server
 
+  Scenario: A crashing request that is sent many times at once is told from a sound one
+    Then of requests on 4 crashes with 3 sent each and on 3 of them with 1 sent each the first is held
+
   Scenario Outline: A request on <crashes> crashes <pause> s apart is <state>
     Then a request on <crashes> crashes <pause> s apart is "<state>"
 
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -422,3 +422,21 @@
     hold = find_holds({1: record}, now=last_at).get(1)
     found = "free" if hold is None else f"held for {hold.until - last_at:.0f} s"
     assert found == state, found
+
+
+@then(
+    "of requests on {n:d} crashes with {k:d} sent each and on {m:d} of them with "
+    "{j:d} sent each the first is held"
+)
+def step_check_culprit(context: Context, n: int, k: int, m: int, j: int) -> None:
+    def make_record(n_crashes, n_sent):
+        return PartRecord(
+            observations={
+                (server, 0): Observation(server * 5.0, n_sent, WHOLE_DEPTH)
+                for server in range(n_crashes)
+            }
+        )
+
+    records = {1: make_record(n, k), 2: make_record(m, j)}
+    held = set(find_holds(records, now=n * 5.0))
+    assert held == {1}, held
