--- a/berylpost/platform/object_wire.py
+++ b/berylpost/platform/object_wire.py
@@ -14,6 +14,7 @@
 from . import names
 from .headers import is_number
 
+MAX_ERA: Final = (1 << 31) - 1  # keeps fencing numbers within 63 bits
 OK_STATUSES: Final = frozenset({200, 201, 204})
 
 
@@ -192,9 +193,9 @@
 
 
 def parse_era(value: bytes) -> int | None:
-    """Parses the era of the store; None if it is missing or malformed."""
+    """Parses the era of the store; None if it is missing or cannot be one."""
     text = value.strip().decode("latin-1")
-    return int(text) if is_number(text) else None
+    return int(text) if is_number(text) and int(text) <= MAX_ERA else None
 
 
 def _decode(body: bytes) -> dict[str, Any]:
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -60,8 +60,16 @@
       | a list    | 1, 2                    |
       | a date    | 2026-12-04              |
       | too long  | 99999999999999999999999 |
+      | too large | 999999999999999999      |
       | a falling | 0                       |
 
+  Scenario: A restore is noticed after an era that cannot be
+    Given 3 entry daemons and a copy of the store before 4 changes of the configuration
+    When the store names the era "999999999999999999" from now on
+    And the store names the era "1" from now on
+    And the store comes back from the copy at once
+    Then within 2 s every daemon has noticed the restore
+
   Scenario Outline: An answer of era <stated>, asked <asked>, is <verdict>
     Then an answer of era "<stated>" asked "<asked>" era 5 was learnt is "<verdict>"
 
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -186,10 +186,18 @@
     context.heal = lambda: None
 
 
+@then("within {seconds:g} s every daemon has noticed the restore")
+def step_check_noticed(context: Context, seconds: float) -> None:
+    wait_until(
+        lambda: all(d.catalogue.era == 2 for d in list_daemons(context)), seconds
+    )
+
+
 @when('the store names the era "{era}" from now on')
 @when('the store names the era "" from now on')
 def step_name_era(context: Context, era: str = "") -> None:
     context.world.store.era = era
+    time.sleep(1.6)  # until each watch has ended once
     context.heal = lambda: None
 
 
