Do not confirm keys by a copy for the time before the store came back

A list that was asked just before a restore and answered after it counted as proof that nothing newer existed when it was asked. The copy proves nothing of that time: a configuration that takes a key away may have been acknowledged and lost. Such an answer confirms nothing now; neighbours' proofs of the earlier era still do.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -220,7 +220,8 @@
         self._confirm_own(asked_at + (wait_s if empty else 0.0))
 
     def _confirm_own(self, proven_at: float) -> None:
-        if self.configuration is not None:
+        # The store's copy proves nothing of the time before it came back.
+        if self.configuration is not None and proven_at >= self._era_began_at:
             self._confirm(proven_at)
 
     def _confirm(self, proven_at: float) -> None:
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -70,6 +70,11 @@
     And the store comes back from the copy at once
     Then within 2 s every daemon has noticed the restore
 
+  Scenario: An answer that was asked before a restore does not confirm keys
+    Given 1 entry daemons and a copy of the store before 4 changes of the configuration
+    When the store comes back from the copy at once
+    Then a list that was asked 0.5 s before the restore confirms nothing
+
   Scenario Outline: An answer of era <stated>, asked <asked>, is <verdict>
     Then an answer of era "<stated>" asked "<asked>" era 5 was learnt is "<verdict>"
 
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -16,6 +16,7 @@
 from steps.entry_version_steps import list_daemons, wait_until
 
 from berylpost.fakes.entry_world import API_KEY, make_configuration, make_route
+from berylpost.platform.object_wire import Listing
 from berylpost.policy.store_era import judge_era
 
 N_CHANGES = 4
@@ -193,6 +194,21 @@
     )
 
 
+@then("a list that was asked {seconds:g} s before the restore confirms nothing")
+def step_check_late_proof(context: Context, seconds: float) -> None:
+    catalogue = list_daemons(context)[0].catalogue
+    wait_until(lambda: catalogue.era == 2)
+
+    async def apply():
+        asked_at = catalogue._era_began_at - seconds
+        catalogue.confirmed_at = asked_at - 1.0
+        listing = Listing(items=(), revision=1)
+        catalogue.apply_configuration_list(listing, asked_at)
+        return catalogue.confirmed_at == asked_at - 1.0
+
+    assert context.world.run(apply())
+
+
 @when('the store names the era "{era}" from now on')
 @when('the store names the era "" from now on')
 def step_name_era(context: Context, era: str = "") -> None:
