Send nothing more to a plain service that says in its answers that it leaves

The DRAIN fault was mended for engines of our own interface and not for the servers of its plain services, whose answers nobody read. The scenario fails before with 27 of 34 calls sent later than 0.5 s after the first such answer, and passes; all look-ups are answered. The load report is decoded in one place, and both senders make the message for the backends task in one place.

--- a/berylpost/backends.py
+++ b/berylpost/backends.py
@@ -52,6 +52,23 @@
     return {**known, **{b.id: b for b in changed}}, changed
 
 
+def mark_leaving(
+    known: Mapping[str, Backend], backend_id: str
+) -> BackendsReceived | None:
+    """Makes the message for a server that says in an answer that it leaves.
+
+    Returns:
+        The message to the backends task; None if it would tell nothing new.
+    """
+    backend = known.get(backend_id)
+    if backend is None or backend.state != "running":
+        return None
+    log_event(LOGGER, "leaving_named", backend=backend_id)
+    return BackendsReceived(
+        backends=(msgspec.structs.replace(backend, state="leaving"),)
+    )
+
+
 def make_backend(vm: Vm) -> Backend:
     """Makes the record of a backend server from a VM of the cloud's list."""
     return Backend(
--- a/berylpost/fakes/service.py
+++ b/berylpost/fakes/service.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import dataclasses
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Final
@@ -30,6 +32,10 @@
         endpoint: IP-NUMBER:PORT to listen on.
         executed: executions by reference, shared by the servers of the service.
         work_s: time to execute a booking.
+
+    Attributes:
+        leaving: whether its answers say that it leaves.
+        received_at: when calls were received, `/load` excluded, monotonic seconds.
     """
 
     def __init__(
@@ -38,11 +44,21 @@
         # Servers of one service share a database; the counter takes its place.
         self.executed = executed
         self.n_running = 0
+        self.leaving = False
+        self.received_at: list[float] = []
         self._work_s = work_s
         self._crash: asyncio.Future[None] | None = None
         self.server = FakeServer(endpoint=endpoint, handle=self._handle)
 
     async def _handle(self, request: Request) -> Reply:
+        reply = await self._answer(request)
+        if self.leaving:
+            report = 'JSON {"named_metrics": {"leaving": 1}}'
+            headers = (*reply.headers, ("endpoint-load-metrics", report))
+            reply = dataclasses.replace(reply, headers=headers)
+        return reply
+
+    async def _answer(self, request: Request) -> Reply:
         crash_on = self.server.faults.crash_on
         if crash_on and (crash_on in request.path or crash_on.encode() in request.body):
             self._crash = asyncio.ensure_future(self.server.crash())
@@ -50,6 +66,7 @@
             raise ConnectionResetError("the server has ended")
         if request.path == "/load":
             return reply_json({"running": self.n_running, "slots": 64})
+        self.received_at.append(time.monotonic())
         if request.path == "/bookings" and request.method == "POST":
             return await self._book(request)
         if request.path == "/bookings":
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -19,6 +19,7 @@
 
 import urllib3
 
+from .backends import mark_leaving
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
 from .event_stream import CONTENT_TYPE, ends_inside_event
 from .invariants import check_invariant
@@ -39,6 +40,7 @@
 )
 from .request_holds import TRIAL_S, Suspects, digest_request
 from .services import ReportOutcome, RequestGrant
+from .upstream import LOAD_HEADER, decode_load_report
 
 HOP_HEADERS: Final = frozenset(
     {
@@ -274,6 +276,7 @@
             raise _SendError(Failure.CUT, str(error)) from error
         finally:
             self._outstanding.add(replica.id, -1)
+        self._note_leaving(response, replica)
         missing = _find_missing_end(response, body)
         if missing:
             raise _SendError(Failure.CUT, missing)
@@ -286,6 +289,18 @@
         )
         return Outcome(status=response.status, headers=headers, body=body)
 
+    def _note_leaving(
+        self, response: urllib3.BaseHTTPResponse, replica: Replica
+    ) -> None:
+        """Tells all daemons of a server that says in its answer that it leaves."""
+        value = response.headers.get(LOAD_HEADER.decode(), "")
+        report = decode_load_report(value.encode("latin-1")) if value else None
+        if report is None or not report.leaving:
+            return
+        message = mark_leaving(self._backends.read(), replica.id)
+        if message is not None:
+            self._context.post("backends", message)
+
     # Non-idempotent calls.
 
     def _call_non_idempotent(self, call: ServiceCall) -> Outcome:
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -18,10 +18,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-import msgspec
-
 from .admission import AdmissionQueue
 from .attempts import AttemptCallbacks, Attempts
+from .backends import mark_leaving
 from .callers import Caller
 from .configurations import ConfigurationInForce
 from .connections import Connections
@@ -29,7 +28,6 @@
 from .errors import ERROR_RESPONSES, BerylpostError, ErrorKind
 from .invariants import check_invariant
 from .kernel import Context, Inbox, Plugin, Slot, register_plugin, run_step
-from .logs import log_event
 from .messages import (
     Backend,
     HeldRequest,
@@ -346,12 +344,9 @@
 
     def _note_leaving(self, backend_id: str) -> None:
         """Tells all daemons of an engine that says in an answer that it leaves."""
-        backend = self._backends.read().get(backend_id)
-        if backend is None or backend.state != "running":
-            return
-        log_event(LOGGER, "leaving_named", backend=backend_id)
-        leaving = msgspec.structs.replace(backend, state="leaving")
-        self._context.post("backends", BackendsReceived(backends=(leaving,)))
+        message = mark_leaving(self._backends.read(), backend_id)
+        if message is not None:
+            self._context.post("backends", message)
 
     def _handle_holds(self, held: frozenset[int]) -> None:
         """Publishes what is held for the threads that forward calls."""
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -140,17 +140,10 @@
         """Reads a load report from the response headers."""
         if name.lower() != LOAD_HEADER:
             return
-        try:
-            metrics = _ORCA_DECODER.decode(value.partition(b" ")[2]).named_metrics
-        except msgspec.MsgspecError:
-            return  # the report is optional; without it, predictions use older data
-        report = LoadReport(
-            running=int(metrics.num_requests_running),
-            waiting=int(metrics.num_requests_waiting),
-            leaving=bool(metrics.leaving),
-            rate_limit=_check_rate(metrics.request_rate_limit),
-        )
-        self._events.append(report)
+        report = decode_load_report(value)
+        # The report is optional; without it, predictions use older data.
+        if report is not None:
+            self._events.append(report)
 
     def on_headers_complete(self) -> None:
         """Reports an error status as a refusal."""
@@ -244,6 +237,20 @@
         self.socket.close()
 
 
+def decode_load_report(value: bytes) -> LoadReport | None:
+    """Decodes the load report in the headers of a response; None if it is malformed."""
+    try:
+        metrics = _ORCA_DECODER.decode(value.partition(b" ")[2]).named_metrics
+    except msgspec.MsgspecError:
+        return None
+    return LoadReport(
+        running=int(metrics.num_requests_running),
+        waiting=int(metrics.num_requests_waiting),
+        leaving=bool(metrics.leaving),
+        rate_limit=_check_rate(metrics.request_rate_limit),
+    )
+
+
 def _check_rate(rate: float | None) -> float | None:
     """Returns a rate that can be kept; None for a malformed one."""
     return rate if rate is not None and 0 <= rate < float("inf") else None
--- a/features/engine_limits.feature
+++ b/features/engine_limits.feature
@@ -20,3 +20,10 @@
     When callers send 30 summaries a second over all daemons for 5 s
     Then the first engine gets no request later than 0.5 s after its first answer
     And nine in ten summaries were answered in time
+
+  @fresh_fleet
+  Scenario: A server of a service says in its answers only that it leaves
+    Given the first server of the service says that it leaves, in its answers only
+    When callers send 60 look-ups one after the other over all daemons
+    Then that server gets no call later than 0.5 s after its first answer
+    And all look-ups were answered
--- a/features/steps/engine_limit_steps.py
+++ b/features/steps/engine_limit_steps.py
@@ -94,3 +94,32 @@
     received_at = context.leaving.received_at
     late = [at for at in received_at if at > received_at[0] + seconds]
     assert received_at and not late, (len(late), len(received_at))
+
+
+@given("the first server of the service says that it leaves, in its answers only")
+def step_service_leaves(context: Context) -> None:
+    context.leaving = next(iter(context.fleet.world.world.services.values()))
+    context.leaving.leaving = True
+
+
+@when("callers send {n:d} look-ups one after the other over all daemons")
+def step_look_up(context: Context, n: int) -> None:
+    context.answers = []
+    for number in range(n):
+        daemon = context.fleet.daemons[number % len(context.fleet.daemons)]
+        client = Client(addresses=[daemon.http], token="weighbridge-token")
+        path = f"/v1/services/intake/count/{number}"
+        context.answers.append(client.call("GET", path))
+        time.sleep(0.03)
+
+
+@then("that server gets no call later than {seconds:g} s after its first answer")
+def step_check_service_left(context: Context, seconds: float) -> None:
+    received_at = context.leaving.received_at
+    late = [at for at in received_at if at > received_at[0] + seconds]
+    assert received_at and not late, (len(late), len(received_at))
+
+
+@then("all look-ups were answered")
+def step_check_look_ups(context: Context) -> None:
+    assert all(answer["count"] == 0 for answer in context.answers), context.answers
