--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -142,6 +142,7 @@
       | what                                |
       | twice                               |
       | and the duty holder is killed       |
+      | of before they changed hands        |
 
   Scenario: Daemons are listed in the store again after a restore
     Given 3 entry daemons and a copy of the store before the last daemon was listed
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -442,20 +442,52 @@
     context.world.run(check())
 
 
+async def restore_twice_apart(context):
+    for _ in range(2):
+        await restore_at_once(context)
+        await asyncio.sleep(1.5)
+
+
+async def restore_and_kill_holder(context):
+    holder = find_holding(context)
+    await restore_at_once(context)
+    holder.kill()
+    del context.world.daemons[holder.settings.name]
+
+
+async def restore_from_before_change(context):
+    """Brings back the lease of a holder whose successor has acted since."""
+    world = context.world
+    holder = find_holding(context)
+    for number in range(50):
+        await world.store.put("other", f"raise-{number}", {})
+    holder.kill()
+    del world.daemons[holder.settings.name]
+    n_calls = world.duty_api.checker.n_calls
+    while world.duty_api.checker.n_calls == n_calls:
+        await asyncio.sleep(0.05)
+    await restore_at_once(context)
+
+
+def find_holding(context):
+    return next(d for d in list_daemons(context) if d.duties.lease.is_held())
+
+
+DUTY_RESTORES = {
+    "twice": restore_twice_apart,
+    "and the duty holder is killed": restore_and_kill_holder,
+    "of before they changed hands": restore_from_before_change,
+}
+
+
 @when("the store comes back from an older copy {what}")
 def step_restore_lease(context: Context, what: str) -> None:
     world = context.world
-    holder = find_holder(context)
-    # Revisions must have risen beyond those that the copy gives out again.
-    context.copy = world.store.take_copy()
+    find_holder(context)
     checker = world.duty_api.checker
     wait_until(lambda: checker.reports, 15.0)
-    for _ in range(2):
-        world.run(world.store.restore(context.copy))
-        if what.endswith("killed"):
-            kill_daemon(context, holder)
-            break
-        time.sleep(1.5)
+    context.copy = world.store.take_copy()
+    world.run(DUTY_RESTORES[what](context))
     context.n_reports = len(checker.reports)
 
 
