Name the parts of what may crash servers for a reader

Suspects.whole is digest now, and the names around it say request; what ranks configurations is a ConfigurationRank and no pair; part_held and part_released say whether they are about a part or a request; the catalogue carries its entries over in a method of its own; two step modules share what they had twice.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -21,7 +21,13 @@
 from ..platform.entries import InvalidEntryError, decode_backend, decode_configuration
 from ..platform.object_wire import Changes, Listing
 from .clock import read_boottime
-from .model import Backend, BackendState, ServingConfiguration
+from .model import (
+    NO_CONFIGURATION,
+    Backend,
+    BackendState,
+    ConfigurationRank,
+    ServingConfiguration,
+)
 from .store_era import UNKNOWN_ERA
 from .withdrawals import Withdrawals
 
@@ -100,6 +106,21 @@
         if self.configuration is not None:
             self.configuration = replace(self.configuration, revision=CARRIED_OVER)
         self._withdrawals.begin_era(self._list_withdrawn())
+        self._carry_over_entries()
+        log_event(
+            LOGGER,
+            "era_began",
+            era=era,
+            n_backends=len(self.backends),
+            n_withdrawn=len(self._withdrawals),
+            configuration=self.configuration.number if self.configuration else 0,
+        )
+        asyncio.get_running_loop().call_later(
+            self._expiry_s, self._end_withdrawals, era
+        )
+
+    def _carry_over_entries(self) -> None:
+        """Makes all entries and removals older than whatever the store has."""
         self._entries = {
             name: (CARRIED_OVER, spec) for name, (_, spec) in self._entries.items()
         }
@@ -112,17 +133,6 @@
         self.backends_digest = 0
         for name in self._entries:
             self.backends_digest ^= _digest_entry(name, CARRIED_OVER)
-        log_event(
-            LOGGER,
-            "era_began",
-            era=era,
-            n_backends=len(self.backends),
-            n_withdrawn=len(self._withdrawals),
-            configuration=self.configuration.number if self.configuration else 0,
-        )
-        asyncio.get_running_loop().call_later(
-            self._expiry_s, self._end_withdrawals, era
-        )
 
     def is_confirmed(self) -> bool:
         """Tells whether the configuration's keys may still be trusted."""
@@ -132,28 +142,32 @@
         """Returns the age of the last confirmation, seconds."""
         return read_boottime() - self.confirmed_at
 
-    def read_rank(self) -> tuple[int, int]:
-        """Returns number and revision of the configuration; zeros without one."""
+    def read_rank(self) -> ConfigurationRank:
+        """Returns the rank of the configuration in force."""
         known = self.configuration
-        return (0, 0) if known is None else (known.number, known.revision)
+        if known is None:
+            return NO_CONFIGURATION
+        return ConfigurationRank(known.number, known.revision)
 
-    def confirm(self, rank: tuple[int, int], confirmed_at: float) -> None:
+    def confirm(self, rank: ConfigurationRank, confirmed_at: float) -> None:
         """Applies a peer's confirmation that a configuration was the newest.
 
         Args:
-            rank: number and revision of the peer's configuration.
+            rank: rank of the peer's configuration.
             confirmed_at: boot-time clock of this VM, not later than the confirmation.
         """
         if rank == self.read_rank():
             self._confirm(confirmed_at)
 
     def export_state(
-        self, configuration_since: tuple[int, int] = (0, 0), backends_since: int = 0
+        self,
+        configuration_since: ConfigurationRank = NO_CONFIGURATION,
+        backends_since: int = 0,
     ) -> dict[str, Any]:
         """Returns the state that a peer of the same era lacks.
 
         Args:
-            configuration_since: number and revision of the peer's configuration.
+            configuration_since: rank of the peer's configuration.
             backends_since: revision up to which the peer knows the backend servers.
         """
         configuration = self.configuration
@@ -247,7 +261,7 @@
         except InvalidEntryError as error:
             log_event(LOGGER, "bad_configuration", logging.ERROR, error=error)
             return
-        rank = (configuration.number, revision)
+        rank = ConfigurationRank(configuration.number, revision)
         if known is not None and rank <= self.read_rank():
             log_event(
                 LOGGER,
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -31,7 +31,7 @@
 from .log_stream import FLUSH_S, LogStream, install_log_stream
 from .members import Member, Members, Progress
 from .metrics import observe_request, render_metrics
-from .model import CallerLimits, EdgeSettings, Endpoint
+from .model import CallerLimits, ConfigurationRank, EdgeSettings, Endpoint
 from .quotas import Quotas
 from .registration import Registration
 from .request_quarantine import RequestQuarantine
@@ -345,7 +345,8 @@
         number, revision, backends_since = (
             int(text) if is_number(text) else 0 for text in texts
         )
-        state = self.catalogue.export_state((number, revision), backends_since)
+        rank = ConfigurationRank(number, revision)
+        state = self.catalogue.export_state(rank, backends_since)
         self._answer_json(caller, state)
 
     def _answer_metrics(self, request: CallerRequest, caller: CallerConnection) -> None:
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -195,7 +195,7 @@
                     maybe_run=failure.may_have_run,
                     n_sent=context.n_sent,
                     left_s=context.left_s,
-                    request=f"{context.suspects.whole:016x}",
+                    request=f"{context.suspects.digest:016x}",
                     parts=render_parts(context.head),
                 )
                 if not self._may_retry(context):
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -26,7 +26,7 @@
     find_round_s,
 )
 from .clock import read_boottime
-from .model import EdgeSettings, Endpoint
+from .model import ConfigurationRank, EdgeSettings, Endpoint
 from .store_era import UNKNOWN_ERA
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -98,13 +98,13 @@
 
     Attributes:
         era: era of the store to which the revisions belong.
-        configuration: number and revision of the configuration.
+        configuration: rank of the configuration.
         backends_revision: revision up to which the backend servers are known.
         backends_digest: equal for daemons that know the same entries.
     """
 
     era: int
-    configuration: tuple[int, int]
+    configuration: ConfigurationRank
     backends_revision: int
     backends_digest: int
 
@@ -421,9 +421,8 @@
             member,
             Progress(
                 era=gossip.store_era,
-                configuration=(
-                    gossip.configuration_number,
-                    gossip.configuration_revision,
+                configuration=ConfigurationRank(
+                    gossip.configuration_number, gossip.configuration_revision
                 ),
                 backends_revision=gossip.backends_revision,
                 backends_digest=gossip.backends_digest,
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -216,6 +216,16 @@
     idle_timeout_s: float
 
 
+class ConfigurationRank(NamedTuple):
+    """What orders configurations within one era of the store; zeros for none."""
+
+    number: int
+    revision: int
+
+
+NO_CONFIGURATION: Final = ConfigurationRank(0, 0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServingConfiguration:
     """One numbered configuration.
--- a/berylpost/edge/request_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -152,7 +152,7 @@
             except TimeoutError:
                 pass  # without the store, the neighbours tell
 
-    def admit(self, request: Suspects) -> bool:
+    def admit(self, suspects: Suspects) -> bool:
         """Decides whether a request is accepted.
 
         Returns:
@@ -161,38 +161,38 @@
         Raises:
             BerylpostError: something of it is held; it is refused and has not run.
         """
-        held = self.state.list_held(request)
+        held = self.state.list_held(suspects)
         if not held:
             return False
         if self.state.find_wait(held) > 0 or not all(map(self._is_first_keeper, held)):
-            raise self.make_refusal(request)
+            raise self.make_refusal(suspects)
         self.state.begin_trial(held)
         return True
 
-    def cancel_trial(self, request: Suspects) -> None:
+    def cancel_trial(self, suspects: Suspects) -> None:
         """Lets another request try what is held, since this one was not sent."""
-        self.state.cancel_trial(request)
+        self.state.cancel_trial(suspects)
 
-    def make_refusal(self, request: Suspects) -> BerylpostError:
+    def make_refusal(self, suspects: Suspects) -> BerylpostError:
         """Makes the error that refuses a held request before it has run."""
-        held = self.state.list_held(request)
+        held = self.state.list_held(suspects)
         wait_s = self.state.find_wait(held) if held else 0.0
         detail = "the request is held back"
-        if request.whole not in held:
+        if suspects.digest not in held:
             detail = "a part of the prompt is held back"
         return BerylpostError(
             ErrorKind.QUARANTINED, detail, retry_after_s=max(wait_s, TRIAL_S)
         )
 
-    def is_held(self, request: Suspects) -> bool:
+    def is_held(self, suspects: Suspects) -> bool:
         """Tells whether a request or any of its parts is held."""
-        return bool(self.state.list_held(request))
+        return bool(self.state.list_held(suspects))
 
-    def note_answered(self, request: Suspects) -> None:
+    def note_answered(self, suspects: Suspects) -> None:
         """Records that a request was answered completely."""
-        self.state.note_answered(request)
+        self.state.note_answered(suspects)
 
-    def note_broken(self, record: BackendRecord, request: Suspects) -> None:
+    def note_broken(self, record: BackendRecord, suspects: Suspects) -> None:
         """Records that an answer broke off; finds out whether its server has ended."""
         # A server that was to leave has not crashed.
         if record.shutdown_at is not None:
@@ -203,7 +203,7 @@
             broken = _BrokenServer(record=record, broke_at=read_boottime())
             self._broken[server] = broken
             self._spawn(self._check_server(broken))
-        broken.requests.append(request)
+        broken.requests.append(suspects)
 
     async def await_check(self, record: BackendRecord) -> None:
         """Waits until it is known whether a server has ended, or for a short time."""
@@ -221,14 +221,14 @@
         backend = broken.record.backend
         del self._broken[backend.id]
         parts = sorted({part for request in broken.requests for part in request.parts})
-        wholes = sorted({request.whole for request in broken.requests})
+        digests = sorted({request.digest for request in broken.requests})
         log_event(
             LOGGER,
             "backend_ended" if has_ended else "backend_still_up",
             backend=backend.id,
             version=backend.software_version,
             n_requests=len(broken.requests),
-            requests=_render_keys(wholes),
+            requests=_render_keys(digests),
             parts=_render_keys(parts),
             after_s=read_boottime() - broken.broke_at,
         )
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -276,6 +276,6 @@
         partial_bytes=context.splitter.n_partial_bytes,
         moved=bool(context.kv_source),
         n_sent=context.n_sent,
-        request=f"{context.suspects.whole:016x}",
+        request=f"{context.suspects.digest:016x}",
         parts="" if error is None else render_parts(context.head),
     )
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -107,14 +107,14 @@
 
 def list_suspects(request: CallerRequest, head: RequestHead, customer: str) -> Suspects:
     """Lists what of a request may crash servers; ids of attempts do not count."""
-    whole = digest_request(
+    digest = digest_request(
         head.method,
         head.host.encode("latin-1"),
         head.target,
         customer.encode(),
         request.body,
     )
-    return Suspects(tuple(map(hash_text, head.shared_parts)), whole)
+    return Suspects(tuple(map(hash_text, head.shared_parts)), digest)
 
 
 def render_parts(head: RequestHead) -> str:
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -167,7 +167,7 @@
 
     def _is_held(self, call: ServiceCall) -> bool:
         slot = self._context.slots.get(HELD_SLOT)
-        return slot is not None and call.suspects.whole in slot.read()
+        return slot is not None and call.suspects.digest in slot.read()
 
     def _tell_holds(self, message: CallAnswered | CallBroken | CallUnsent) -> None:
         """Tells the relay, which keeps the records, how a call ended."""
--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -20,10 +20,10 @@
 # Two servers may end by chance while they answer the same rare part.
 MIN_CRASHES: Final = 3
 # Depth of a whole request, below all parts of a prompt.
-WHOLE_DEPTH: Final = 1 << 16
+REQUEST_DEPTH: Final = 1 << 16
 # A whole request is repeated at the next server when one has ended, so that its crashes
 # may follow one another at once. Fewer of them have to be apart.
-MIN_WHOLE_CAUSES: Final = 2
+MIN_REQUEST_CAUSES: Final = 2
 # Servers that end within this time, as when an availability zone fails, count once.
 SAME_CAUSE_S: Final = 0.1
 # A complete answer shows for this long that its parts do not crash servers.
@@ -69,6 +69,11 @@
         """Time of the latest crash, seconds; -inf for none."""
         return max((o.at for o in self.observations.values()), default=float("-inf"))
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it is the record of a whole request."""
+        return any(o.depth >= REQUEST_DEPTH for o in self.observations.values())
+
 
 class Hold(NamedTuple):
     """A part that is held back.
@@ -187,18 +192,18 @@
     """
     n_requests = sum(crash.n_requests for crash in crashes.values())
     depth = max(crash.depth for crash in crashes.values())
-    rate = len(crashes) if _is_whole(crashes) else len(crashes) ** 2 / n_requests
+    rate = len(crashes) if _is_request(crashes) else len(crashes) ** 2 / n_requests
     return rate, depth, n_requests
 
 
-def _is_whole(crashes: Mapping[int, Observation]) -> bool:
-    return any(crash.depth >= WHOLE_DEPTH for crash in crashes.values())
+def _is_request(crashes: Mapping[int, Observation]) -> bool:
+    return any(crash.depth >= REQUEST_DEPTH for crash in crashes.values())
 
 
 def _count_evidence(crashes: Mapping[int, Observation]) -> int:
     """Counts the crashes that speak against a part, or against a whole request."""
     n_causes = count_causes(crash.at for crash in crashes.values())
-    if _is_whole(crashes) and n_causes >= MIN_WHOLE_CAUSES:
+    if _is_request(crashes) and n_causes >= MIN_REQUEST_CAUSES:
         return len(crashes)
     return n_causes
 
--- a/berylpost/relay_holds.py
+++ b/berylpost/relay_holds.py
@@ -225,7 +225,7 @@
             LOGGER,
             "backend_ended" if message.has_refused else "backend_still_up",
             backend=broken.backend,
-            request=f"{broken.request.whole:016x}",
+            request=f"{broken.request.digest:016x}",
             parts=",".join(f"{key:016x}" for key in broken.request.parts[:8]),
         )
         if message.has_refused:
@@ -299,10 +299,10 @@
     else:
         prompt = request.prompt
         texts = [prompt[:PREFIX_CHARS], prompt]
-    whole = digest_request(
+    digest = digest_request(
         request.owner.encode(), msgspec.json.encode(request.body, order="sorted")
     )
-    return Suspects(tuple(dict.fromkeys(map(hash_text, texts))), whole)
+    return Suspects(tuple(dict.fromkeys(map(hash_text, texts))), digest)
 
 
 def _join_message(message: Mapping[str, Any]) -> str:
--- a/berylpost/request_holds.py
+++ b/berylpost/request_holds.py
@@ -15,7 +15,7 @@
 from .hashing import hash_bytes, hash_text
 from .logs import log_event
 from .policy.quarantine import (
-    WHOLE_DEPTH,
+    REQUEST_DEPTH,
     Hold,
     Observation,
     PartRecord,
@@ -42,17 +42,17 @@
 
     Attributes:
         parts: parts of the prompt that other requests may share, in order.
-        whole: the whole request, equal for requests of one caller that differ in
-            nothing but their ids.
+        digest: digest of the whole request, equal for requests of one caller that
+            differ in nothing but their ids.
     """
 
     parts: tuple[int, ...]
-    whole: int
+    digest: int
 
     def list_depths(self) -> list[tuple[int, int]]:
         """Lists the hashes, each with its depth."""
         parts = [(key, depth) for depth, key in enumerate(self.parts[:MAX_PARTS])]
-        return [*parts, (self.whole, WHOLE_DEPTH)]
+        return [*parts, (self.digest, REQUEST_DEPTH)]
 
     def list_keys(self) -> list[int]:
         """Lists the hashes."""
@@ -102,11 +102,11 @@
         self._answered: OrderedDict[int, float] = OrderedDict()
         self._trials: dict[int, float] = {}
 
-    def list_held(self, request: Suspects) -> list[int]:
+    def list_held(self, suspects: Suspects) -> list[int]:
         """Lists what of a request is held."""
         if not self.holds:
             return []
-        return [key for key in request.list_keys() if key in self.holds]
+        return [key for key in suspects.list_keys() if key in self.holds]
 
     def find_wait(self, held: Iterable[int]) -> float:
         """Returns the seconds until held parts may be tried; 0 if one may now."""
@@ -123,16 +123,16 @@
             self._trials[key] = now
             log_event(LOGGER, "part_tried", part=f"{key:016x}")
 
-    def cancel_trial(self, request: Suspects) -> None:
+    def cancel_trial(self, suspects: Suspects) -> None:
         """Notes that a request which was to try what is held was never sent."""
-        for key in request.list_keys():
+        for key in suspects.list_keys():
             self._trials.pop(key, None)
 
-    def note_answered(self, request: Suspects) -> None:
+    def note_answered(self, suspects: Suspects) -> None:
         """Records that a request was answered completely."""
         now = self._read_clock()
         is_suspect = False
-        for key in request.list_keys():
+        for key in suspects.list_keys():
             self._answered.pop(key, None)
             self._answered[key] = now
             record = self.records.get(key)
@@ -250,6 +250,7 @@
             LOGGER,
             "part_released" if hold is None else "part_held",
             part=f"{key:016x}",
+            kind="request" if record and record.is_request else "part",
             cause=cause,
             n_observations=len(record.observations) if record else 0,
             hold_s=hold.until - now if hold is not None else 0.0,
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -10,11 +10,13 @@
     OTHER_ENDS,
     PAUSE_S,
     RESTART_S,
-    WAIT_S,
+    check_served,
     cut_links,
     heal_links,
     list_quarantines,
     make_prompt_headers,
+    send_until,
+    send_until_held,
     start_crashing,
 )
 from steps.entry_steps import make_request_line, send_request
@@ -25,14 +27,13 @@
 from berylpost.edge.request_quarantine import _BrokenServer
 from berylpost.fakes.entry_world import HOST, make_configuration
 from berylpost.policy.quarantine import (
-    WHOLE_DEPTH,
+    REQUEST_DEPTH,
     Observation,
     PartRecord,
     find_holds,
 )
 from berylpost.request_holds import Suspects, digest_request
 
-ATTEMPTS_S = 1.0  # between two tries of a caller
 _numbers = itertools.count()
 
 
@@ -46,8 +47,8 @@
 def make_suspects(kind, body):
     """Makes what the daemons know a request of the customer `one` by."""
     method, target = make_request_line(kind).encode().split()
-    whole = digest_request(method, HOST.encode(), target, b"one", body.encode())
-    return Suspects((), whole)
+    digest = digest_request(method, HOST.encode(), target, b"one", body.encode())
+    return Suspects((), digest)
 
 
 def holds(daemon, kind="read", body="bad"):
@@ -132,23 +133,13 @@
 
 @then('nine in ten with the body "{body}" were answered in the last {seconds:d} s')
 def step_check_sound(context: Context, body: str, seconds: int) -> None:
-    answers = [
-        answer
-        for sent_at, answer in context.answers[body]
-        if sent_at > context.ended_at - seconds
-    ]
-    n_whole = sum(a.status == 200 and a.complete for a in answers)
-    assert answers and n_whole >= 0.9 * len(answers), (n_whole, len(answers))
+    since = context.ended_at - seconds
+    check_served(context.answers[body], since, lambda a: a.status == 200 and a.complete)
 
 
-async def crash_with(context, daemons, until, kind="read", body="bad"):
+async def crash_with(daemons, until, kind="read", body="bad"):
     """Sends a request to some daemons until a condition holds."""
-    async with asyncio.timeout(WAIT_S):
-        for number in itertools.count():
-            if until():
-                return
-            await send_body(daemons[number % len(daemons)], kind, body)
-            await asyncio.sleep(PAUSE_S)
+    await send_until(daemons, until, lambda daemon: send_body(daemon, kind, body))
 
 
 @given("a copy of the store")
@@ -161,9 +152,7 @@
     daemons = list_daemons(context)
 
     async def hold():
-        await crash_with(
-            context, daemons, lambda: all(holds(d, kind, body) for d in daemons)
-        )
+        await crash_with(daemons, lambda: all(holds(d, kind, body) for d in daemons))
         await asyncio.sleep(RESTART_S + 0.4)  # until all servers are back
 
     context.world.run(hold())
@@ -226,21 +215,14 @@
     context: Context, n: int, kind: str, body: str, pause: float
 ) -> None:
     daemons = list_daemons(context)
-
-    async def note_hold():
-        while not all(holds(daemon, kind, body) for daemon in daemons):
-            await asyncio.sleep(0.001)
-        context.held_at = time.monotonic()
-
-    async def send():
-        tasks = [asyncio.ensure_future(asyncio.wait_for(note_hold(), WAIT_S))]
-        for number in range(n):
-            daemon = daemons[number % len(daemons)]
-            tasks.append(asyncio.ensure_future(send_body(daemon, kind, body)))
-            await asyncio.sleep(pause)
-        await asyncio.gather(*tasks)
-
-    context.world.run(send())
+    work = send_until_held(
+        context,
+        n,
+        pause,
+        lambda daemon, _number: send_body(daemon, kind, body),
+        lambda: all(holds(daemon, kind, body) for daemon in daemons),
+    )
+    context.world.run(work)
 
 
 @then(
@@ -298,7 +280,7 @@
     first, second = daemons[::2], daemons[1::2]
     cut_links(context, first, second)
     context.world.run(
-        crash_with(context, first, lambda: all(holds(d, kind, body) for d in first))
+        crash_with(first, lambda: all(holds(d, kind, body) for d in first))
     )
     assert not any(holds(d, kind, body) for d in second)
     heal_links(context)
@@ -321,7 +303,7 @@
     *others, alone = list_daemons(context)
     cut_links(context, [alone], others)
     context.alone = alone
-    context.world.run(crash_with(context, [alone], lambda: holds(alone, kind, body)))
+    context.world.run(crash_with([alone], lambda: holds(alone, kind, body)))
 
 
 @then(
@@ -414,7 +396,7 @@
 def step_check_hold(context: Context, n: int, pause: float, state: str) -> None:
     record = PartRecord(
         observations={
-            (server, 0): Observation(server * pause, 1, WHOLE_DEPTH)
+            (server, 0): Observation(server * pause, 1, REQUEST_DEPTH)
             for server in range(n)
         }
     )
@@ -432,7 +414,7 @@
     def make_record(n_crashes, n_sent):
         return PartRecord(
             observations={
-                (server, 0): Observation(server * 5.0, n_sent, WHOLE_DEPTH)
+                (server, 0): Observation(server * 5.0, n_sent, REQUEST_DEPTH)
                 for server in range(n_crashes)
             }
         )
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -162,15 +162,19 @@
 
 @then('nine in ten with the part "{part}" were answered in the last {seconds:d} s')
 def step_check_sound(context: Context, part: str, seconds: int) -> None:
-    answers = [
-        answer
-        for shared, sent in context.answers.items()
+    sent = [
+        one
+        for shared, of_prompt in context.answers.items()
         if part in shared
-        for sent_at, answer in sent
-        if sent_at > context.ended_at - seconds
+        for one in of_prompt
     ]
-    n_whole = sum(is_whole(answer) for answer in answers)
-    assert answers and n_whole >= 0.9 * len(answers), (n_whole, len(answers))
+    check_served(sent, context.ended_at - seconds, is_whole)
+
+
+def check_served(sent, since, is_served):
+    """Checks that nine in ten of the requests sent since a time were served."""
+    served = [is_served(answer) for sent_at, answer in sent if sent_at > since]
+    assert served and sum(served) >= 0.9 * len(served), (sum(served), len(served))
 
 
 # States of the running world.
@@ -186,12 +190,20 @@
 
 async def crash_with(context, part, daemons, until):
     """Sends prompts with a part to some daemons until a condition holds."""
+
+    def send(daemon):
+        return send_prompt(daemon, f"crash-{next(_numbers)}", "shared", part)
+
+    await send_until(daemons, until, send)
+
+
+async def send_until(daemons, until, send):
+    """Sends requests to some daemons in turn until a condition holds."""
     async with asyncio.timeout(WAIT_S):
         for number in itertools.count():
             if until():
                 return
-            daemon = daemons[number % len(daemons)]
-            await send_prompt(daemon, f"crash-{next(_numbers)}", "shared", part)
+            await send(daemons[number % len(daemons)])
             await asyncio.sleep(PAUSE_S)
 
 
@@ -295,23 +307,31 @@
 )
 def step_send_slowly(context: Context, n: int, part: str, pause: float) -> None:
     quarantines = list_quarantines(context)
+    work = send_until_held(
+        context,
+        n,
+        pause,
+        lambda daemon, number: send_prompt(daemon, f"slow-{number}", "shared", part),
+        lambda: all(is_held(quarantine, part) for quarantine in quarantines),
+    )
+    context.world.run(work)
+
+
+async def send_until_held(context, n, pause, send, all_hold):
+    """Sends requests at all daemons in turn; notes when all of them hold back."""
 
     async def note_hold():
-        while not all(is_held(quarantine, part) for quarantine in quarantines):
+        while not all_hold():
             await asyncio.sleep(0.001)
         context.held_at = time.monotonic()
 
-    async def send():
-        tasks = [asyncio.ensure_future(asyncio.wait_for(note_hold(), WAIT_S))]
-        for number in range(n):
-            daemons = list_daemons(context)
-            daemon = daemons[number % len(daemons)]
-            sent = send_prompt(daemon, f"slow-{number}", "shared", part)
-            tasks.append(asyncio.ensure_future(sent))
-            await asyncio.sleep(pause)
-        await asyncio.gather(*tasks)
-
-    context.world.run(send())
+    daemons = list_daemons(context)
+    tasks = [asyncio.ensure_future(asyncio.wait_for(note_hold(), WAIT_S))]
+    for number in range(n):
+        sent = send(daemons[number % len(daemons)], number)
+        tasks.append(asyncio.ensure_future(sent))
+        await asyncio.sleep(pause)
+    await asyncio.gather(*tasks)
 
 
 @then(
--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -215,7 +215,7 @@
         context.holds.handle_probed(
             ServerProbed(broken=broken, has_refused=True, n_probes=1)
         )
-    assert suspects.whole in context.slots[HELD_SLOT].read()
+    assert suspects.digest in context.slots[HELD_SLOT].read()
 
 
 def post_to_holds(context, message):
