Print the scenarios that failed beside the totals

Each failed scenario is printed now with its place on a line above the totals, where a shortened output keeps it. Shown with a scenario with an unknown step: "error: features/zz.feature:5 Leases under pauses ..." above "9 passed, 1 failed".

--- a/features/run.py
+++ b/features/run.py
@@ -1,4 +1,4 @@
-"""Runs behave on the features of this folder and prints the totals.
+"""Runs behave on the features of this folder and prints what failed and the totals.
 
 Features run side by side, each in a process of its own: their fakes have addresses and
 ports of their own. Scenarios tagged `known_red` are listed in KNOWN-RED.txt; they are
@@ -24,24 +24,23 @@
     """What behave printed for one feature.
 
     Attributes:
-        counts: number of scenarios by status.
+        scenarios: status of each scenario, with its place and name.
         status: exit status of behave.
     """
 
     output: str
-    counts: dict[str, int]
+    scenarios: list[tuple[str, str]]
     status: int
 
 
-def count_scenarios(report: str) -> dict[str, int]:
-    """Counts the scenarios in behave's JSON report by status."""
-    counts: dict[str, int] = {}
-    for feature in json.loads(report or "[]"):
-        for element in feature.get("elements", []):
-            if element["type"] == "scenario":
-                status = element.get("status", "untested")
-                counts[status] = counts.get(status, 0) + 1
-    return counts
+def list_scenarios(report: str) -> list[tuple[str, str]]:
+    """Lists the scenarios in behave's JSON report: status, and place with name."""
+    return [
+        (element.get("status", "untested"), f"{element['location']} {element['name']}")
+        for feature in json.loads(report or "[]")
+        for element in feature.get("elements", [])
+        if element["type"] == "scenario"
+    ]
 
 
 def run_feature(arguments: list[str]) -> Result:
@@ -59,8 +58,8 @@
             stderr=subprocess.STDOUT,
             text=True,
         )
-        counts = count_scenarios(Path(report.name).read_text())
-    return Result(output=done.stdout, counts=counts, status=done.returncode)
+        scenarios = list_scenarios(Path(report.name).read_text())
+    return Result(output=done.stdout, scenarios=scenarios, status=done.returncode)
 
 
 def list_runs(arguments: list[str]) -> list[list[str]]:
@@ -75,19 +74,21 @@
     """Runs the features given on the command line, or all."""
     if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
         print(f"known red:\n{KNOWN_RED.read_text()}", flush=True)
-    totals: dict[str, int] = {}
+    n_passed = 0
+    failures: list[str] = []
     failed = False
     with ThreadPoolExecutor(N_WORKERS) as executor:
         for result in executor.map(run_feature, list_runs(sys.argv[1:])):
             print(result.output, end="", flush=True)
             failed = failed or result.status != 0
-            for status, n in result.counts.items():
-                totals[status] = totals.get(status, 0) + n
-    n_passed = totals.pop("passed", 0)
-    totals.pop("skipped", 0)
-    n_failed = sum(totals.values())
-    print(f"\n{n_passed} passed, {n_failed} failed", flush=True)
-    return 0 if n_passed and not n_failed and not failed else 1
+            n_passed += sum(status == "passed" for status, _ in result.scenarios)
+            failures += [
+                f"{status}: {scenario}"
+                for status, scenario in result.scenarios
+                if status not in ("passed", "skipped")
+            ]
+    print("", *failures, f"{n_passed} passed, {len(failures)} failed", sep="\n")
+    return 0 if n_passed and not failures and not failed else 1
 
 
 if __name__ == "__main__":
