--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -38,7 +38,9 @@
 TIME_TOLERANCE_S: Final = 0.5
 # Daemons see one crash of a server within this time of each other.
 CRASH_SPREAD_S: Final = 0.2
-CRASH_BITS: Final = 16  # of a crash's number that tell the time
+# Between the numbers of crashes in consecutive intervals; no two hashes differ by it.
+CRASH_STEP: Final = 0x9E3779B97F4A7C15
+_N_NUMBERS: Final = 1 << 64
 
 
 class Observation(NamedTuple):
@@ -93,21 +95,21 @@
 def number_crash(server: int, at: float) -> int:
     """Numbers a crash of a server that starts again under its id.
 
-    Daemons that see one crash at slightly different times give it the same number or
-    consecutive ones.
+    Daemons that see one crash at slightly different times give it the same number, or
+    numbers of consecutive intervals.
 
     Args:
         server: hash of the server's id.
         at: wall clock time of the crash, seconds.
     """
-    return identify_server(server) << CRASH_BITS | int(at / CRASH_SPREAD_S) % (
-        1 << CRASH_BITS
-    )
+    return (server + int(at / CRASH_SPREAD_S) * CRASH_STEP) % _N_NUMBERS
 
 
-def identify_server(number: int) -> int:
-    """Returns what the numbers of all crashes of one server share."""
-    return number >> CRASH_BITS
+def list_numbers(server: int, since: float, until: float) -> list[int]:
+    """Lists the numbers of a server's crashes in a time, the latest first."""
+    last = number_crash(server, until)
+    n_intervals = int(until / CRASH_SPREAD_S) - int(since / CRASH_SPREAD_S) + 1
+    return [(last - k * CRASH_STEP) % _N_NUMBERS for k in range(n_intervals)]
 
 
 def merge_record(known: PartRecord, other: PartRecord) -> bool:
@@ -197,9 +199,12 @@
     """
     numbers = {number for record in records for number, _ in record.observations}
     first_numbers: dict[int, int] = {}
-    for number in sorted(numbers):
-        if number - 1 in numbers:
-            first_numbers[number] = first_numbers.get(number - 1, number - 1)
+    for number in numbers:
+        first = number
+        while (previous := (first - CRASH_STEP) % _N_NUMBERS) in numbers:
+            first = previous
+        if first != number:
+            first_numbers[number] = first
     return first_numbers
 
 
--- a/berylpost/relay_holds.py
+++ b/berylpost/relay_holds.py
@@ -24,12 +24,7 @@
 from .logs import log_event
 from .messages import Message, PartPull, PartReport
 from .policy.membership import Table, list_active
-from .policy.quarantine import (
-    CRASH_SPREAD_S,
-    SUSPICION_S,
-    identify_server,
-    number_crash,
-)
+from .policy.quarantine import CRASH_SPREAD_S, SUSPICION_S, list_numbers
 from .policy.stream_version import rank_keepers
 from .request_holds import TRIAL_S, RequestHolds, Suspects, digest_request
 from .settings import split_endpoint
@@ -104,14 +99,6 @@
     request: Suspects
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Crash:
-    """The latest crash of a server that is known, with its monotonic time."""
-
-    number: int
-    at: float
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdmitCall:
     """Asks whether a call that is held may be tried; answered with its refusal."""
@@ -152,7 +139,7 @@
             name=self_id, read_clock=time.monotonic, on_change=self._pass_on
         )
         self._trials: dict[str, float] = {}
-        self._crashes: dict[int, _Crash] = {}  # by server
+        self._crashed_at: dict[int, float] = {}  # by number of the crash
         self._next_pull_at = 0.0
         self._probes = ThreadPoolExecutor(N_PROBE_THREADS, thread_name_prefix="probe")
 
@@ -273,27 +260,25 @@
         This daemon may notice it long after another one has reported it. A request
         that was sent before a known crash of its server was on it then.
         """
-        server = hash_text(broken.backend)
-        crash = self._crashes.get(identify_server(server))
-        if crash is not None and broken.sent_at < crash.at + CRASH_SPREAD_S:
-            return crash.number
-        crashed_at = time.time() - (time.monotonic() - broken.broke_at)
-        number = number_crash(server, crashed_at)
-        self._note_crash(number, broken.broke_at)
-        return number
-
-    def _note_crash(self, number: int, at: float) -> None:
-        server = identify_server(number)
-        known = self._crashes.get(server)
-        if known is None or (at > known.at and number != known.number):
-            self._crashes[server] = _Crash(number=number, at=at)
+        to_wall_s = time.time() - time.monotonic()
+        since = max(broken.sent_at, broken.broke_at - SUSPICION_S) - CRASH_SPREAD_S
+        numbers = list_numbers(
+            hash_text(broken.backend),
+            to_wall_s + since,
+            to_wall_s + broken.broke_at,
+        )
+        for number in numbers:
+            if number in self._crashed_at:
+                return number
+        self._crashed_at[numbers[0]] = broken.broke_at
+        return numbers[0]
 
     def handle_report(self, report: PartReport) -> None:
         """Adds another daemon's records; answers what they did not know."""
         now = time.monotonic()
         for record in report.records:
             for number, _, age_s, _, _ in record.observations:
-                self._note_crash(number, now - max(0.0, age_s))
+                self._crashed_at.setdefault(number, now - max(0.0, age_s))
         self._send_records(self._state.merge(report.records), [report.sender])
 
     def handle_pull(self, pull: PartPull) -> None:
@@ -310,10 +295,10 @@
         self._trials = {
             name: at for name, at in self._trials.items() if now - at < TRIAL_MEMORY_S
         }
-        self._crashes = {
-            server: crash
-            for server, crash in self._crashes.items()
-            if now - crash.at < SUSPICION_S
+        self._crashed_at = {
+            number: at
+            for number, at in self._crashed_at.items()
+            if now - at < SUSPICION_S
         }
         others = self._list_others()
         if others:
