Do not spend a trial that no server has run

The repeat was then refused as held, and nobody might try again for 10 s, though nothing had run.

A trial goes on after an attempt that was certainly not run, and is given back if the request ends without any other attempt. Our own interface had the same: a call after a refused connection, a model request after attempts that were not sent or refused.

--- a/berylpost/attempts.py
+++ b/berylpost/attempts.py
@@ -236,6 +236,8 @@
         if failure is not Failure.LEAVING:
             stream.n_failures += 1
             stream.excluded_backends.add(backend)
+        if failure in (Failure.UNSENT, Failure.REFUSED):
+            stream.n_not_run += 1
         if failure is Failure.CUT:
             self._note_broken(stream, backend)
         decision: Retry | GiveUp
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -142,7 +142,12 @@
             outcome = "caller_left"
             raise
         finally:
-            if context is not None and context.is_trial and not context.n_sent:
+            # An attempt that has not ended here, or was answered, was a trial.
+            if (
+                context is not None
+                and context.is_trial
+                and context.n_sent == context.n_not_run
+            ):
                 self._quarantine.cancel_trial(context.suspects)
             self._log_request(head, context, outcome, detail, request.arrived_at)
 
@@ -183,6 +188,9 @@
                 if failure.may_have_run:
                     context.may_have_run = True
                     context.n_run += 1
+                    context.is_trial = False
+                else:
+                    context.n_not_run += 1
                 context.tried.append(record.backend.id)
                 self._table.note_failure(record, unreachable=failure.unreachable)
                 log_event(
@@ -201,7 +209,6 @@
                 if not self._may_retry(context):
                     self._give_up(context, caller, str(failure))
                     return
-                context.is_trial = False
                 await self._quarantine.await_check(record)
 
     def _is_held(self, context: RequestContext) -> bool:
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -26,6 +26,7 @@
         may_have_run: whether an attempt may have run the request.
         n_sent: number of attempts that were sent.
         n_run: number of attempts that may have run.
+        n_not_run: number of attempts that certainly have not.
         last_answer: a backend server's error answer, sent if no better one follows.
         usage_counted: whether the request is in the customer's usage.
         work_metered: whether the request is in the work that sets the fleet size.
@@ -52,6 +53,7 @@
     may_have_run: bool = False
     n_sent: int = 0
     n_run: int = 0
+    n_not_run: int = 0
     usage_counted: bool = False
     work_metered: bool = False
     tried: list[str] = field(default_factory=list)
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -135,9 +135,10 @@
             BerylpostError: the call was refused, failed or has an unknown outcome.
         """
         is_trial = self._check_held(call)
-        forward = self._call_idempotent if idempotent else self._call_non_idempotent
         try:
-            return forward(call)
+            if idempotent:
+                return self._call_idempotent(call, is_trial)
+            return self._call_non_idempotent(call)
         except BerylpostError as error:
             if is_trial and error.ran is ExecutionStatus.NOT_RUN:
                 self._tell_holds(CallUnsent(request=call.suspects))
@@ -177,7 +178,7 @@
 
     # Idempotent calls.
 
-    def _call_idempotent(self, call: ServiceCall) -> Outcome:
+    def _call_idempotent(self, call: ServiceCall, is_trial: bool) -> Outcome:
         deadline = time.monotonic() + call.deadline_s
         self._budget = earn_budget(
             self._budget, self._context.settings.relay.retry_ratio
@@ -190,7 +191,8 @@
                 return self._send(call, replica, left_s)
             except _SendError as error:
                 failed.add(replica.id)
-                if self._is_held(call):
+                is_trial = is_trial and error.failure is Failure.UNSENT
+                if self._is_held(call) and not is_trial:
                     raise BerylpostError(
                         ErrorKind.BACKEND_FAILED, f"{error}; the call is held back"
                     ) from error
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -382,7 +382,7 @@
 
     def _fail(self, stream: Stream, error: BerylpostError) -> None:
         stream.error = error
-        if not stream.n_attempts:
+        if stream.n_attempts == stream.n_not_run:
             self._holds.cancel_trial(stream.request)
         REFUSALS.labels(error.kind).inc()
         self._queue.remove(stream)
--- a/features/entry_crash_requests.feature
+++ b/features/entry_crash_requests.feature
@@ -104,6 +104,20 @@
     And callers go on with the "read" request "bad" for 4 s
     Then the last of them were answered and no daemon holds anything
 
+  Scenario Outline: A trial that <servers> has not run is not spent
+    Given 2 entry daemons and 4 servers that crash on the body "bad"
+    And a held part may be tried after 1 s
+    And the "read" request with the body "bad" is held everywhere
+    When the servers no longer crash
+    And callers try the "read" request "bad" while <servers> does not run it
+    And callers go on with the "read" request "bad" for 4 s
+    Then the last of them were answered and no daemon holds anything
+
+    Examples:
+      | servers       |
+      | every server  |
+      | the first one |
+
   Scenario: Only one caller at a time tries a held request
     Given 3 entry daemons and 4 servers that crash on the body "bad"
     And a held part may be tried after 1 s
--- a/features/held_prompts.feature
+++ b/features/held_prompts.feature
@@ -37,6 +37,16 @@
       | summary |
       | call    |
 
+  Scenario Outline: A trial of a held <what> that no server has taken is not spent
+    Given a relay that holds a <what> which may be tried now
+    When a <what> that tries it is sent to a server that refuses connections
+    Then the next <what> may try it and the one after that may not
+
+    Examples:
+      | what    |
+      | summary |
+      | call    |
+
   Scenario Outline: A crash that two daemons notice <how> counts once
     Given two daemons whose calls are on two servers when these crash
     When each of them notices the crashes <how>
--- a/features/steps/entry_crash_request_steps.py
+++ b/features/steps/entry_crash_request_steps.py
@@ -358,6 +358,46 @@
     world.run(try_in_vain())
 
 
+@when('callers try the "{kind}" request "{body}" while every server does not run it')
+def step_try_refused(context: Context, kind: str, body: str) -> None:
+    time.sleep(1.0)  # until one may try it
+
+    async def try_refused():
+        for replica in context.world.replicas:
+            replica.fault = "refuse"
+        for daemon in list_daemons(context):
+            await send_body(daemon, kind, body)
+        assert list_runs(context, body)[-1] > time.monotonic() - 1.0, "not tried"
+        for replica in context.world.replicas:
+            replica.fault = "none"
+
+    context.world.run(try_refused())
+
+
+@when('callers try the "{kind}" request "{body}" while the first one does not run it')
+def step_try_first(context: Context, kind: str, body: str) -> None:
+    time.sleep(1.0)  # until one may try it
+
+    async def try_first():
+        real_ids = {replica: replica.id for replica in context.world.replicas}
+
+        for replica in context.world.replicas:
+            replica.id = "another"  # answers 421
+        n_runs = len(list_runs(context, body))
+        sending = [
+            asyncio.ensure_future(send_body(daemon, kind, body))
+            for daemon in list_daemons(context)
+        ]
+        while len(list_runs(context, body)) == n_runs:
+            await asyncio.sleep(0)
+        for replica, real_id in real_ids.items():
+            replica.id = real_id
+        answers = await asyncio.gather(*sending)
+        assert 200 in [answer.status for answer in answers], answers
+
+    context.world.run(try_first())
+
+
 @when('callers go on with the "{kind}" request "{body}" for {n:d} s')
 def step_go_on(context: Context, kind: str, body: str, n: int) -> None:
     work = send_all(context, n, lambda d, text: send_body(d, kind, text), body)
--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import uuid
+from functools import partial
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -12,13 +13,16 @@
 from steps.request_steps import make_document
 from steps.shared import MODEL
 
+from berylpost.attempts import Attempts
+from berylpost.bench.fleet import find_free_ports
 from berylpost.client import Client, Problem
 from berylpost.errors import BerylpostError, ErrorKind
 from berylpost.forwarding import Forwarder, ServiceCall
 from berylpost.kernel import Slot
-from berylpost.messages import PartReport
+from berylpost.messages import Backend, PartReport
 from berylpost.policy.membership import Table
 from berylpost.policy.quarantine import FIRST_HOLD_S
+from berylpost.policy.retry import Failure, GiveUp
 from berylpost.relay import RelayTask
 from berylpost.relay_holds import (
     HELD_SLOT,
@@ -29,7 +33,7 @@
     ServerProbed,
     list_suspects,
 )
-from berylpost.streams import StreamRequest
+from berylpost.streams import Stream, StreamRequest
 
 PATHS = {"chat": "/v1/chat/completions", "summary": "/v1/completions"}
 N_TOKENS = 12
@@ -236,7 +240,7 @@
             tasks={"relay": None},
             settings=SimpleNamespace(
                 daemon=SimpleNamespace(id="d"),
-                ledger=None,
+                ledger=SimpleNamespace(call_timeout_s=1.0),
                 relay=SimpleNamespace(retry_ratio=0.1, max_attempts=2),
             ),
             post=lambda _task, message: post_to_holds(context, message),
@@ -262,6 +266,44 @@
     assert try_call(context) is ErrorKind.QUARANTINED
 
 
+@when("a call that tries it is sent to a server that refuses connections")
+def step_send_unsent(context: Context) -> None:
+    (port,) = find_free_ports(1)
+    server = Backend(
+        id="b",
+        role="service",
+        name="intake",
+        deployment="d",
+        address=f"127.0.0.1:{port}",
+        zone="a",
+    )
+    context.slots["backends"].publish({server.id: server})
+    assert try_call(context) is ErrorKind.BACKEND_FAILED
+    context.slots["backends"].publish({})
+
+
+@when("a summary that tries it is sent to a server that refuses connections")
+def step_send_summary(context: Context) -> None:
+    request = make_stream_request(1)
+    assert context.holds.admit(request) is None
+    stream = Stream(
+        request=request, accepted_at=0.0, deadline=9.0, start_by=9.0, n_attempts=1
+    )
+    relay = SimpleNamespace(
+        _holds=context.holds,
+        _queue=SimpleNamespace(remove=lambda _stream: None),
+        _attempts=SimpleNamespace(close_attempt=lambda _stream: None),
+        _end=lambda *_: None,
+    )
+    attempts = SimpleNamespace(
+        close_attempt=lambda _stream: None,
+        _holds=context.holds,
+        _decide_retry=lambda *_: GiveUp(reason="no attempt left"),
+        _callbacks=SimpleNamespace(failed=partial(RelayTask._fail, relay)),
+    )
+    Attempts.fail(attempts, stream, Failure.UNSENT)
+
+
 @when("a summary that tries it is refused for another reason")
 def step_refuse_summary(context: Context) -> None:
     request = make_stream_request(1)
