Give each process of a test its own loopback address

Seen once in four plays of all features beside each other on: "dd-1 exited before it was ready: listen.peers 127.0.0.1:39879: address already in use", in configuration.feature and requests.feature. Ports are chosen, set free and then used by a daemon that starts; meanwhile another play, or the near end of any connection from 127.0.0.1, may get the same one.

--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -34,7 +34,9 @@
 START_TIMEOUT_S: Final = 20.0
 OPERATOR_TOKEN: Final = "operator-token"
 POLL_S: Final = 0.05
-HOST: Final = "127.0.0.1"
+# Each process has an address of its own, so that no other one, nor a connection from
+# 127.0.0.1, takes a port between its choice and its use.
+HOST: Final = f"127.{64 + os.getpid() // 256 % 128}.{os.getpid() % 256}.1"
 
 
 def find_free_ports(n_ports: int) -> list[int]:
--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -14,7 +14,7 @@
 from steps.shared import MODEL
 
 from berylpost.attempts import Attempts
-from berylpost.bench.fleet import find_free_ports
+from berylpost.bench.fleet import HOST, find_free_ports
 from berylpost.client import Client, Problem
 from berylpost.errors import BerylpostError, ErrorKind
 from berylpost.forwarding import Forwarder, ServiceCall
@@ -274,7 +274,7 @@
         role="service",
         name="intake",
         deployment="d",
-        address=f"127.0.0.1:{port}",
+        address=f"{HOST}:{port}",
         zone="a",
     )
     context.slots["backends"].publish({server.id: server})
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from berylpost.bench.fleet import find_free_ports, wait_until
+from berylpost.bench.fleet import HOST, find_free_ports, wait_until
 from berylpost.kernel import Context as KernelContext
 from berylpost.messages import Member
 from berylpost.metrics import REGISTRY
@@ -449,7 +449,7 @@
 
 @given("two peers with the same CURVE key and a third with another")
 def make_peers(context: Context) -> None:
-    addresses = [f"127.0.0.1:{port}" for port in find_free_ports(3)]
+    addresses = [f"{HOST}:{port}" for port in find_free_ports(3)]
     own_keys, stranger_keys = make_keys(), make_keys()
     # The third peer has the others' public key, which is not secret, but not their
     # secret key.
@@ -464,7 +464,7 @@
 
 @given("two peers, one listening with a new key while both accept both keys")
 def make_peers_rotating_keys(context: Context) -> None:
-    addresses = [f"127.0.0.1:{port}" for port in find_free_ports(2)]
+    addresses = [f"{HOST}:{port}" for port in find_free_ports(2)]
     old, new = make_keys(), make_keys()
     accepted = {"accepted_keys": [old["public_key"], new["public_key"]]}
     context.peers = [
