Take a break at an address that still accepts connections for the crash before

Seen twice in four plays of all features beside each other on: "A look-up that crashes the servers of a service", whose servers accept connections for 0.2 s after they have ended, was held after two crashes. Calls sent in that time broke off and counted as crashes of their own. The new row of "A crash that two daemons notice ... counts once" fails on the code before and passes.

--- a/berylpost/relay_holds.py
+++ b/berylpost/relay_holds.py
@@ -24,7 +24,7 @@
 from .logs import log_event
 from .messages import Message, PartPull, PartReport
 from .policy.membership import Table, list_active
-from .policy.quarantine import CRASH_SPREAD_S, SUSPICION_S, list_numbers
+from .policy.quarantine import SUSPICION_S, list_numbers
 from .policy.stream_version import rank_keepers
 from .request_holds import TRIAL_S, RequestHolds, Suspects, digest_request
 from .settings import split_endpoint
@@ -258,10 +258,11 @@
         """Returns the number of the crash that broke an answer off.
 
         This daemon may notice it long after another one has reported it. A request
-        that was sent before a known crash of its server was on it then.
+        that was sent before a known crash of its server was on it then; so was one sent
+        while the address still accepted connections.
         """
         to_wall_s = time.time() - time.monotonic()
-        since = max(broken.sent_at, broken.broke_at - SUSPICION_S) - CRASH_SPREAD_S
+        since = max(broken.sent_at - RECHECK_S, broken.broke_at - SUSPICION_S)
         numbers = list_numbers(
             hash_text(broken.backend),
             to_wall_s + since,
--- a/features/held_prompts.feature
+++ b/features/held_prompts.feature
@@ -53,9 +53,10 @@
     Then neither of them holds the call
 
     Examples:
-      | how                                |
-      | 4 ms apart                         |
-      | long after the other's report      |
+      | how                                      |
+      | 4 ms apart                               |
+      | long after the other's report            |
+      | while the address accepts connections    |
 
   Scenario: A server that starts again under its id may crash again
     Given two daemons whose calls are on two servers when these crash
--- a/features/steps/held_prompt_steps.py
+++ b/features/steps/held_prompt_steps.py
@@ -369,13 +369,23 @@
 
 @when("each of them notices the crashes long after the other's report")
 def step_notice_late(context: Context) -> None:
+    # The request reached the server's address at the moment of the crash.
+    notice_later(context, sent_s=0.01, broke_s=0.6)
+
+
+@when("each of them notices the crashes while the address accepts connections")
+def step_notice_lingering(context: Context) -> None:
+    notice_later(context, sent_s=0.25, broke_s=0.26)
+
+
+def notice_later(context, sent_s, broke_s):
+    """Lets the second daemon notice crashes that the first one has reported."""
     first, second = context.relays
     for server in range(2):
-        at = context.crashed_at + server
+        at = context.crashed_at + server - 0.002  # at the end of an interval
         note_crash(first, server, at - 0.1, at)
         report_records(first, second)
-        # The request reached the server's address at the moment of the crash.
-        note_crash(second, server, at + 0.01, at + 0.6)
+        note_crash(second, server, at + sent_s, at + broke_s)
 
 
 @when("a server crashes three times, 0.8 s apart")
