Ask what was missed as soon as a daemon that starts knows another one

Cause: a daemon that starts asks for what it has missed in its first round, when it knows nobody, and next 0.25 s later. What leaves, is held or names a rate was unknown for so long.

Until it knows another daemon, it looks every 20 ms, for 3 s at most.

--- a/berylpost/edge/anti_entropy.py
+++ b/berylpost/edge/anti_entropy.py
@@ -13,6 +13,7 @@
 # A daemon that has just started asks more often.
 STARTUP_INTERVAL_S: Final = 0.25
 STARTUP_S: Final = 3.0
+FIRST_CHECK_S: Final = 0.02  # until it knows another daemon
 
 
 async def ask_regularly(
@@ -33,4 +34,6 @@
         on_round()
         is_new = read_boottime() - began_at < STARTUP_S
         pause_s = STARTUP_INTERVAL_S if is_new else INTERVAL_S
+        if is_new and not alive:
+            pause_s = FIRST_CHECK_S
         await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
--- a/features/entry_leaving.feature
+++ b/features/entry_leaving.feature
@@ -26,6 +26,12 @@
       | a daemon that has just started    | 1       |
       | a daemon cut from the store       | 0       |
 
+  Scenario: A daemon that starts knows which server leaves as soon as it knows another daemon
+    Given 3 entry daemons and 3 servers with a start time
+    And the first server said in an answer that it leaves
+    When another daemon starts and knows a daemon
+    Then it takes the first server for leaving within 0.1 s
+
   Scenario: A daemon that hears from no other learns it from the first answer
     Given 3 entry daemons and 3 servers with a start time
     And the last daemon hears from no other
--- a/features/steps/entry_leaving_steps.py
+++ b/features/steps/entry_leaving_steps.py
@@ -16,6 +16,7 @@
 )
 from steps.entry_version_steps import list_daemons, wait_until
 
+from berylpost.edge.daemon import EdgeDaemon
 from berylpost.fakes.replica import N_EVENTS
 
 N_REQUESTS = 12  # that every usable server gets one of
@@ -112,6 +113,29 @@
     context.world.run(context.world.start_daemon(len(list_daemons(context))))
 
 
+@when("another daemon starts and knows a daemon")
+def step_start_another(context: Context) -> None:
+    world = context.world
+
+    async def start():
+        daemon = EdgeDaemon(
+            settings=world.make_settings(len(world.daemons)), log_stream=None
+        )
+        world.daemons[daemon.settings.name] = daemon
+        await daemon.start()
+        while not daemon.members.list_alive() or not daemon.table.records:
+            await asyncio.sleep(0.001)
+
+    world.run(start())
+
+
+@then("it takes the first server for leaving within {seconds:g} s")
+def step_check_taken(context: Context, seconds: float) -> None:
+    daemon = list_daemons(context)[-1]
+    record = daemon.table.records[context.world.replicas[0].id]
+    wait_until(lambda: record.shutdown_at is not None, seconds)
+
+
 @when("the last daemon receives again")
 def step_receive_again(context: Context) -> None:
     heal_links(context)
