--- a/berylpost/policy/quarantine.py
+++ b/berylpost/policy/quarantine.py
@@ -38,7 +38,8 @@
 TIME_TOLERANCE_S: Final = 0.5
 # Daemons see one crash of a server within this time of each other.
 CRASH_SPREAD_S: Final = 0.2
-# Between the numbers of crashes in consecutive intervals; no two hashes differ by it.
+# Between the numbers of crashes in consecutive intervals; hashes differ by it by chance
+# only.
 CRASH_STEP: Final = 0x9E3779B97F4A7C15
 _N_NUMBERS: Final = 1 << 64
 
