Send callers to a serving set; let the other daemons of a large fleet stand by

Cause: every daemon exchanged totals with every other one, 100 datagrams a second in and out each, so the fleet's work grew with the square of its daemons; and 195 daemons with 1.7 requests a second each kept connections to 84 servers. Change: policy/serving_set chooses as few daemons as the load asks for (25 at least, so smaller fleets stay as they were), balanced over zones, larger VMs first, from the share of the time for which callers keep them busy. The directory names these only. Standby daemons ask one active daemon twice a second; it answers with the set, the sum of loads and the quotas' levels, and passes on to the other active ones that it heard from them, with what they served. A standby joins when it is named, or when no active daemon answers. Quotas: what others use counts also for a customer that a daemon has not served yet. The median time of day is computed once in a quarter of a second, old usage windows are dropped once a window.

--- a/berylpost/edge/anti_entropy.py
+++ b/berylpost/edge/anti_entropy.py
@@ -13,6 +13,8 @@
 # A daemon that has just started asks more often.
 STARTUP_INTERVAL_S: Final = 0.25
 STARTUP_S: Final = 3.0
+# A standby daemon asks less often; what is new reaches it within this time.
+STANDBY_INTERVAL_S: Final = 3.0
 FIRST_CHECK_S: Final = 0.02  # until it knows another daemon
 
 
@@ -33,7 +35,8 @@
             ask(random.choice(alive).address)
         on_round()
         is_new = read_boottime() - began_at < STARTUP_S
-        pause_s = STARTUP_INTERVAL_S if is_new else INTERVAL_S
+        interval_s = INTERVAL_S if members.active else STANDBY_INTERVAL_S
+        pause_s = STARTUP_INTERVAL_S if is_new else interval_s
         if is_new and not alive:
             pause_s = FIRST_CHECK_S
         await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -374,6 +374,23 @@
                 rest_s=min(MAX_SUSPECT_S, suspect_s),
             )
 
+    def sum_loads(self) -> dict[str, list[float]]:
+        """Returns the load of all known daemons on each server."""
+        sums = self.export_loads()
+        for report in self._list_reports(read_boottime()):
+            for name, load in report.items():
+                known = sums.get(name)
+                sums[name] = (
+                    list(load)
+                    if known is None
+                    else [a + b for a, b in zip(known, load, strict=True)]
+                )
+        return sums
+
+    def import_summary(self, loads: Mapping[str, Any]) -> None:
+        """Records the load of all daemons, which replaces their single reports."""
+        self._reports = {"": (read_boottime(), loads)}
+
     def export_loads(self) -> dict[str, list[float]]:
         """Returns this daemon's load on each server, for the other daemons.
 
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -29,9 +29,16 @@
 from .http_channel import HttpChannel
 from .leaving_servers import LeavingServers
 from .log_stream import FLUSH_S, LogStream, install_log_stream
-from .members import Member, Members, Progress
+from .loop_meter import LoopMeter
+from .members import BodyKind, Member, Members, Progress
 from .metrics import observe_request, render_metrics
-from .model import CallerLimits, ConfigurationRank, EdgeSettings, Endpoint
+from .model import (
+    CallerLimits,
+    ConfigurationRank,
+    Customer,
+    EdgeSettings,
+    Endpoint,
+)
 from .quotas import Quotas
 from .registration import Registration
 from .request_quarantine import RequestQuarantine
@@ -69,9 +76,16 @@
     Args:
         settings: settings of this daemon.
         log_stream: log handler that is flushed from the event loop, if any.
+        loop_meter: measures the event loop; None if daemons share one.
     """
 
-    def __init__(self, *, settings: EdgeSettings, log_stream: LogStream | None) -> None:
+    def __init__(
+        self,
+        *,
+        settings: EdgeSettings,
+        log_stream: LogStream | None,
+        loop_meter: LoopMeter | None = None,
+    ) -> None:
         self.settings = settings
         self._log_stream = log_stream
         self._incarnation = int(time.time() * 1_000)
@@ -81,14 +95,18 @@
             revoke_s=bounds.revoke_s, heartbeat_s=bounds.heartbeat_s
         )
         self.era.add_listener(self.catalogue.begin_era)
-        self.quotas = Quotas(bounds=bounds)
+        self.quotas = Quotas(bounds=bounds, find_customer=self._find_customer)
         self.members = Members(
             settings=settings,
             incarnation=self._incarnation,
             encode_body=self._encode_gossip_body,
             apply_body=self._apply_gossip_body,
+            apply_row=self._apply_row,
             read_progress=self._read_progress,
             on_progress=self._handle_progress,
+            on_role=self._handle_role,
+            read_busy_share=loop_meter.read_share if loop_meter else lambda: 0.0,
+            exclude_work=loop_meter.exclude if loop_meter else lambda _seconds: None,
         )
         self.quotas.bind(self.members)
         self.registration = Registration(
@@ -151,6 +169,7 @@
                 usage=self.usage,
                 read_work=lambda: self.work.sum_rates(self.members.count_members()),
             )
+            self.members.must_stay_active = self.duties.lease.is_held
         self.front = CallerServer(
             handler=self.forwarder.serve, read_limits=self._read_limits
         )
@@ -320,9 +339,9 @@
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
         port = self.settings.front.port
-        alive = [m for m in self.members.list_alive() if m.ready and not m.leaving]
-        entries = [(m.zone, Endpoint(m.ip, port)) for m in alive]
-        if self.is_ready or not entries:
+        serving = self.members.list_serving_set()
+        entries = [(m.zone, Endpoint(m.ip, port)) for m in serving]
+        if (self.is_ready and self.members.is_serving) or not entries:
             entries.append((self.settings.zone, self.settings.front))
         # Any daemon is close enough: availability zones are a millisecond apart.
         chosen = spread_over_zones(
@@ -353,7 +372,9 @@
         configuration = self.catalogue.configuration
         age_s = min(MAX_REPORTED_AGE_S, self.catalogue.read_confirmation_age())
         gauges = {
-            "members": len(self.members.list_alive()) + 1,
+            "members": len(self.members.list_reachable()) + 1,
+            "active_members": len(self.members.list_alive()) + self.members.active,
+            "active": float(self.members.active),
             "backends": len(self.catalogue.backends),
             "configuration_number": configuration.number if configuration else 0,
             "confirmation_age_seconds": round(age_s, 3),
@@ -377,13 +398,18 @@
 
     # State exchanged with the other daemons.
 
-    def _encode_gossip_body(self, whole: bool) -> bytes:
+    def _encode_gossip_body(self, kind: BodyKind) -> bytes:
+        if kind is BodyKind.SUMMARY:
+            return msgspec.msgpack.encode(
+                [kind, self.table.sum_loads(), self.quotas.export_levels()]
+            )
         hold = self.duties.export_hold() if self.duties is not None else [0, 0]
+        whole = kind is BodyKind.WHOLE
         recent_s = RECENT_ROUNDS * self.members.round_duration_s()
         used_since = float("-inf") if whole else read_boottime() - recent_s
         return msgspec.msgpack.encode(
             [
-                whole,
+                kind,
                 self.table.export_loads(),
                 self.table.export_parts(),
                 self.quotas.export_totals(used_since),
@@ -394,7 +420,19 @@
         )
 
     def _apply_gossip_body(self, member: Member, body: Any) -> None:
-        whole, loads, parts, totals, counts, rates, hold = body
+        if body[0] == BodyKind.SUMMARY:
+            if not self.members.active:
+                _, loads, levels = body
+                self.table.import_summary(loads)
+                self.quotas.import_levels(levels)
+            return
+        kind, loads, parts, totals, counts, rates, hold = body
+        whole = kind == BodyKind.WHOLE
+        if not member.active:
+            self.members.note_row(member, totals, counts)
+            self._apply_row(member, totals, counts)
+            self.table.import_loads(member.name, loads)
+            return
         self.table.import_loads(member.name, loads)
         self.table.import_parts(parts)
         self.quotas.import_totals(member, totals, whole=whole)
@@ -403,6 +441,17 @@
         if self.duties is not None:
             self.duties.import_hold(member, hold)
 
+    def _apply_row(self, member: Member, totals: Any, counts: Any) -> None:
+        self.quotas.import_row(member, totals)
+        self.usage.import_counts(member.name, member.incarnation, counts)
+
+    def _find_customer(self, name: str) -> Customer | None:
+        configuration = self.catalogue.configuration
+        return configuration.customers.get(name) if configuration else None
+
+    def _handle_role(self, active: bool) -> None:
+        self.quotas.forget_totals()
+
     def _read_progress(self) -> tuple[Progress, float]:
         catalogue = self.catalogue
         progress = Progress(
@@ -505,5 +554,8 @@
         return 2
     log_stream = install_log_stream(level=os.environ.get("BERYLPOST_LOG", "info"))
     gc.freeze()
-    asyncio.run(EdgeDaemon(settings=settings, log_stream=log_stream).run())
+    meter = LoopMeter()
+    with asyncio.Runner(loop_factory=meter.make_loop) as runner:
+        daemon = EdgeDaemon(settings=settings, log_stream=log_stream, loop_meter=meter)
+        runner.run(daemon.run())
     return 0
--- a/berylpost/edge/datagrams.py
+++ b/berylpost/edge/datagrams.py
@@ -75,7 +75,7 @@
 
     def spread(self, message: M) -> None:
         """Sends a message to a few daemons, which pass on what is new to them."""
-        alive = self._members.list_alive()
+        alive = self._members.list_reachable()
         for member in random.sample(alive, min(FAN_OUT, len(alive))):
             self.send(member.address, message)
 
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -191,7 +191,7 @@
     def _is_candidate(self) -> bool:
         """Tells whether this daemon should try to acquire the lease now."""
         now = read_boottime()
-        if self._members.leaving:
+        if self._members.leaving or not self._members.active:
             return False
         announced = self._announced
         if announced is not None and now < announced.until + HOLD_MARGIN_S:
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -1,9 +1,11 @@
 """Membership of the entry daemons and their gossip.
 
-UDP datagrams carry liveness, known revisions, usage, quotas and load to every other
-daemon in turn. A lost datagram delays its content by one round only, because every
-figure is a running total. UDP fits better than ZeroMQ's streams, which queue messages
-while a link is cut and deliver stale state afterwards. `registration` finds the first
+UDP datagrams carry liveness, known revisions, usage, quotas and load. Active daemons
+send them to every other active daemon in turn; a standby daemon asks one of them at a
+time, which passes on what it hears from it. `policy.serving_set` decides which daemons
+are active. A lost datagram delays its content by one round only, because every figure
+is a running total. UDP fits better than ZeroMQ's streams, which queue messages while a
+link is cut and deliver stale state afterwards. `registration` finds the first
 addresses.
 """
 
@@ -14,20 +16,38 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Any, Final
 
 import msgspec
 
 from ..logs import log_event
 from ..policy.rounds import (
+    STANDBY_INTERVAL_S,
+    STANDBY_TIMEOUT_S,
     TICK_S,
     count_sends_per_tick,
     find_failure_timeout_s,
     find_round_s,
 )
+from ..policy.serving_set import (
+    MIN_SERVING,
+    Candidate,
+    SetSize,
+    choose_serving,
+    update_size,
+)
 from .clock import read_boottime
+from .gossip import (
+    MESSAGE_MARK,
+    Gossip,
+    Serving,
+    Standby,
+    decode_body,
+    decode_gossip,
+    encode_gossip,
+)
 from .model import ConfigurationRank, EdgeSettings, Endpoint
-from .store_era import UNKNOWN_ERA
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -38,58 +58,25 @@
 # A VM that is suspended or cut off for a shorter time is still known when it returns.
 FORGET_AFTER_S: Final = 20.0
 N_INTRODUCED: Final = 4  # addresses of other daemons in each datagram
+# A standby daemon is passed on in two rounds, so one datagram may be lost.
+STANDBY_ROUNDS: Final = 2.0
+# Bounds a datagram to a few kilobytes; callers read no more addresses either.
+MAX_LISTED: Final = 64
+# Callers use a directory answer for up to this long after a daemon left the set.
+LINGER_S: Final = 8.0
+# A daemon that starts learns by then whether it is in the set.
+STARTUP_S: Final = 2.0
+N_ASKED_WITHOUT_ACTIVE: Final = 3
+# How long the median of the times of day is used before it is computed again.
+WALL_CLOCK_CACHE_S: Final = 0.25
 
-# First byte of a datagram with a message; no MessagePack value begins with it.
-MESSAGE_MARK: Final = b"\xc1"
 
-_ENCODER: Final = msgspec.msgpack.Encoder()
+class BodyKind(IntEnum):
+    """Which totals a datagram carries."""
 
-
-class Gossip(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """One gossip datagram.
-
-    Attributes:
-        stamp: sender's boot-time clock when the datagram was made, seconds.
-        echo: newest stamp that the sender got from this datagram's receiver, 0 for
-            none.
-        echo_incarnation: the receiver's incarnation when it sent that stamp.
-        wall: sender's time of day, Unix seconds.
-        leaving: whether the sender is shutting down and takes no new callers.
-        ready: whether the sender serves callers.
-        configuration_revision: revision of the sender's configuration.
-        confirmation_age: age of the sender's last confirmation that this revision is
-            current, seconds, when the datagram was made.
-        backends_revision: revision up to which the sender knows the backend servers.
-        backends_digest: equal for daemons that know the same entries.
-        watch_served: whether the sender watches the store and gets answers.
-        introduced: names and addresses of other daemons.
-        body: running totals, opaque to this module.
-        configuration_number: number of the sender's configuration.
-        store_era: era of the store to which the revisions belong.
-    """
-
-    name: str
-    incarnation: int
-    ip: str
-    zone: str
-    stamp: float
-    echo: float
-    echo_incarnation: int
-    wall: float
-    leaving: bool
-    ready: bool
-    configuration_revision: int
-    confirmation_age: float
-    backends_revision: int
-    backends_digest: int
-    watch_served: bool
-    introduced: tuple[tuple[str, str, int], ...]
-    body: msgspec.Raw
-    configuration_number: int = 0
-    store_era: int = UNKNOWN_ERA
-
-
-_DECODER: Final = msgspec.msgpack.Decoder(Gossip)
+    RECENT = 0
+    WHOLE = 1
+    SUMMARY = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -125,6 +112,14 @@
         clock_offset: lower bound of this VM's boot-time clock minus the member's: a
             stamp was sent before the member's datagram that echoes it.
         wall_offset: its time of day minus this VM's boot-time clock.
+        active: whether it exchanges totals; otherwise it stands by.
+        n_cores: processor cores that it may use.
+        busy_share: share of the time for which callers keep it busy.
+        totals_since: boot-time clock; it has our totals once it echoes a stamp that is
+            not older.
+        heard_at: boot-time clock at its last datagram while it stood by.
+        row: quota and usage totals that it sent while it stood by.
+        row_changed_at: boot-time clock at the last change of `row`.
     """
 
     name: str
@@ -142,20 +137,36 @@
     watch_served: bool = False
     has_our_totals: bool = False
     clock_offset: float = float("-inf")
+    active: bool = True
+    n_cores: float = 0.0
+    busy_share: float = 0.0
+    totals_since: float = float("-inf")
+    heard_at: float = float("-inf")
+    row: tuple[dict[str, list[float]], dict[int, dict[str, int]]] = ({}, {})
+    row_changed_at: float = float("-inf")
 
 
 class Members:
-    """The other daemons of the deployment.
+    """The other daemons of the deployment, and this daemon's role among them.
 
     Args:
         settings: settings of this daemon.
         incarnation: increases with each start on the same VM.
-        encode_body: encodes all running totals if called with True, otherwise those
-            that changed recently.
+        encode_body: encodes the totals of a kind.
         apply_body: called with a member and its decoded totals.
+        apply_row: called with a standby member and the quota and usage totals that
+            another daemon had from it.
         read_progress: returns this daemon's progress and the age of its confirmation.
         on_progress: called with a member, its progress, and the earliest time
             (boot-time clock) at which its configuration was confirmed.
+        on_role: called when this daemon becomes active or a standby.
+        read_busy_share: returns the share of the time for which callers keep this
+            daemon busy.
+        exclude_work: called with the seconds that gossip took.
+
+    Attributes:
+        active: whether this daemon exchanges totals; otherwise it stands by.
+        must_stay_active: tells whether this daemon has work that needs all totals.
     """
 
     def __init__(
@@ -163,27 +174,46 @@
         *,
         settings: EdgeSettings,
         incarnation: int,
-        encode_body: Callable[[bool], bytes],
+        encode_body: Callable[[BodyKind], bytes],
         apply_body: Callable[[Member, Any], None],
+        apply_row: Callable[[Member, Any, Any], None],
         read_progress: Callable[[], tuple[Progress, float]],
         on_progress: Callable[[Member, Progress, float], None],
+        on_role: Callable[[bool], None],
+        read_busy_share: Callable[[], float],
+        exclude_work: Callable[[float], None],
     ) -> None:
         self.members: dict[str, Member] = {}
         self.leaving = False
         self.ready = False
         self.watch_served = False
         self.n_bytes = 0
+        self.active = True
+        self.must_stay_active: Callable[[], bool] = lambda: False
         self._settings = settings
         self.incarnation = incarnation
         self._encode_body = encode_body
         self._apply_body = apply_body
+        self._apply_row = apply_row
         self._read_progress = read_progress
         self._on_progress = on_progress
+        self._on_role = on_role
+        self._read_busy_share = read_busy_share
+        self._exclude_work = exclude_work
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._round_queue: list[Member] = []
         self._on_message: dict[bytes, Callable[[bytes, Endpoint], None]] = {}
         self._failure_timeout_s = find_failure_timeout_s(0)
+        self._busy_share = 0.0
+        self._serving: frozenset[str] = frozenset()
+        self._set_size = SetSize()
+        self._in_set_at = float("-inf")
+        self._active_since = self._started_at = read_boottime()
+        # Newest answer of an active daemon to this one while it stands by.
+        self._answered_at = float("-inf")
+        self._wall_offset = 0.0
+        self._wall_offset_at = float("-inf")
 
     def bind_messages(
         self, on_message: Callable[[bytes, Endpoint], None], mark: bytes = MESSAGE_MARK
@@ -216,7 +246,7 @@
         sock.bind(tuple(self._settings.peer))
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(self._receive), sock=sock
+            lambda: _Receiver(self._receive_metered), sock=sock
         )
         self._task = asyncio.create_task(self._run_rounds())
 
@@ -228,17 +258,36 @@
             self._transport.close()
 
     def list_alive(self) -> list[Member]:
-        """Lists the daemons whose last datagram is within the failure timeout."""
+        """Lists the active daemons that were heard from within the failure timeout."""
         horizon = read_boottime() - self._failure_timeout_s
-        return [m for m in self.members.values() if m.last_received_at >= horizon]
+        return [
+            m
+            for m in self.members.values()
+            if m.active and m.last_received_at >= horizon
+        ]
+
+    def list_reachable(self) -> list[Member]:
+        """Lists all daemons that were heard from lately, those that stand by too."""
+        now = read_boottime()
+        return [m for m in self.members.values() if self._is_alive(m, now)]
+
+    def list_serving_set(self) -> list[Member]:
+        """Lists the other daemons to which callers are to be sent."""
+        alive = [m for m in self.list_reachable() if m.ready and not m.leaving]
+        return [m for m in alive if m.name in self._serving] or alive
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers are to be sent to this daemon."""
+        return not self._serving or self._settings.name in self._serving
 
     def round_duration_s(self) -> float:
-        """Returns the seconds in which each daemon sends to every other one once."""
-        return find_round_s(len(self._list_current()))
+        """Returns the seconds in which active daemons send to one another once."""
+        return find_round_s(len(self._list_current_active()))
 
     def list_serving(self) -> list[str]:
         """Lists the other daemons that may be serving, silent ones too."""
-        return [m.name for m in self._list_current() if not m.leaving]
+        return [m.name for m in self._list_current_active() if not m.leaving]
 
     def count_members(self) -> int:
         """Counts daemons that may be serving, including this one and silent ones."""
@@ -250,6 +299,12 @@
         The clock of a single VM may jump; the median does not.
         """
         now = read_boottime()
+        if now - self._wall_offset_at > WALL_CLOCK_CACHE_S:
+            self._wall_offset = self._find_wall_offset(now)
+            self._wall_offset_at = now
+        return now + self._wall_offset
+
+    def _find_wall_offset(self, now: float) -> float:
         offsets = [time.time() - now]
         offsets += [
             m.wall_offset for m in self.list_alive() if m.wall_offset is not None
@@ -257,12 +312,20 @@
         offsets.sort()
         middle = len(offsets) // 2
         if len(offsets) % 2:
-            return now + offsets[middle]
-        return now + (offsets[middle - 1] + offsets[middle]) / 2
+            return offsets[middle]
+        return (offsets[middle - 1] + offsets[middle]) / 2
 
     def announce(self, *, everyone: bool = False) -> None:
-        """Sends a datagram at once to some of the other daemons, or to all of them."""
-        current = self._list_current()
+        """Sends a datagram at once to some of the active daemons, or to all of them.
+
+        A standby daemon announces only that it leaves: its next question tells the
+        rest soon enough.
+        """
+        if not self.active:
+            if self.leaving:
+                self._send_to(self._pick_asked())
+            return
+        current = self._list_current_active()
         if not everyone and len(current) > FAN_OUT:
             current = random.sample(current, FAN_OUT)
         self._send_to(current)
@@ -277,6 +340,8 @@
 
     def list_lost(self) -> list[str]:
         """Lists the daemons that were silent for longer than `FORGET_AFTER_S`."""
+        if read_boottime() - self._active_since < FORGET_AFTER_S or not self.active:
+            return []  # it may not have heard of the standby daemons yet
         current = {member.name for member in self._list_current()}
         return [name for name in self.members if name not in current]
 
@@ -284,6 +349,10 @@
         """Drops a daemon that is considered lost."""
         self.members.pop(name, None)
 
+    def _is_alive(self, member: Member, now: float) -> bool:
+        timeout_s = self._failure_timeout_s if member.active else STANDBY_TIMEOUT_S
+        return now - member.last_received_at <= timeout_s
+
     def _list_current(self) -> list[Member]:
         horizon = read_boottime() - FORGET_AFTER_S
         return [
@@ -292,6 +361,14 @@
             if max(m.last_received_at, m.listed_at) >= horizon
         ]
 
+    def _list_current_active(self) -> list[Member]:
+        """Lists active daemons; those only listed may be active, as far as known."""
+        return [
+            m
+            for m in self._list_current()
+            if m.active and (self.active or m.last_received_at > float("-inf"))
+        ]
+
     def _introduce(self, name: str, ip: str, port: int) -> None:
         known = self.members.get(name)
         if known is not None or name == self._settings.name:
@@ -300,20 +377,105 @@
         self.members[name] = Member(
             name=name, address=address, ip=ip, listed_at=read_boottime()
         )
-        self._send_to([self.members[name]])
+        if len(self.members) <= MIN_SERVING:
+            self._send_to([self.members[name]])
 
     async def _run_rounds(self) -> None:
         while True:
+            pause_s = TICK_S
+            began_at = read_boottime()
             try:
+                self._update_role()
                 self._send_to(self._pick_targets())
+                self._exclude_work(read_boottime() - began_at)
+                pause_s = TICK_S if self.active else STANDBY_INTERVAL_S
             except Exception:
                 LOGGER.exception("event=gossip_error")
-            await asyncio.sleep(TICK_S * random.uniform(0.9, 1.1))
+            await asyncio.sleep(pause_s * random.uniform(0.9, 1.1))
+
+    def _update_role(self) -> None:
+        """Decides whether this daemon is active or stands by."""
+        now = read_boottime()
+        name = self._settings.name
+        self._busy_share = self._read_busy_share()
+        if self.active:
+            self._failure_timeout_s = find_failure_timeout_s(
+                len(self._list_current_active())
+            )
+            self._choose_serving(now)
+            has_started = now - self._started_at >= STARTUP_S
+            # While it starts it knows too few others to tell whether it is in the set.
+            if has_started and name in self._serving:
+                self._in_set_at = now
+            if (
+                len(self._serving) < MIN_SERVING
+                or now - self._in_set_at < LINGER_S
+                or not has_started
+                or self.leaving
+                or self.must_stay_active()
+            ):
+                return
+            self._answered_at = now
+            self._failure_timeout_s = STANDBY_TIMEOUT_S
+            self._set_active(False)
+        elif (
+            name in self._serving
+            or self.leaving
+            or now - self._answered_at > STANDBY_TIMEOUT_S
+        ):
+            self._active_since = now
+            for member in self.members.values():
+                member.has_our_totals = False
+                member.totals_since = now
+            self._set_active(True)
+
+    def _set_active(self, active: bool) -> None:
+        self.active = active
+        log_event(
+            LOGGER,
+            "role_changed",
+            active=active,
+            in_set=self._settings.name in self._serving,
+            n_serving=len(self._serving),
+            n_alive=len(self.list_alive()),
+            answer_age_s=read_boottime() - self._answered_at,
+        )
+        self._on_role(active)
+
+    def _choose_serving(self, now: float) -> None:
+        settings = self._settings
+        reachable = self.list_reachable()
+        # Only the work in the set is spread over more daemons if the set grows.
+        busy_shares = [m.busy_share for m in reachable if m.name in self._serving]
+        before = self._set_size.n_wanted
+        self._set_size = update_size(
+            self._set_size, busy_shares=[*busy_shares, self._busy_share], now=now
+        )
+        if self._set_size.n_wanted != before:
+            log_event(
+                LOGGER,
+                "serving_set_sized",
+                n_wanted=self._set_size.n_wanted,
+                busy=sum(busy_shares) + self._busy_share,
+            )
+        candidates = [
+            Candidate(name=m.name, zone=m.zone, n_cores=m.n_cores)
+            for m in reachable
+            if m.ready and not m.leaving
+        ]
+        if self.ready and not self.leaving:
+            candidates.append(
+                Candidate(
+                    name=settings.name, zone=settings.zone, n_cores=settings.n_cores
+                )
+            )
+        self._serving = frozenset(choose_serving(candidates, self._set_size.n_wanted))
 
     def _pick_targets(self) -> list[Member]:
         """Returns the receivers of this tick; a round sends to each daemon once."""
-        current = self._list_current()
-        self._failure_timeout_s = find_failure_timeout_s(len(current))
+        if not self.active:
+            return self._pick_asked()
+        current = self._list_current_active()
         n_targets = count_sends_per_tick(len(current))
         if n_targets >= len(current):
             return current
@@ -329,22 +491,40 @@
         )
         return [m for m in targets if self.members.get(m.name) is m]
 
-    def _send_to(self, members: list[Member]) -> None:
+    def _pick_asked(self) -> list[Member]:
+        """Returns the daemons that a standby daemon asks: an active one if it can."""
+        alive = self.list_alive()
+        if alive:
+            return [random.choice(alive)]
+        known = list(self.members.values())
+        return random.sample(known, min(N_ASKED_WITHOUT_ACTIVE, len(known)))
+
+    def _send_to(self, members: list[Member], *, is_answer: bool = False) -> None:
         if self._transport is None or not members:
             return
         settings = self._settings
-        bodies: dict[bool, msgspec.Raw] = {}
+        bodies: dict[BodyKind, msgspec.Raw] = {}
         send_full_body = random.random() < FULL_BODY_SHARE
         progress, age = self._read_progress()
         number, configuration_revision = progress.configuration
+        now = read_boottime()
+        standbys = self._export_standbys(now) if self.active else ()
+        serving: tuple[Serving, ...] | None = None
         alive = self.list_alive()
         sample = random.sample(alive, min(N_INTRODUCED, len(alive)))
         introduced = tuple((m.name, m.ip, m.address.port) for m in sample)
         for member in members:
-            whole = send_full_body or not member.has_our_totals
-            if whole not in bodies:
-                bodies[whole] = msgspec.Raw(self._encode_body(whole))
-            data = _ENCODER.encode(
+            kind = BodyKind.WHOLE
+            if self.active and not member.active:
+                kind = BodyKind.SUMMARY
+            elif self.active and member.has_our_totals and not send_full_body:
+                kind = BodyKind.RECENT
+            if kind not in bodies:
+                bodies[kind] = msgspec.Raw(self._encode_body(kind))
+            exchanges_totals = self.active and member.active
+            if not exchanges_totals and serving is None and is_answer:
+                serving = self._export_serving(now, member.name)
+            data = encode_gossip(
                 Gossip(
                     name=settings.name,
                     incarnation=self.incarnation,
@@ -361,15 +541,94 @@
                     backends_revision=progress.backends_revision,
                     backends_digest=progress.backends_digest,
                     watch_served=self.watch_served,
-                    introduced=introduced,
-                    body=bodies[whole],
+                    introduced=introduced if exchanges_totals else (),
+                    body=bodies[kind],
                     configuration_number=number,
                     store_era=progress.era,
+                    active=self.active,
+                    is_answer=is_answer,
+                    n_cores=settings.n_cores,
+                    busy_share=round(self._busy_share, 3),
+                    standbys=standbys if exchanges_totals else (),
+                    serving=serving or () if not exchanges_totals else (),
                 )
             )
             self.n_bytes += len(data)
             self._transport.sendto(data, tuple(member.address))
 
+    def _export_standbys(self, now: float) -> tuple[Standby, ...]:
+        """Exports the standby daemons that were heard from in the last rounds."""
+        since = now - STANDBY_ROUNDS * self.round_duration_s()
+        heard = [m for m in self.members.values() if m.heard_at >= since]
+        heard.sort(key=lambda member: member.heard_at, reverse=True)
+        return tuple(
+            Standby(
+                name=m.name,
+                incarnation=m.incarnation,
+                ip=m.ip,
+                port=m.address.port,
+                zone=m.zone,
+                n_cores=m.n_cores,
+                stamp=m.last_stamp,
+                ready=m.ready,
+                leaving=m.leaving,
+                totals=m.row[0] if m.row_changed_at >= since else {},
+                counts=m.row[1] if m.row_changed_at >= since else {},
+            )
+            for m in heard[:MAX_LISTED]
+            if not m.active
+        )
+
+    def _export_serving(self, now: float, asker: str) -> tuple[Serving, ...]:
+        """Exports daemons that a standby daemon may send callers to or ask.
+
+        Args:
+            now: boot-time clock.
+            asker: the daemon that is told; it is listed if it is in the set itself.
+        """
+        settings = self._settings
+        known = [
+            m
+            for m in self.list_reachable()
+            if m.active or m.name in self._serving or m.name == asker
+        ]
+        random.shuffle(known)
+        known.sort(key=lambda member: member.name != asker)
+        entries = [
+            Serving(
+                name=m.name,
+                ip=m.ip,
+                port=m.address.port,
+                zone=m.zone,
+                age_s=max(0.0, now - m.last_received_at),
+                in_set=m.name in self._serving,
+                ready=m.ready,
+                leaving=m.leaving,
+                watch_served=m.watch_served,
+            )
+            for m in known[:MAX_LISTED]
+        ]
+        if self.active:
+            entries.append(
+                Serving(
+                    name=settings.name,
+                    ip=settings.ip,
+                    port=settings.peer.port,
+                    zone=settings.zone,
+                    age_s=0.0,
+                    in_set=settings.name in self._serving,
+                    ready=self.ready,
+                    leaving=self.leaving,
+                    watch_served=self.watch_served,
+                )
+            )
+        return tuple(entries)
+
+    def _receive_metered(self, data: bytes, address: tuple[str, int]) -> None:
+        began_at = read_boottime()
+        self._receive(data, address)
+        self._exclude_work(read_boottime() - began_at)
+
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         if data.startswith(MESSAGE_MARK):
             self.n_bytes += len(data)
@@ -379,7 +638,8 @@
                 self._on_message[mark](data[len(mark) :], Endpoint(*address))
             return
         try:
-            gossip = _DECODER.decode(data)
+            gossip = decode_gossip(data)
+            body = decode_body(gossip.body)
         except msgspec.MsgspecError as error:
             log_event(LOGGER, "bad_datagram", logging.WARNING, error=error)
             return
@@ -390,58 +650,133 @@
         if member is None:
             return
         now = read_boottime()
-        if now - member.last_received_at > self._failure_timeout_s:
+        if not self._is_alive(member, now):
             # Totals that changed during the silence were sent to other daemons only.
             member.has_our_totals = False
             log_event(LOGGER, "member_alive", member=gossip.name, zone=gossip.zone)
+        if gossip.active and not member.active:
+            # While it stood by it got summaries only.
+            member.has_our_totals = False
+            member.totals_since = now
+        self._update_member(member, gossip, now)
+        for name, ip, port in gossip.introduced:
+            self._introduce(name, ip, port)
+        self._note_echo(member, gossip)
+        if self.active:
+            for standby in gossip.standbys:
+                self._note_standby(standby, now)
+        for serving in gossip.serving:
+            self._note_serving(serving, now)
+        if gossip.active and gossip.serving and not self.active:
+            self._answered_at = now
+            self._serving = frozenset(s.name for s in gossip.serving if s.in_set)
+        sent_at = gossip.stamp + member.clock_offset
+        self._on_progress(
+            member,
+            Progress(
+                era=gossip.store_era,
+                configuration=ConfigurationRank(
+                    gossip.configuration_number, gossip.configuration_revision
+                ),
+                backends_revision=gossip.backends_revision,
+                backends_digest=gossip.backends_digest,
+            ),
+            sent_at - max(0.0, gossip.confirmation_age),
+        )
+        self._apply_body(member, body)
+
+    def _update_member(self, member: Member, gossip: Gossip, now: float) -> None:
         member.last_received_at = now
         member.last_stamp = gossip.stamp
         member.zone = gossip.zone
         member.leaving = gossip.leaving
         member.ready = gossip.ready
+        member.active = gossip.active
+        member.n_cores = gossip.n_cores
+        member.busy_share = gossip.busy_share
         member.confirmation_age = gossip.confirmation_age
+        if not gossip.active:
+            member.heard_at = now
         # A watch of an earlier era brings no present changes.
         era = self._read_progress()[0].era
         member.watch_served = gossip.watch_served and gossip.store_era == era
         member.wall_offset = gossip.wall - now
-        for name, ip, port in gossip.introduced:
-            self._introduce(name, ip, port)
-        if gossip.echo and gossip.echo_incarnation == self.incarnation:
+
+    def _note_echo(self, member: Member, gossip: Gossip) -> None:
+        """Reads what the member has of this daemon; answers if it has too little."""
+        echoed = bool(gossip.echo) and gossip.echo_incarnation == self.incarnation
+        if echoed:
             offset = gossip.echo - gossip.stamp
             member.clock_offset = max(member.clock_offset, offset)
-            member.has_our_totals = True
+            if gossip.active and gossip.echo >= member.totals_since:
+                member.has_our_totals = True
         else:
-            member.has_our_totals = False
             # The member has not yet received a stamp of this incarnation. The boot-time
             # clock may have restarted since, so an older echo says nothing about the
             # clock offset. The answer to this datagram will.
-            self._send_to([member])
-        sent_at = gossip.stamp + member.clock_offset
-        self._on_progress(
-            member,
-            Progress(
-                era=gossip.store_era,
-                configuration=ConfigurationRank(
-                    gossip.configuration_number, gossip.configuration_revision
-                ),
-                backends_revision=gossip.backends_revision,
-                backends_digest=gossip.backends_digest,
-            ),
-            sent_at - max(0.0, gossip.confirmation_age),
-        )
-        try:
-            body = msgspec.msgpack.decode(gossip.body)
-        except msgspec.MsgspecError as error:
-            log_event(LOGGER, "bad_datagram", logging.WARNING, error=error)
+            member.has_our_totals = False
+        if not gossip.is_answer and not (gossip.active and echoed):
+            self._send_to([member], is_answer=True)
+
+    def note_row(self, member: Member, totals: Any, counts: Any) -> None:
+        """Records the totals that a standby member sent, to be passed on if changed."""
+        if member.row != (totals, counts):
+            member.row = (totals, counts)
+            member.row_changed_at = read_boottime()
+
+    def _note_standby(self, standby: Standby, now: float) -> None:
+        """Records a standby daemon that an active one heard from."""
+        if standby.name == self._settings.name:
             return
-        self._apply_body(member, body)
+        member = self.members.get(standby.name)
+        if member is None or standby.incarnation > member.incarnation:
+            member = self.members[standby.name] = Member(
+                name=standby.name,
+                address=Endpoint(standby.ip, standby.port),
+                ip=standby.ip,
+                incarnation=standby.incarnation,
+                listed_at=now,
+            )
+        elif (
+            standby.incarnation < member.incarnation
+            or standby.stamp <= member.last_stamp
+        ):
+            return
+        member.last_received_at = now
+        member.last_stamp = standby.stamp
+        member.zone = standby.zone
+        member.n_cores = standby.n_cores
+        member.ready = standby.ready
+        member.leaving = standby.leaving
+        member.active = False
+        self._apply_row(member, standby.totals, standby.counts)
+
+    def _note_serving(self, serving: Serving, now: float) -> None:
+        """Records a daemon that another one has heard from more recently."""
+        if serving.name == self._settings.name:
+            return
+        member = self.members.get(serving.name)
+        if member is None:
+            member = self.members[serving.name] = Member(
+                name=serving.name,
+                address=Endpoint(serving.ip, serving.port),
+                ip=serving.ip,
+                listed_at=now,
+            )
+        received_at = now - serving.age_s
+        if received_at <= member.last_received_at:
+            return
+        member.last_received_at = received_at
+        member.zone = serving.zone
+        member.ready = serving.ready
+        member.leaving = serving.leaving
+        member.watch_served = serving.watch_served
+        member.active = True
 
     def _find_sender(self, gossip: Gossip, address: tuple[str, int]) -> Member | None:
         """Finds or adds the member; returns None for an outdated datagram."""
         member = self.members.get(gossip.name)
-        silent = member is not None and (
-            read_boottime() - member.last_received_at > self._failure_timeout_s
-        )
+        silent = member is not None and not self._is_alive(member, read_boottime())
         # The incarnation is lower if the clock was set back before a restart.
         if (
             member is None
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -83,6 +83,7 @@
         cloud: address of the platform's cloud API, None if there are no duties.
         duties: duties that the platform asks for.
         bounds: bounds that the platform declares.
+        n_cores: processor cores that the daemon may use, also a part of one.
     """
 
     name: str
@@ -98,6 +99,7 @@
     cloud: Endpoint | None
     duties: frozenset[str]
     bounds: Bounds
+    n_cores: float = 1.0
 
 
 class ServiceShare(NamedTuple):
--- a/berylpost/edge/quotas.py
+++ b/berylpost/edge/quotas.py
@@ -1,7 +1,7 @@
 """Customers' quotas and services' retry budgets, shared by all daemons by gossip."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from ..logs import log_event
@@ -29,6 +29,8 @@
 STARTUP_BURST_SHARE: Final = 0.5
 # Time after its start by which a daemon knows what the others have used.
 STARTUP_S: Final = 4.0
+# Shorter than a gossip round, so that a daemon is not missed for longer.
+SILENT_SHARE_CACHE_S: Final = 0.1
 
 
 class Quotas:
@@ -36,16 +38,23 @@
 
     Args:
         bounds: bounds that the platform declares.
+        find_customer: returns a customer of the configuration in force; None for an
+            unknown one.
     """
 
-    def __init__(self, *, bounds: Bounds) -> None:
+    def __init__(
+        self, *, bounds: Bounds, find_customer: Callable[[str], Customer | None]
+    ) -> None:
         self._bounds = bounds
+        self._find_customer = find_customer
         self._started_at = read_boottime()
         self._states: dict[str, QuotaState] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._last_totals: dict[tuple[str, int], dict[str, float]] = {}
         self._reported_levels: dict[str, float] = {}
         self._members: Members | None = None
+        self._silent_share = 0.0
+        self._silent_share_at = float("-inf")
 
     def bind(self, members: Members) -> None:
         """Sets the membership, which is created after this object."""
@@ -137,12 +146,61 @@
                 if state is not None:
                     state.level = min(state.level, level)
             return
+        self._subtract_used(known, totals)
+
+    def import_row(self, member: Member, totals: Mapping[str, Any]) -> None:
+        """Subtracts the units that a standby daemon used since its last row.
+
+        Args:
+            member: the standby daemon.
+            totals: the totals that it exported, or those that changed.
+        """
+        key = (member.name, member.incarnation)
+        known = self._last_totals.get(key)
+        if known is None:
+            for stale in [k for k in self._last_totals if k[0] == member.name]:
+                del self._last_totals[stale]
+            self._last_totals[key] = {name: used for name, (used, _) in totals.items()}
+            return
+        self._subtract_used(known, totals)
+
+    def export_levels(self) -> dict[str, list[float]]:
+        """Returns the known levels by customer, with their ages in seconds."""
+        now = read_boottime()
+        return {
+            name: [round(state.level), round(now - state.updated_at, 2)]
+            for name, state in self._states.items()
+        }
+
+    def import_levels(self, levels: Mapping[str, Any]) -> None:
+        """Takes over the levels that an active daemon knows, while this one stands by.
+
+        Units that this daemon used within the last moments may be missing in them.
+        """
+        now = read_boottime()
+        for name, (level, age_s) in levels.items():
+            self._reported_levels[name] = level
+            state = self._states.get(name)
+            if state is not None:
+                state.level, state.updated_at = level, now - age_s
+
+    def forget_totals(self) -> None:
+        """Forgets the others' totals when this daemon changes its role.
+
+        The next whole totals are those from which their use is counted again.
+        """
+        self._last_totals.clear()
+
+    def _subtract_used(
+        self, known: dict[str, float], totals: Mapping[str, Any]
+    ) -> None:
         for name, (used, _) in totals.items():
             delta = used - known.get(name, 0.0)
             known[name] = used
-            state = self._states.get(name)
-            if state is not None:
-                state.level -= delta
+            customer = self._find_customer(name) if delta else None
+            if customer is not None and customer.rate > 0:
+                # Also units of a customer that this daemon has not served yet.
+                self._refresh(customer).level -= delta
 
     def _find_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -174,6 +232,9 @@
     def _measure_silent_share(self, now: float) -> float:
         """Returns the share of all daemons that may serve but are not heard from."""
         assert self._members is not None
-        n_members = self._members.count_members()
-        n_heard = len(self._members.list_alive()) + 1
-        return max(0.0, 1.0 - n_heard / n_members)
+        if now - self._silent_share_at > SILENT_SHARE_CACHE_S:
+            n_members = self._members.count_members()
+            n_heard = len(self._members.list_alive()) + 1
+            self._silent_share = max(0.0, 1.0 - n_heard / n_members)
+            self._silent_share_at = now
+        return self._silent_share
--- a/berylpost/edge/request_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -273,6 +273,8 @@
         self._send_records(keys, [alive[name] for name in keepers])
 
     def _is_first_keeper(self, key: int) -> bool:
+        if not self._members.active:
+            return False
         names = [m.name for m in self._members.list_alive() if not m.leaving]
         return rank_keepers(str(key), [*names, self._name])[0] == self._name
 
@@ -282,7 +284,7 @@
 
     def _pass_on(self, changed: frozenset[int]) -> None:
         """Tells a few other daemons what became held or was released."""
-        alive = [member.address for member in self._members.list_alive()]
+        alive = [member.address for member in self._members.list_reachable()]
         random.shuffle(alive)
         self._send_records(changed | self.state.holds.keys(), alive[:FAN_OUT])
 
--- a/berylpost/edge/store_watch.py
+++ b/berylpost/edge/store_watch.py
@@ -1,9 +1,10 @@
 """Watches the store for all daemons, or leaves that to others.
 
 Only a few daemons watch; the others learn of changes by gossip, so that the number of
-calls to the store does not grow with the number of daemons. Daemons are ordered by a
-hash of their names. A daemon watches while fewer than `N_WATCHERS` of the daemons
-before it in that order report that the store answers their watches.
+calls to the store does not grow with the number of daemons. Active daemons are ordered
+by a hash of their names; standby daemons come after them. A daemon watches while fewer
+than `N_WATCHERS` of the daemons before it in that order report that the store answers
+their watches.
 """
 
 import asyncio
@@ -134,10 +135,11 @@
     def _count_preceding(self) -> tuple[int, int]:
         """Counts the daemons before this one, and those of them with a served watch."""
         own_hash = hash_text(self._name)
+        stands_by = not self._members.active
         preceding = [
             member
             for member in self._members.list_alive()
-            if not member.leaving and hash_text(member.name) < own_hash
+            if not member.leaving and (stands_by or hash_text(member.name) < own_hash)
         ]
         return len(preceding), sum(1 for member in preceding if member.watch_served)
 
--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -27,7 +27,8 @@
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .datagrams import DatagramChannel
-from .members import MESSAGE_MARK, Member, Members
+from .gossip import MESSAGE_MARK
+from .members import Member, Members
 from .model import Endpoint, ServingConfiguration
 from .work import RequestContext, make_refusal
 
--- a/berylpost/edge/usage.py
+++ b/berylpost/edge/usage.py
@@ -26,6 +26,7 @@
         self._read_wall_clock = read_wall_clock
         self._own: dict[int, dict[str, int]] = {}
         self._others: dict[tuple[str, int], dict[int, dict[str, int]]] = {}
+        self._pruned_at = 0  # newest window when old ones were last dropped
 
     def read_window(self) -> float:
         """Returns the current window's number plus its elapsed fraction."""
@@ -52,16 +53,23 @@
         self, member: str, incarnation: int, counts: Mapping[Any, Mapping[str, int]]
     ) -> None:
         """Records another daemon's counts; keeps those of earlier incarnations."""
-        newest = int(self.read_window())
+        if not counts:
+            return
         kept = self._others.setdefault((member, incarnation), {})
         for window, by_customer in counts.items():
             kept[int(window)] = dict(by_customer)
+        newest = int(self.read_window())
+        if newest != self._pruned_at:
+            self._pruned_at = newest
+            self._drop_old(newest)
+
+    def _drop_old(self, newest: int) -> None:
+        """Drops windows that were reported long ago, and daemons without any."""
         for windows in self._others.values():
             for old in [w for w in windows if w <= newest - 2 * KEPT_WINDOWS]:
                 del windows[old]
         for key in [k for k, windows in self._others.items() if not windows]:
-            if key != (member, incarnation):
-                del self._others[key]
+            del self._others[key]
 
     def export_all(self, name: str, incarnation: int) -> list[Any]:
         """Returns the known counts of all daemons, to be saved in the store."""
--- a/berylpost/platform/boot.py
+++ b/berylpost/platform/boot.py
@@ -50,6 +50,11 @@
     duties: tuple[str, ...] = ()
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
+
+
 class _SettingsFile(msgspec.Struct, frozen=True, rename="pascal"):
     node: str
     ip: str
@@ -59,6 +64,7 @@
     port_range: tuple[int, int]
     region: str = ""
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     cloud: _Remote | None = None
     heartbeat_ms: float = 1_200
 
@@ -136,4 +142,5 @@
             quota_overshoot=bounds.quota_overshoot,
             heartbeat_s=document.heartbeat_ms / _MS,
         ),
+        n_cores=document.limits.cpu_share * document.limits.cpu_cores,
     )
--- a/berylpost/policy/rounds.py
+++ b/berylpost/policy/rounds.py
@@ -1,9 +1,10 @@
 """Computes the length of gossip rounds from the number of daemons.
 
-The policy is designed for tens of daemons on links of 10 Mbit/s that need each other's
-totals to place prompts and to enforce quotas. In each round, every daemon sends to
-every other one. Rounds become longer with more daemons, so that the number of datagrams
-that a daemon sends per second is bounded.
+The policy is designed for tens of active daemons on links of 10 Mbit/s that need each
+other's totals to place prompts and to enforce quotas. In each round, every active
+daemon sends to every other one. Rounds become longer with more daemons, so that the
+number of datagrams that a daemon sends per second is bounded. A standby daemon asks one
+active daemon at a time, so that its work does not depend on the number of daemons.
 """
 
 import math
@@ -17,6 +18,11 @@
 # Covers three consecutive lost datagrams, whose probability is 27 in a million at 3%
 # loss.
 FAILURE_TIMEOUT_ROUNDS: Final = 3.5
+# Short enough that a configuration is in force at a standby daemon within a second.
+STANDBY_INTERVAL_S: Final = 0.5
+# Covers three lost questions or answers of a standby daemon, and the round in which an
+# active daemon passes on that it heard from it.
+STANDBY_TIMEOUT_S: Final = 2.5
 
 
 def find_round_s(n_others: int) -> float:
--- a/features/steps/entry_limit_steps.py
+++ b/features/steps/entry_limit_steps.py
@@ -290,11 +290,14 @@
 )
 def step_check_bytes(context: Context, n: int, k: int, limit: int) -> None:
     sent = []
+    others = [
+        SimpleNamespace(name=f"d-{k}", address=Endpoint("ip", k)) for k in range(n)
+    ]
     members = SimpleNamespace(
+        active=True,
         bind_messages=lambda *_: None,
-        list_alive=lambda: [
-            SimpleNamespace(name=f"d-{k}", address=Endpoint("ip", k)) for k in range(n)
-        ],
+        list_alive=lambda: others,
+        list_reachable=lambda: others,
         list_serving=lambda: [f"d-{k}" for k in range(n)],
         estimate_wall_clock=time.time,
         send_message=lambda _address, data, mark: sent.append(len(data) + len(mark)),
--- a/features/steps/entry_quarantine_steps.py
+++ b/features/steps/entry_quarantine_steps.py
@@ -717,12 +717,15 @@
 @then("a daemon that holds {n:d} parts sends at most {limit:d} bytes a second for them")
 def step_check_bytes(context: Context, n: int, limit: int) -> None:
     sent = []
+    others = [
+        SimpleNamespace(name=f"d-{k}", address=Endpoint("ip", k), leaving=False)
+        for k in range(1_099)
+    ]
     members = SimpleNamespace(
+        active=True,
         bind_messages=lambda *_: None,
-        list_alive=lambda: [
-            SimpleNamespace(name=f"d-{k}", address=Endpoint("ip", k), leaving=False)
-            for k in range(1_099)
-        ],
+        list_alive=lambda: others,
+        list_reachable=lambda: others,
         send_message=lambda _address, data, mark: sent.append(len(data) + len(mark)),
     )
     records = {}
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -11,7 +11,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from berylpost.edge.members import Gossip
+from berylpost.edge.gossip import Gossip
+from berylpost.edge.members import BodyKind
 from berylpost.explain import explain_request
 from berylpost.fakes.entry_world import API_KEY, HOST, EntryWorld, make_configuration
 from berylpost.fakes.replica import N_EVENTS, SIGNATURE
@@ -897,7 +898,7 @@
         backends_digest=progress.backends_digest,
         watch_served=False,
         introduced=(),
-        body=msgspec.Raw(daemon._encode_gossip_body(True)),
+        body=msgspec.Raw(daemon._encode_gossip_body(BodyKind.WHOLE)),
         configuration_number=number,
         store_era=progress.era,
     )
