Take no answer without an id for the one to the present request

Cause: a server may write an earlier refusal once more on a kept connection. One with its id was discarded; one without an id was taken as the answer, so callers were told 'not run' for what ran, or a repeatable request ran at a second server. Change: an answer that names no request fails the attempt as possibly run if the server has named requests on this connection, or if it refuses on a connection used before. Result: features/entry_faulty_servers.feature fails in four scenarios and in the drawn sequences on the code before, and passes now. Scenarios for refusals with an id, written twice, for streams that break off before a server that answers 500, 200, 503 or bytes that are no answer, and for heads that break off pass on the code before, too.

--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -173,6 +173,8 @@
         self._unframed = False
         self._awaits_head = False
         self._n_head_bytes = 0
+        # Whether the server has named the request that it answered on this connection.
+        self._has_echoed = False
 
     @property
     def is_open(self) -> bool:
@@ -281,6 +283,14 @@
             self._discarding = True
             self.reusable = False
             return
+        if echoed is None and exchange.attempt_id and self._is_suspect(status, headers):
+            # It may belong to an earlier request; this one may be running.
+            log_event(LOGGER, "answer_without_id", backend=self.backend_id)
+            self._discarding = True
+            self._fail(Failure.BAD_ANSWER, "answer without an id")
+            self.abort()
+            return
+        self._has_echoed = self._has_echoed or echoed is not None
         chunked = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
         length = headers.get(b"content-length")
         bodiless = not exchange.has_body or status in (204, 304)
@@ -304,6 +314,11 @@
             self._exchange = None
             exchange.finish()
 
+    def _is_suspect(self, status: int, headers: dict[bytes, bytes]) -> bool:
+        """Tells whether an answer that names no request may belong to another one."""
+        refuses = status == 421 or names.NOT_EXECUTED in headers
+        return self._has_echoed or (refuses and self.n_exchanges > 1)
+
     def on_body(self, body: bytes) -> None:
         """Passes a piece of the body to the exchange."""
         exchange = self._exchange
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 from typing import Final
+from weakref import WeakKeyDictionary
 
 import httptools
 
@@ -23,6 +24,7 @@
 EVENT_PAUSE_S: Final = 0.03
 ENDLESS_BYTES: Final = 16_384
 MAX_ENDLESS_BYTES: Final = 256 << 20  # ends a test that would not end otherwise
+REPEAT_DELAY_S: Final = 0.004  # from a request to a refusal that is written again
 CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 
 
@@ -60,6 +62,7 @@
         on_crash: called when the server has crashed.
 
     Attributes:
+        cut_at: share of an answer's head after which the fault "head cut" stops.
         crashing_parts: prompt parts that crash the server when it begins to answer a
             request that shares one of them.
         crashing_bodies: bodies of requests that crash the server when it begins to run
@@ -104,6 +107,11 @@
         self.port = port
         self.version = version
         self.fault = "none"
+        self.cut_at = 0.5
+        # Refusals to write again, by the connection on which they were sent first.
+        self.refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
         self.limit = ""
         self.leaving = ""
         self.born = 0
@@ -282,6 +290,13 @@
 ) -> bool:
     """Runs the request and sends a complete response."""
     _record_run(replica, incoming)
+    return await _send_answer(replica, incoming, writer)
+
+
+async def _send_answer(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends the complete response to a request that runs."""
     if _is_stream(incoming):
         return await _stream_events(replica, incoming, writer, n_events=N_EVENTS)
     await asyncio.sleep(replica.work_s)
@@ -387,6 +402,93 @@
     return True
 
 
+def _make_refusal(
+    replica: Replica, incoming: _IncomingRequest, *, has_id: bool
+) -> bytes:
+    headers = {**_make_headers(replica, incoming), "X-Berylpost-Not-Executed": "1"}
+    if not has_id:
+        del headers["X-Berylpost-Attempt-Id"]
+    lines = ["HTTP/1.1 503 Status", *(f"{n}: {v}" for n, v in headers.items())]
+    return ("\r\n".join(lines) + "\r\nContent-Length: 0\r\n\r\n").encode()
+
+
+async def _repeat_refusal(
+    replica: Replica,
+    incoming: _IncomingRequest,
+    writer: asyncio.StreamWriter,
+    *,
+    has_id: bool = True,
+) -> bool:
+    """Refuses every other request of a connection, and repeats that to the next one.
+
+    The repeated refusal comes before the answer to a request that runs.
+    """
+    earlier = replica.refusals.pop(writer, None)
+    if earlier is None:
+        replica.refusals[writer] = _make_refusal(replica, incoming, has_id=has_id)
+        return await _refuse(replica, incoming, writer)
+    _record_run(replica, incoming)
+    await asyncio.sleep(REPEAT_DELAY_S)
+    writer.write(earlier)
+    await writer.drain()
+    await asyncio.sleep(REPEAT_DELAY_S)
+    return await _send_answer(replica, incoming, writer)
+
+
+async def _repeat_refusal_without_id(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """As `_repeat_refusal`, but the repeated refusal names no attempt."""
+    return await _repeat_refusal(replica, incoming, writer, has_id=False)
+
+
+async def _refuse_twice(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Refuses every other request of a connection by two answers in one write."""
+    if replica.refusals.pop(writer, None) is not None:
+        return await _answer(replica, incoming, writer)
+    refusal = replica.refusals[writer] = _make_refusal(replica, incoming, has_id=True)
+    writer.write(refusal + refusal)
+    return True
+
+
+async def _cut_head(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request, stops inside the answer's head and closes gracefully."""
+    _record_run(replica, incoming)
+    headers = {**_make_headers(replica, incoming), "Content-Length": "9"}
+    if _is_stream(incoming):
+        headers["Content-Type"] = "text/event-stream"
+    lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    writer.write(head[: min(len(head) - 1, int(len(head) * replica.cut_at))])
+    await writer.drain()
+    writer.close()
+    return False
+
+
+async def _fail_as_stream(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and fails by an event stream with status 500."""
+    _record_run(replica, incoming)
+    headers = _make_headers(replica, incoming)
+    headers["Content-Type"] = "text/event-stream"
+    _write(writer, 500, headers, b"id: 4\ndata: failed\n\n")
+    return True
+
+
+async def _answer_plainly(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Runs the request and sends a plain text, also where a stream was asked for."""
+    _record_run(replica, incoming)
+    _write(writer, 200, _make_headers(replica, incoming), b"plain text")
+    return True
+
+
 async def _fail(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -602,6 +704,12 @@
     "reset": _run_and_reset,
     "cut": _cut_response,
     "refuse": _refuse,
+    "refusal again": _repeat_refusal,
+    "refusal again without id": _repeat_refusal_without_id,
+    "refusal twice": _refuse_twice,
+    "head cut": _cut_head,
+    "plain": _answer_plainly,
+    "fail as stream": _fail_as_stream,
     "fail": _fail,
     "garbage": _send_garbage,
     "extra": _send_extra,
--- /dev/null
+++ b/features/entry_faulty_servers.feature
@@ -0,0 +1,52 @@
+Feature: What faulty servers write is never taken for what it is not
+
+  Scenario Outline: A server with the fault "<fault>" leads to no untrue refusal of <kind>
+    Given 1 entry daemons and 2 servers
+    And every server has the fault "<fault>"
+    When callers send 60 requests of the kind "<kind>" one after the other
+    Then none of those told as not run has run, and no other more than once
+    And at least <n> of them ran
+
+    Examples:
+      | fault                    | kind        | n  |
+      | refusal again            | book        | 10 |
+      | refusal again            | read        | 10 |
+      | refusal again            | stream      | 10 |
+      | refusal again            | stream/once | 10 |
+      | refusal again without id | book        | 10 |
+      | refusal again without id | read        | 10 |
+      | refusal again without id | stream      | 10 |
+      | refusal again without id | stream/once | 10 |
+      | refusal twice            | book        | 0  |
+      | refusal twice            | stream/once | 0  |
+
+  Scenario Outline: A broken stream is never completed by the answer "<answer>"
+    Given 1 entry daemons and 2 servers
+    And a server breaks a stream off after 3 events and the other answers "<answer>"
+    When callers send 6 requests of the kind "stream" one after the other
+    Then each answer is cut off and holds whole events only
+
+    Examples:
+      | answer         |
+      | fail           |
+      | plain          |
+      | fail as stream |
+      | refuse         |
+      | head cut       |
+      | garbage        |
+
+  Scenario Outline: An answer to <kind> whose head breaks off is no success
+    Given 1 entry daemons and 2 servers
+    And every server stops at each place of the head of its answers in turn
+    When callers send 40 requests of the kind "<kind>" one after the other
+    Then no answer is a success
+
+    Examples:
+      | kind        |
+      | read        |
+      | book        |
+      | stream      |
+      | stream/once |
+
+  Scenario: No sequence of answers on a connection is taken for another
+    Then for 400 drawn sequences of answers no refusal is untrue and no body foreign
--- /dev/null
+++ b/features/steps/entry_faulty_server_steps.py
@@ -0,0 +1,206 @@
+"""Steps for servers whose answers are repeated, cut or of the wrong kind."""
+
+import asyncio
+import itertools
+import re
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as draw
+from hypothesis import settings
+from hypothesis import strategies as st
+from steps.entry_limit_steps import list_daemons
+from steps.entry_steps import make_request_line, send_request
+from steps.shared import DETERMINISTIC
+
+from berylpost.edge.upstream import Connection, Exchange, UpstreamError
+
+NOT_RUN = {408, 421, 429, 503}
+_numbers = itertools.count()
+
+
+@given('every server has the fault "{fault}"')
+def step_set_fault(context: Context, fault: str) -> None:
+    for replica in context.world.replicas:
+        replica.fault = fault
+
+
+@given("every server stops at each place of the head of its answers in turn")
+def step_cut_heads(context: Context) -> None:
+    for replica in context.world.replicas:
+        places = itertools.cycle([n / 40 for n in range(41)])
+
+        def move(_headers, replica=replica, places=places):
+            replica.cut_at = next(places)
+
+        replica.fault = "head cut"
+        replica.on_run = move
+
+
+@given(
+    'a server breaks a stream off after {n:d} events and the other answers "{answer}"'
+)
+def step_break_streams(context: Context, n: int, answer: str) -> None:
+    first, second = context.world.replicas
+    context.n_events = n
+
+    def prepare(replica, other):
+        def take(_headers):
+            # Whichever is asked first breaks off.
+            other.fault = answer
+
+        replica.fault = "cut"
+        replica.on_run = take
+
+    context.prepare = lambda: (prepare(first, second), prepare(second, first))
+
+
+@when('callers send {n:d} requests of the kind "{kind}" one after the other')
+def step_send(context: Context, n: int, kind: str) -> None:
+    async def send():
+        (daemon,) = list_daemons(context)
+        context.answers = {}
+        for _ in range(n):
+            getattr(context, "prepare", lambda: None)()
+            attempt = f"faulty-{next(_numbers)}"
+            answer = await send_request(daemon, make_request_line(kind), attempt)
+            context.answers[attempt] = answer
+
+    context.world.run(send(), timeout_s=60.0)
+
+
+def count_runs(context, attempt):
+    return sum(replica.runs[attempt] for replica in context.world.replicas)
+
+
+@then("none of those told as not run has run, and no other more than once")
+def step_check_refusals(context: Context) -> None:
+    for attempt, answer in context.answers.items():
+        n_runs = count_runs(context, attempt)
+        if answer.complete and answer.status in NOT_RUN:
+            assert n_runs == 0, (attempt, answer, n_runs)
+        repeatable = "read" in str(context.scenario.name) or re.search(
+            r"of stream$", context.scenario.name.split(" -- ")[0]
+        )
+        assert n_runs <= (2 if repeatable else 1), (attempt, answer, n_runs)
+
+
+@then("at least {n:d} of them ran")
+def step_check_ran(context: Context, n: int) -> None:
+    ran = sum(count_runs(context, attempt) > 0 for attempt in context.answers)
+    assert ran >= n, ran
+
+
+@then("each answer is cut off and holds whole events only")
+def step_check_streams(context: Context) -> None:
+    for answer in context.answers.values():
+        assert answer.status == 200 and not answer.complete, answer
+        events = b"".join(
+            b"id: %d\ndata: w%d\n\n" % (k, k) for k in range(1, context.n_events + 1)
+        )
+        assert answer.body == events, answer
+
+
+@then("no answer is a success")
+def step_check_no_success(context: Context) -> None:
+    for answer in context.answers.values():
+        assert answer.status >= 500 or not answer.status, answer
+
+
+class _Transport:
+    """Takes what a connection sends."""
+
+    def __init__(self):
+        self.closing = False
+
+    def get_extra_info(self, _name):
+        return None
+
+    def is_closing(self):
+        return self.closing
+
+    def abort(self):
+        self.closing = True
+
+    def write(self, _data):
+        """Nothing is sent anywhere."""
+
+
+def make_answer(number, kind, *, has_id=True):
+    """Makes a server's answer to the request with a number."""
+    body = b"body-%d" % number if kind == "ran" else b""
+    lines = ["HTTP/1.1 200 OK" if kind == "ran" else "HTTP/1.1 503 Full"]
+    lines += [f"X-Berylpost-Attempt-Id: id-{number}"] if has_id else []
+    lines += [] if kind == "ran" else ["X-Berylpost-Not-Executed: 1"]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+# What a server writes for a request: earlier answers once more, with or without their
+# ids, then its own answer, of which it may send a part only.
+EXCHANGES = st.lists(
+    st.tuples(
+        st.sampled_from(["ran", "refused"]),
+        st.lists(st.tuples(st.integers(0, 5), st.booleans()), max_size=2),
+        st.integers(0, 300),
+        st.booleans(),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@then("for {n:d} drawn sequences of answers no refusal is untrue and no body foreign")
+def step_check_sequences(context: Context, n: int) -> None:
+    @settings(DETERMINISTIC, max_examples=n)
+    @draw(EXCHANGES)
+    def check(exchanges):
+        asyncio.run(play(exchanges))
+
+    check()
+
+
+async def play(exchanges):
+    """Plays the exchanges on one connection for as long as it may be used."""
+    connection = Connection(backend_id="r", on_closed=lambda _connection: None)
+    connection.connection_made(_Transport())
+    kinds = []
+    for number, (kind, earlier, cut, comes_late) in enumerate(exchanges):
+        if not (connection.is_open and connection.reusable):
+            return
+        exchange = Exchange(attempt_id=b"id-%d" % number, has_body=True)
+        connection.send(b"request", exchange)
+        kinds.append(kind)
+        stale = b"".join(
+            make_answer(old, kinds[old], has_id=has_id)
+            for old, has_id in earlier
+            if old < number
+        )
+        own = make_answer(number, kind)
+        data = stale + own
+        is_cut = cut < len(data)
+        for start in range(0, min(cut, len(data)), 7):
+            if connection.is_open:
+                connection.data_received(data[start : min(start + 7, cut)])
+        if is_cut:
+            connection.eof_received()
+            connection.connection_lost(None)
+        check_exchange(exchange, number, kind, is_cut and cut < len(stale))
+        if comes_late and connection.is_open:
+            # The last answer once more, while no request waits.
+            connection.data_received(own)
+
+
+def check_exchange(exchange, number, kind, lacks_own):
+    """Checks that what the exchange tells is true."""
+    try:
+        head = exchange.head.result() if exchange.head.done() else None
+    except UpstreamError:
+        return
+    if head is None:
+        return
+    assert not lacks_own, "an earlier answer was taken for the own one"
+    refused = bool(head.find(b"x-berylpost-not-executed"))
+    assert refused == (kind == "refused"), (number, kind)
+    if exchange.end.done() and exchange.end.exception() is None and not refused:
+        assert bytes(exchange.body) == b"body-%d" % number
