Take no head that breaks off for an answer, and no repeated refusal for another

Cause: calls to plain services of our own interface run on the standard library, which takes a head that ends with its connection for a whole one, so a caller got a 200 with an empty body; and a refusal that a server wrote once more on a kept connection was taken as the answer to the next call, which ran.

--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import parse_qsl, unquote, urlsplit
+from weakref import WeakKeyDictionary
 
 import httptools
 import msgspec
@@ -48,6 +49,14 @@
     stream: AsyncIterator[bytes] | None = None
 
 
+def _render(reply: Reply) -> bytes:
+    """Renders a response without a stream."""
+    head = f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Other')}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
+    head += f"Content-Length: {len(reply.body)}\r\n\r\n"
+    return head.encode("latin-1") + reply.body
+
+
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
@@ -81,6 +90,10 @@
         linger_s: time for which the address accepts connections after a crash.
         rate_limit: requests a second that an engine names in its load reports; negative
             for none.
+        cut_heads: number of responses whose head breaks off and whose connection is
+            then closed gracefully; the request took effect.
+        repeats_refusals: whether a refusal is written once more after the next request
+            on its connection.
         endless: number of responses that go on without end until the caller closes.
         endless_head: whether their head goes on, rather than their body.
         match: text that the path of affected requests contains; does not limit cuts.
@@ -98,6 +111,8 @@
     crash_on: str = ""
     linger_s: float = 0.0
     rate_limit: float = -1.0
+    cut_heads: int = 0
+    repeats_refusals: bool = False
     endless: int = 0
     endless_head: bool = False
     match: str = ""
@@ -160,6 +175,9 @@
         self._handle = handle
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
+        self._refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
 
     async def start(self) -> None:
         """Starts listening."""
@@ -230,11 +248,19 @@
         if self.faults.endless > 0 and self.faults.match in request.path:
             self.faults.endless -= 1
             return await self._send_endlessly(writer)
+        earlier = self._refusals.pop(writer, None)
+        if earlier is not None:
+            writer.write(earlier)
         reply = await self._answer(request)
+        if reply is not None and self.faults.cut_heads > 0 and reply.status != 503:
+            self.faults.cut_heads -= 1
+            return await self._cut_head(writer, reply)
         if reply is None:
             # The request took effect, but the client gets no response.
             writer.transport.abort()
             return False
+        if reply.status == 503 and self.faults.repeats_refusals:
+            self._refusals[writer] = _render(reply)
         return await self._send(writer, reply) and bool(parser.should_keep_alive())
 
     async def _answer(self, request: Request) -> Reply | None:
@@ -271,6 +297,13 @@
             return True
         return await self._send_stream(writer, head.encode("latin-1"), reply.stream)
 
+    async def _cut_head(self, writer: asyncio.StreamWriter, reply: Reply) -> bool:
+        """Sends a half of a response's head and closes gracefully."""
+        data = _render(reply)
+        writer.write(data[: data.index(b"\r\n\r\n") // 2])
+        await writer.drain()
+        return False
+
     async def _send_endlessly(self, writer: asyncio.StreamWriter) -> bool:
         """Sends a response without end, bounded in case nobody closes it."""
         line = b"X-More: and-more\r\n"
--- a/berylpost/forwarding.py
+++ b/berylpost/forwarding.py
@@ -22,6 +22,7 @@
 from .backends import mark_leaving
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
 from .event_stream import CONTENT_TYPE, ends_inside_event
+from .http_pools import make_pool
 from .invariants import check_invariant
 from .kernel import Context, Slot
 from .messages import Backend, IntentAnswer, IntentRequest, Outcome, OutcomeReport
@@ -119,7 +120,7 @@
         self._random = random_state
         self._outstanding = OutstandingCalls()
         self._budget = Budget()
-        self._pool = urllib3.PoolManager(maxsize=64, num_pools=100, retries=False)
+        self._pool = make_pool(maxsize=64, num_pools=100, retries=False)
 
     def call(self, call: ServiceCall, *, idempotent: bool) -> Outcome:
         """Forwards one call.
--- a/berylpost/movers.py
+++ b/berylpost/movers.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from .http_pools import make_pool
 from .logs import log_event
 from .upstream import post_json
 
@@ -23,7 +24,7 @@
 
 def make_cache_mover() -> CacheMover:
     """Makes a function that moves a text's KV cache and reports to a callback."""
-    pool = urllib3.PoolManager(
+    pool = make_pool(
         maxsize=N_THREADS, retries=False, timeout=urllib3.Timeout(TIMEOUT_S)
     )
     executor = ThreadPoolExecutor(N_THREADS, thread_name_prefix="mover")
--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -21,6 +21,7 @@
 
 from .configurations import ConfigurationInForce
 from .errors import PlatformError
+from .http_pools import make_pool
 from .kernel import Context, MailboxTask, Plugin, Slot, register_plugin
 from .lease import Lease
 from .logs import log_event
@@ -138,9 +139,7 @@
         self._writer = ConditionalWriter(
             objects=objects, writer=f"{context.process_id}.planner", patience_s=2.0
         )
-        self._engines = urllib3.PoolManager(
-            maxsize=8, retries=False, timeout=ENGINE_TIMEOUT_S
-        )
+        self._engines = make_pool(maxsize=8, retries=False, timeout=ENGINE_TIMEOUT_S)
         self._loads_left = LOADS_BURST
         self._plans = {
             name: _Plan(
--- a/berylpost/platform/web.py
+++ b/berylpost/platform/web.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from .. import http_pools
 from ..errors import LostAnswerError, PlatformError
 
 _FAILED_STATUSES: Final = frozenset({429, 500, 502, 503, 504})
@@ -16,7 +17,7 @@
 
 def make_pool(*, timeout_s: float, n_connections: int = 8) -> urllib3.PoolManager:
     """Makes a connection pool that does not retry or follow redirects."""
-    return urllib3.PoolManager(
+    return http_pools.make_pool(
         maxsize=n_connections,
         retries=False,
         timeout=urllib3.Timeout(connect=min(1.0, timeout_s), read=timeout_s),
--- a/features/bookings.feature
+++ b/features/bookings.feature
@@ -49,6 +49,20 @@
     And repeating each key at a live daemon never books it twice
     And every key was executed exactly once
 
+  @fresh_fleet
+  Scenario: A service writes an earlier refusal once more on a kept connection
+    Given the intake service refuses its next 4 calls and writes each refusal again
+    When 24 keys are booked one after the other at one daemon
+    Then no key whose call was answered 503 was executed
+    And every key was executed at most once
+
+  @fresh_fleet
+  Scenario: A service stops inside the head of its answers and closes
+    Given the intake service stops inside the head of its next 6 answers
+    When 12 keys are booked one after the other at one daemon
+    Then the callers whose answers were cut get outcome_unknown, at least 4 of them
+    And every key was executed at most once
+
   @fresh_fleet
   Scenario: Keys are refused where an answer could be wrong
     When a key is booked, then used again with another body
--- a/features/steps/booking_steps.py
+++ b/features/steps/booking_steps.py
@@ -246,6 +246,53 @@
         )
 
 
+@given("the intake service refuses its next {n:d} calls and writes each refusal again")
+def repeat_refusals(context: Context, n: int) -> None:
+    for service in context.fleet.world.world.services.values():
+        context.fleet.set_fault(
+            service.server.endpoint, refuse=n, methods=["POST"], repeats_refusals=True
+        )
+
+
+@given("the intake service stops inside the head of its next {n:d} answers")
+def cut_heads(context: Context, n: int) -> None:
+    for service in context.fleet.world.world.services.values():
+        context.fleet.set_fault(service.server.endpoint, cut_heads=n)
+
+
+@when("{n:d} keys are booked one after the other at one daemon")
+def book_in_turn(context: Context, n: int) -> None:
+    context.observed = ObservedAnswers()
+    for index in range(n):
+        book_at(context, context.fleet.daemons[0], f"turn-{index}")
+
+
+@then("no key whose call was answered 503 was executed")
+def check_refused(context: Context) -> None:
+    executed = count_executions(context)
+    refused = [
+        key
+        for key, (answer,) in context.observed.answers.items()
+        if isinstance(answer, Problem) and answer.status == 503
+    ]
+    assert refused
+    assert not [key for key in refused if executed.get(key)], (refused, executed)
+
+
+@then("the callers whose answers were cut get outcome_unknown, at least {n:d} of them")
+def check_cut(context: Context, n: int) -> None:
+    executed = count_executions(context)
+    n_cut = 0
+    for key, (answer,) in context.observed.answers.items():
+        if isinstance(answer, Problem):
+            assert answer.kind == "outcome_unknown", (key, answer)
+            n_cut += 1
+        else:
+            assert answer == {"reference": key, "state": "booked"}, (key, answer)
+        assert executed[key] == 1
+    assert n_cut >= n, n_cut
+
+
 @when("{n:d} keys are booked")
 def book_keys(context: Context, n: int) -> None:
     context.observed = ObservedAnswers()
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -97,6 +97,16 @@
     context.add_cleanup(end_faults)
 
 
+@given("one engine cuts its answers after {n:d} tokens and the other {answers}")
+def cut_at_one(context: Context, n: int, answers: str) -> None:
+    first, second = context.fleet.world.world.engines.values()
+    context.fleet.set_fault(first.server.endpoint, cuts=1_000, cut_after=n)
+    faults = {"refuses": {"refuse": 1_000}, "stops inside its head": {"cut_heads": 99}}
+    context.fleet.set_fault(
+        second.server.endpoint, methods=["POST"], match="complet", **faults[answers]
+    )
+
+
 @given("both engines cut the next {n:d} answers after {n_tokens:d} tokens")
 def cut_answers(context: Context, n: int, n_tokens: int) -> None:
     set_engine_faults(context, cuts=n, cut_after=n_tokens)
