Say what standby daemons leave open; name the set once in an answer

Only answers to standby daemons carry the set, and each goes to one daemon, so it is made where it is sent.

--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -386,7 +386,7 @@
         number, configuration_revision = progress.configuration
         now = read_boottime()
         standbys = self._export_standbys(now) if self.active else ()
-        serving: tuple[Serving, ...] | None = None
+        serving: tuple[Serving, ...] = ()
         alive = self.list_alive()
         sample = random.sample(alive, min(N_INTRODUCED, len(alive)))
         introduced = tuple((m.name, m.ip, m.address.port) for m in sample)
@@ -399,7 +399,7 @@
             if kind not in bodies:
                 bodies[kind] = msgspec.Raw(self._encode_body(kind))
             exchanges_totals = self.active and member.active
-            if not exchanges_totals and serving is None and is_answer:
+            if is_answer and not exchanges_totals:
                 serving = self._export_serving(now, member.name)
             data = encode_gossip(
                 Gossip(
@@ -427,7 +427,7 @@
                     n_cores=settings.n_cores,
                     busy_share=round(self._busy_share, 3),
                     standbys=standbys if exchanges_totals else (),
-                    serving=serving or () if not exchanges_totals else (),
+                    serving=serving,
                 )
             )
             self.n_bytes += len(data)
