--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -13,14 +13,6 @@
 
 from ..logs import log_event
 from ..policy.placement import BackendLoad
-from ..policy.server_failures import (
-    MEMORY_S,
-    MIN_TOLD_FAILURES,
-    Outcomes,
-    add_outcome,
-    age_outcomes,
-    estimate_failure_rate,
-)
 from .clock import read_boottime
 from .model import Backend, BackendState, PromptPart, Service
 from .upstream import ConnectionPool
@@ -69,7 +61,6 @@
     Attributes:
         pending_tokens: prompt tokens that were sent and whose first output token has
             not arrived, by urgency.
-        outcomes: recent outcomes of this daemon's attempts at an engine.
         suspect_until: boot-time clock until which the server is suspect.
         mean_answer_s: moving average of comparable answer times; 0 when unknown.
         cached_parts: tokens of the prompt parts in the engine's KV cache, by part id,
@@ -91,7 +82,6 @@
         self.pending_tokens = [0.0] * N_URGENCIES
         self.failure_rate = 0.0
         self.n_failures_in_row = 0
-        self.outcomes = Outcomes()
         self.suspect_until = 0.0
         self.mean_answer_s = 0.0
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
@@ -130,7 +120,6 @@
         self._round_duration_s = round_duration_s
         self._by_service: dict[str, list[BackendRecord]] = {}
         self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
-        self._outcomes: dict[str, tuple[float, Mapping[str, Any]]] = {}
         self._services: Mapping[str, Service] = {}
         self._sent_parts: deque[tuple[float, str, PromptPart]] = deque()
         self._is_leaving: Callable[[Backend], bool] = lambda _backend: False
@@ -282,7 +271,7 @@
                     slots=backend.slots,
                     n_outstanding=n_outstanding,
                     pending_tokens=pending,
-                    failure_rate=self._find_failure_rate(record, now),
+                    failure_rate=record.failure_rate,
                     slow_factor=min(8.0, max(0.5, slow_factor)),
                     suspect=now < record.suspect_until,
                     near=backend.zone == self._zone,
@@ -361,59 +350,9 @@
             _, n_tokens = record.cached_parts.popitem(last=False)
             record.n_cached_tokens -= n_tokens
 
-    def _find_failure_rate(self, record: BackendRecord, now: float) -> float:
-        """Returns the share of requests that a server fails, as far as is known.
-
-        Plain services answer each daemon often, and some fail a part of all requests
-        whichever server runs them, so only this daemon's own view counts there.
-        """
-        if not self._is_engine(record):
-            return record.failure_rate
-        return estimate_failure_rate(self._list_outcomes(record, now))
-
-    def _list_outcomes(self, record: BackendRecord, now: float) -> list[Outcomes]:
-        """Lists an engine's recent outcomes at this daemon and at the others."""
-        seen = [age_outcomes(record.outcomes, now)]
-        for at, told in self._outcomes.values():
-            entry = told.get(record.backend.id)
-            if entry is not None:
-                n_answered, n_failed = entry
-                known = Outcomes(n_answered=n_answered, n_failed=n_failed, at=at)
-                seen.append(age_outcomes(known, now))
-        return seen
-
-    def export_outcomes(self) -> dict[str, list[float]]:
-        """Returns this daemon's outcomes at engines that failed lately, by engine.
-
-        Once one daemon tells of failures, the others tell what they saw there.
-        """
-        now = read_boottime()
-        told = {}
-        for record in self.records.values():
-            fails = record.outcomes.n_failed or self._outcomes
-            if not fails or not self._is_engine(record):
-                continue
-            own, *others = self._list_outcomes(record, now)
-            n_failed = own.n_failed + sum(seen.n_failed for seen in others)
-            if n_failed >= MIN_TOLD_FAILURES and own.n_answered + own.n_failed:
-                told[record.backend.id] = [
-                    round(own.n_answered, 2),
-                    round(own.n_failed, 2),
-                ]
-        return told
-
-    def import_outcomes(self, member: str, told: Mapping[str, Any]) -> None:
-        """Records the outcomes that another daemon tells; they replace its last."""
-        if told:
-            self._outcomes[member] = (read_boottime(), told)
-        else:
-            self._outcomes.pop(member, None)
-
     def note_success(self, record: BackendRecord, answer_s: float | None) -> None:
         """Records an answer; `answer_s` is its duration, None if not comparable."""
         record.failure_rate *= 1 - FAILURE_WEIGHT
-        now = read_boottime()
-        record.outcomes = add_outcome(record.outcomes, failed=False, now=now)
         record.n_failures_in_row = 0
         record.suspect_until = 0.0
         if answer_s is not None:
@@ -423,8 +362,6 @@
     def note_failure(self, record: BackendRecord, *, unreachable: bool) -> None:
         """Records a failure; `unreachable` if the server may no longer exist."""
         record.failure_rate += FAILURE_WEIGHT * (1 - record.failure_rate)
-        now = read_boottime()
-        record.outcomes = add_outcome(record.outcomes, failed=True, now=now)
         record.n_failures_in_row += 1
         if unreachable:
             suspect_s = FIRST_SUSPECT_S * 2 ** min(4, record.n_failures_in_row - 1)
@@ -482,10 +419,6 @@
             m for m, (at, _) in self._reports.items() if now - at > retention_s
         ]:
             del self._reports[member]
-        for member in [
-            m for m, (at, _) in self._outcomes.items() if now - at > 2 * MEMORY_S
-        ]:
-            del self._outcomes[member]
 
     def _share_connections(self, service: Service) -> int:
         share = service.max_connections * CONNECTION_SHARE / self._count_members()
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -418,7 +418,6 @@
                 self.usage.export_counts(whole=whole),
                 self.work.export_rates(),
                 hold,
-                self.table.export_outcomes(),
             ]
         )
 
@@ -429,7 +428,7 @@
                 self.table.import_summary(loads)
                 self.quotas.import_levels(levels)
             return
-        kind, loads, parts, totals, counts, rates, hold, outcomes = body
+        kind, loads, parts, totals, counts, rates, hold = body
         whole = kind == BodyKind.WHOLE
         if not member.active:
             self.members.note_row(member, totals, counts)
@@ -437,7 +436,6 @@
             self.table.import_loads(member.name, loads)
             return
         self.table.import_loads(member.name, loads)
-        self.table.import_outcomes(member.name, outcomes)
         self.table.import_parts(parts)
         self.quotas.import_totals(member, totals, whole=whole)
         self.usage.import_counts(member.name, member.incarnation, counts)
