Count failed connects by cause and name how many servers are suspect

Change: connect_failed names n_suspect and n_servers; metrics have the suspect servers and the connects that timed out or were refused.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -374,6 +374,11 @@
                 rest_s=min(MAX_SUSPECT_S, suspect_s),
             )
 
+    def count_suspect(self) -> int:
+        """Counts the servers that are suspect now."""
+        now = read_boottime()
+        return sum(now < record.suspect_until for record in self.records.values())
+
     def sum_loads(self) -> dict[str, list[float]]:
         """Returns the load of all known daemons on each server."""
         sums = self.export_loads()
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -383,12 +383,15 @@
             "busy_connections": self.front.count_busy(),
             "held_parts": self.quarantine.n_held,
             "limited_servers": self.limits.n_limited,
+            "suspect_servers": self.table.count_suspect(),
         }
-        opened = sum(record.pool.n_opened for record in self.table.records.values())
+        pools = [record.pool for record in self.table.records.values()]
         counters = {
             "store_watches": self.watch.n_calls,
             "peer_bytes": self.members.n_bytes,
-            "upstream_connections": opened,
+            "upstream_connections": sum(pool.n_opened for pool in pools),
+            "upstream_connects_timed_out": sum(pool.n_timed_out for pool in pools),
+            "upstream_connects_refused": sum(pool.n_refused for pool in pools),
             "engine_probes": self.notice_poller.n_queries,
         }
         body = render_metrics(gauges, counters)
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -86,6 +86,8 @@
                     id=context.head.id,
                     backend=record.backend.id,
                     cause=error,
+                    n_suspect=self._table.count_suspect(),
+                    n_servers=len(self._table.records),
                 )
                 continue
             if self._table.is_usable(record) or context.moved_to == record.backend.id:
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -350,6 +350,11 @@
         backend: the server.
         n_max: maximum number of connections of this daemon to the server.
         clock: returns seconds of the boot-time clock.
+
+    Attributes:
+        n_opened: connections that were tried.
+        n_timed_out: those that were not established in time.
+        n_refused: those that were refused or reset.
     """
 
     def __init__(
@@ -357,6 +362,8 @@
     ) -> None:
         self.n_max = n_max
         self.n_opened = 0
+        self.n_timed_out = 0
+        self.n_refused = 0
         self._backend = backend
         self._clock = clock
         self._idle: list[Connection] = []
@@ -398,7 +405,11 @@
                     *self._backend.address,
                 )
             opened = True
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            self.n_timed_out += 1
+            raise UpstreamError(Failure.NOT_CONNECTED, repr(error)) from error
+        except OSError as error:
+            self.n_refused += 1
             raise UpstreamError(Failure.NOT_CONNECTED, repr(error)) from error
         finally:
             if not opened:
