--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -18,6 +18,7 @@
 from ..edge.model import Bounds, EdgeSettings, Endpoint
 from ..policy.serving_set import MIN_SERVING
 from .duty_api import DutyApi
+from .links import CURRENT_DAEMON, LinkedLoop
 from .objects import ObjectStore
 from .replica import Replica
 
@@ -102,7 +103,7 @@
         self._network = f"127.{next(_networks) % 250 + 2}.{random.randrange(250)}"
         self._ports = _find_ports(5)
         self._duties = duties
-        self.loop = asyncio.new_event_loop()
+        self.loop = LinkedLoop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         store = f"{self._network}.1:{self._ports[0]}"
         self.store = ObjectStore(endpoint=store)
@@ -165,7 +166,10 @@
     async def start_daemon(self, number: int) -> EdgeDaemon:
         """Starts one daemon and waits until it is ready."""
         daemon = EdgeDaemon(settings=self.make_settings(number), log_stream=None)
+        # Inherited by all tasks and callbacks of the daemon.
+        token = CURRENT_DAEMON.set(daemon.settings.name)
         await daemon.start()
+        CURRENT_DAEMON.reset(token)
         self.daemons[daemon.settings.name] = daemon
         async with asyncio.timeout(START_TIMEOUT_S):
             while not daemon.is_ready or not daemon.table.records:
