Send moves, notices and health checks by the same paths; play the cut's cases

Cause: calls that move a run, read a reclaim notice or check whether a server has ended still connected directly, so a link that is reset would have charged its loss to the requests on it. Change: they use the pool's paths; a server counts as gone only if it also refuses other daemons. Scenarios: the only server, the first one, a start while cut off, a killed peer, all daemons cut off and healed, servers that really ended, streams in flight, callers that leave, a planned stop of the peer, who may ask, frames cut anywhere.

--- a/berylpost/edge/engine_notices.py
+++ b/berylpost/edge/engine_notices.py
@@ -62,7 +62,9 @@
     async def _query(self, record: BackendRecord) -> None:
         self.n_queries += 1
         channel = HttpChannel(
-            address=record.backend.address, connect_timeout_s=QUERY_TIMEOUT_S
+            address=record.backend.address,
+            connect_timeout_s=QUERY_TIMEOUT_S,
+            open_path=record.pool.open_path,
         )
         try:
             notice = await read_notice(channel, timeout_s=QUERY_TIMEOUT_S)
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 from typing import Final, NamedTuple, cast
 
@@ -14,6 +14,7 @@
 
 from ..errors import LostAnswerError, PlatformError
 from .model import Endpoint
+from .paths import NotConnectedError, OpenPath
 
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
 # Servers send heads of a few hundred bytes; one read may bring more than the head.
@@ -145,10 +146,18 @@
     Args:
         address: address of the service.
         connect_timeout_s: how long to wait for a connection.
+        open_path: opens a connection in another way than directly to the address.
     """
 
-    def __init__(self, *, address: Endpoint, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        address: Endpoint,
+        connect_timeout_s: float,
+        open_path: Callable[[], Awaitable[OpenPath]] | None = None,
+    ) -> None:
         self._address = address
+        self._open_path = open_path
         self._connect_timeout_s = connect_timeout_s
         self._protocol: _AnswerProtocol | None = None
         self._lock = asyncio.Lock()
@@ -208,13 +217,18 @@
         if self._protocol is not None and self._protocol.transport is not None:
             return self._protocol
         loop = asyncio.get_running_loop()
+        protocol = _AnswerProtocol()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                transport, protocol = await loop.create_connection(
-                    _AnswerProtocol, *self._address
-                )
-        except (OSError, TimeoutError) as error:
+                if self._open_path is not None:
+                    path = await self._open_path()
+                    path.attach(protocol)
+                else:
+                    await loop.create_connection(lambda: protocol, *self._address)
+        except (OSError, TimeoutError, NotConnectedError) as error:
             raise PlatformError(f"{self._address}: not connected: {error}") from error
-        set_socket_options(transport, self._connect_timeout_s)
+        if protocol.transport is None:
+            raise PlatformError(f"{self._address}: reset at once")
+        set_socket_options(protocol.transport, self._connect_timeout_s)
         self._protocol = protocol
         return protocol
--- a/berylpost/edge/request_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -29,6 +29,7 @@
 from .hold_store import HoldStore
 from .members import FAN_OUT, Members
 from .model import Endpoint
+from .paths import NotConnectedError
 from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -247,7 +248,7 @@
         for _ in range(N_PROBES):
             if self._table.records.get(record.backend.id) is not record:
                 return record.shutdown_at is None
-            outcome = await _probe(record.backend.address)
+            outcome = await _probe(record)
             if outcome is _Probe.REFUSED:
                 return record.shutdown_at is None
             if outcome is _Probe.ACCEPTED and has_accepted:
@@ -316,15 +317,18 @@
     return ",".join(f"{key:016x}" for key in keys[:MAX_LOGGED_PARTS])
 
 
-async def _probe(address: Endpoint) -> _Probe:
-    """Opens a connection and closes it at once."""
-    loop = asyncio.get_running_loop()
+async def _probe(record: BackendRecord) -> _Probe:
+    """Opens a connection and closes it at once.
+
+    A link that is cut may refuse connections, so a server counts as gone only if it
+    refuses those of other daemons, too.
+    """
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            transport, _ = await loop.create_connection(asyncio.Protocol, *address)
-    except ConnectionRefusedError:
-        return _Probe.REFUSED
-    except (OSError, TimeoutError):
+            path = await record.pool.open_path()
+    except NotConnectedError as error:
+        return _Probe.REFUSED if error.refused else _Probe.SILENT
+    except TimeoutError:
         return _Probe.SILENT
-    transport.abort()
+    path.transport.abort()
     return _Probe.ACCEPTED
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -193,7 +193,9 @@
             return
         target = self._table.records[choice.id]
         channel = HttpChannel(
-            address=record.backend.address, connect_timeout_s=MOVE_TIMEOUT_S
+            address=record.backend.address,
+            connect_timeout_s=MOVE_TIMEOUT_S,
+            open_path=record.pool.open_path,
         )
         try:
             moved = await move_run(
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -20,7 +20,7 @@
 from ..platform.headers import Header, parse_keep_alive
 from .http_channel import MAX_HEAD_BYTES, set_socket_options
 from .model import Backend
-from .paths import BackendPaths, NotConnectedError
+from .paths import BackendPaths, NotConnectedError, OpenPath
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -425,6 +425,14 @@
         path.attach(connection)
         return connection
 
+    async def open_path(self) -> OpenPath:
+        """Opens a connection that does not belong to the pool.
+
+        Raises:
+            NotConnectedError: no path led to the server.
+        """
+        return await self._paths.open(self._backend)
+
     def note_broken(self, connection: Connection) -> None:
         """Records that an exchange broke or got no answer in time."""
         self._paths.note_peer_failed(connection.peer)
--- a/features/steps/entry_cut_steps.py
+++ b/features/steps/entry_cut_steps.py
@@ -9,9 +9,11 @@
 from behave import then, when
 from behave.runner import Context
 from steps.entry_limit_steps import list_daemons
-from steps.entry_steps import make_request_line, send_request
+from steps.entry_steps import make_events, make_request_line, send_request
 
+from berylpost.edge.tunnels import attach_to_tunnel
 from berylpost.fakes.links import LinkFault
+from berylpost.fakes.replica import N_EVENTS
 
 KINDS = ("read", "book", "stream", "stream/once")
 RATE_PER_DAEMON = 12  # requests a second
@@ -107,3 +109,210 @@
         assert runs[record.attempt] <= allowed, (record, runs[record.attempt])
         if record.answer.status in (408, 421, 429, 503):
             assert not runs[record.attempt], record
+
+
+async def _cut_started(context, fault):
+    """Starts a third daemon anew that cannot reach any server from its start."""
+    name = "entry-0"
+    context.world.daemons.pop(name).kill()
+    for replica in context.world.replicas:
+        context.world.loop.cut(name, replica.ip, LinkFault(fault))
+    await context.world.start_daemon(0)
+    await asyncio.sleep(1.0)
+
+
+@when('a daemon is {what} with the fault "{fault}"')
+def step_cut_one(context: Context, what: str, fault: str) -> None:
+    replicas = context.world.replicas
+    if "started" in what:
+        context.world.run(_cut_started(context, fault))
+    else:
+        only = "first" in what or "only" in what
+        cut_daemons(context, ["entry-0"], fault, replicas[:1] if only else replicas)
+    if "killed" in what:
+        context.world.run(send_all(context, 1), timeout_s=30)
+
+        async def kill():
+            context.world.daemons.pop("entry-1").kill()
+
+        context.world.run(kill())
+    context.cut = ["entry-0"]
+
+
+@then("the requests were refused as not run within {seconds:g} s")
+def step_check_refused(context: Context, seconds: float) -> None:
+    for record in context.records:
+        assert record.answer.status == 503, record
+        assert b'"not_run"' in record.answer.body, record
+        assert float(record.answer.headers["retry-after"]) > 0, record
+        assert record.took_s < seconds, record
+
+
+@when("the links are healed")
+def step_heal(context: Context) -> None:
+    heal_daemons(context, context.cut)
+
+
+def count_relayed(context):
+    return sum(d.paths.n_relayed for d in context.world.daemons.values())
+
+
+@then("the latter requests opened no connection through a peer")
+def step_check_home(context: Context) -> None:
+    before = count_relayed(context)
+    context.world.run(send_all(context, 2), timeout_s=30)
+    assert count_relayed(context) == before
+    assert not any(d.paths.n_cut for d in context.world.daemons.values())
+
+
+@when("all servers end")
+def step_end_servers(context: Context) -> None:
+    async def end():
+        for replica in context.world.replicas:
+            await replica.stop()
+
+    context.world.run(end())
+
+
+@then("no daemon takes a link for cut")
+def step_check_no_verdict(context: Context) -> None:
+    assert context.records and not any(record.ok for record in context.records)
+    for daemon in context.world.daemons.values():
+        assert not daemon.paths.n_cut and not daemon.members.is_cut_off
+
+
+async def start_streams(daemon, n):
+    tasks = []
+    for _ in range(n):
+        attempt = f"cut-{next(_numbers)}"
+        extra = ["X-Berylpost-Prompt-Prefix: shared:50,own:5"]
+        line = make_request_line("stream")
+        request = send_request(daemon, line, attempt, extra_headers=extra)
+        tasks.append(asyncio.ensure_future(request))
+    await asyncio.sleep(0.1)
+    return tasks
+
+
+@when("the links of a daemon are reset while {n:d} streams run")
+def step_reset_streams(context: Context, n: int) -> None:
+    async def reset():
+        tasks = await start_streams(context.world.daemons["entry-0"], n)
+        for replica in context.world.replicas:
+            context.world.loop.cut("entry-0", replica.ip, LinkFault.RESET)
+        return await asyncio.gather(*tasks)
+
+    context.answers = context.world.run(reset())
+
+
+@then("all streams came whole and in order")
+def step_check_whole(context: Context) -> None:
+    for answer in context.answers:
+        assert answer.status == 200 and answer.complete, answer
+        assert answer.body == make_events(N_EVENTS), answer
+
+
+@then("nothing is held back")
+def step_check_holds(context: Context) -> None:
+    time.sleep(1.0)
+    held = [d.quarantine.n_held for d in context.world.daemons.values()]
+    assert not any(held), held
+
+
+@when("callers of a cut daemon leave in the middle of {n:d} streams")
+def step_leave(context: Context, n: int) -> None:
+    async def leave():
+        tasks = await start_streams(context.world.daemons[context.cut[0]], n)
+        assert sum(replica.n_running for replica in context.world.replicas) == n
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        await asyncio.sleep(0.1)
+
+    context.world.run(leave())
+
+
+@then("the servers run nothing {seconds:g} s later")
+def step_check_idle(context: Context, seconds: float) -> None:
+    # The streams would still run for a tenth of a second.
+    running = [replica.n_running for replica in context.world.replicas]
+    assert not any(running), running
+
+
+@when("the other daemon is stopped while {n:d} streams run at the cut one")
+def step_stop_peer(context: Context, n: int) -> None:
+    async def stop():
+        daemons = context.world.daemons
+        tasks = await start_streams(daemons["entry-0"], n)
+        assert daemons["entry-1"].paths.tunnels.n_open
+        await daemons.pop("entry-1").leave()
+        return await asyncio.gather(*tasks)
+
+    context.answers = context.world.run(stop())
+
+
+@when("{who} asks a daemon for a connection")
+def step_ask(context: Context, who: str) -> None:
+    first, second = list_daemons(context)
+    replica = context.world.replicas[0]
+    address = f"{replica.ip}:{replica.port + ('unknown' in who)}"
+    local = None if "stranger" in who else (second.settings.ip, 0)
+
+    async def ask():
+        reader, writer = await asyncio.open_connection(
+            *first.settings.tunnels, local_addr=local
+        )
+        head = f"CONNECT {address} HTTP/1.1\r\nHost: {replica.id}\r\n\r\n"
+        writer.write(head.encode())
+        context.line = (await reader.readline()).decode().strip()
+        writer.close()
+
+    context.world.run(ask())
+
+
+@then('the answer to it begins with "{answer}"')
+def step_check_line(context: Context, answer: str) -> None:
+    assert context.line.startswith(answer), context.line
+
+
+class _User(asyncio.Protocol):
+    """Records what a tunnel brings."""
+
+    def __init__(self):
+        self.data = b""
+        self.closed = self.reset = False
+
+    def data_received(self, data):
+        self.data += data
+
+    def eof_received(self):
+        self.closed = True
+
+    def connection_lost(self, exc):
+        self.reset = exc is not None
+
+
+class _TunnelTransport:
+    """Takes the protocol that is set and is closed by it."""
+
+    def set_protocol(self, protocol):
+        self.protocol = protocol
+
+    def close(self):
+        pass
+
+    abort = close
+
+
+@then('frames "{text}" of a tunnel that then ends give "{data}" and {end}')
+@then('frames "{text}" of a tunnel that then ends give "" and {end}')
+def step_check_frames(context: Context, text: str, end: str, data: str = "") -> None:
+    received = bytes.fromhex(text if len(text) % 2 == 0 else text + "0")
+    for cut_at in range(len(received) + 1):
+        user, transport = _User(), _TunnelTransport()
+        attach_to_tunnel(transport, user)
+        transport.protocol.data_received(received[:cut_at])
+        transport.protocol.data_received(received[cut_at:])
+        transport.protocol.connection_lost(None)
+        assert user.data == data.encode(), (cut_at, user.data)
+        assert user.closed == (end == "a close"), (cut_at, end)
+        assert user.reset == (end == "a reset"), (cut_at, end)
