Follow lists past entries that cannot be decoded

Another writer's odd entry among the servers stopped the entry daemons from following them: a very deep one raised RecursionError in the decoder for the whole page, a number out of range failed the page, and a member's port out of range ended each gossip round. The watch of the own interface goes on past odd objects and documents. Not changed: a lease of the own interface that cannot be decoded (its shard waits).

--- a/berylpost/bench/loader.py
+++ b/berylpost/bench/loader.py
@@ -17,7 +17,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..client import Client, Problem
-from ..settings import split_endpoint
+from ..endpoints import split_endpoint
 
 MAX_LATENCY_US: Final = 60_000_000
 EVENT_MARKER: Final = b"\ndata: "
--- a/berylpost/bench/threaded.py
+++ b/berylpost/bench/threaded.py
@@ -12,7 +12,7 @@
 import urllib3
 from cheroot.wsgi import Server
 
-from ..settings import split_endpoint
+from ..endpoints import split_endpoint
 
 REQUEST_QUEUE: Final = 512
 
--- a/berylpost/configurations.py
+++ b/berylpost/configurations.py
@@ -511,10 +511,15 @@
         """Watches the object API and posts each change to the task's own mailbox."""
         try:
             for key, stored in self._objects.watch(PREFIX, lambda: self._is_watching):
-                envelope = open_envelope(key, stored.value)
-                versioned = _decode_versioned(envelope.open())
+                try:
+                    envelope = open_envelope(key, stored.value)
+                    versioned = _decode_versioned(envelope.open())
+                except (PlatformError, ValueError, RecursionError) as error:
+                    # The documents of other deployments are still followed.
+                    log_event(LOGGER, "bad_document", logging.WARNING, error=error)
+                    continue
                 self.post(ConfigurationReceived(versioned=versioned, is_watched=True))
-        except (PlatformError, ValueError) as error:
+        except PlatformError as error:
             log_event(LOGGER, "watch_ended", logging.WARNING, error=error)
         finally:
             # Random, so that not all watchers reconnect at once when the object API is
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from ..endpoints import split_endpoint
 from ..logs import log_event
 from ..policy.rounds import (
     STANDBY_INTERVAL_S,
@@ -121,6 +122,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._round_queue: list[Member] = []
+        self._bad_entries: set[str] = set()
         self._on_message: dict[bytes, Callable[[bytes, Endpoint], None]] = {}
         self._failure_timeout_s = find_failure_timeout_s(0)
         self._busy_share = 0.0
@@ -250,11 +252,18 @@
 
     def introduce_entry(self, name: str, spec: Any) -> None:
         """Adds a daemon from its entry in the store; ignores an invalid entry."""
-        if not isinstance(spec, dict):
+        fields = spec if isinstance(spec, dict) else {}
+        try:
+            ip, port = split_endpoint(f"{fields.get('ip')}:{fields.get('port')}")
+        except ValueError as error:
+            if name not in self._bad_entries:
+                self._bad_entries.add(name)
+                log_event(
+                    LOGGER, "bad_member", logging.WARNING, member=name, error=error
+                )
             return
-        ip, port = spec.get("ip"), spec.get("port")
-        if isinstance(ip, str) and isinstance(port, int):
-            self._introduce(name, ip, port)
+        self._bad_entries.discard(name)
+        self._introduce(name, ip, port)
 
     def list_lost(self) -> list[str]:
         """Lists the daemons that were silent for longer than `FORGET_AFTER_S`."""
--- a/berylpost/fakes/cloud.py
+++ b/berylpost/fakes/cloud.py
@@ -63,6 +63,7 @@
         zones_without_capacity: availability zones in which starts are refused.
         n_created: VMs started by requests so far.
         offers: the VMs that can be started, as listed.
+        odd_entries: further entries of the list of VMs, as JSON.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.zones_without_capacity: set[str] = set()
         self.n_created = 0
         self.offers: list[dict[str, Any]] = []
+        self.odd_entries: list[msgspec.Raw] = []
         self._boot = boot
         self._stop = stop
         self._notify = notify
@@ -111,7 +113,7 @@
         if len(parts) == 2:
             if request.method == "POST":
                 return await self._create(request.decode())
-            return reply_json({"vms": list(self.vms.values())})
+            return reply_json({"vms": [*self.odd_entries, *self.vms.values()]})
         vm = self.vms.get(parts[2])
         if vm is None:
             return reply_json({"error": "no such VM"}, 404)
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+import msgspec
+
 from .server import FakeServer, Reply, Request, reply_json
 
 MAX_VALUE_BYTES: Final = 1 << 20
@@ -82,7 +84,10 @@
         self._compacted_revision = self.revision
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
-        """Stores an object as another client would and returns its revision."""
+        """Stores an object as another client would and returns its revision.
+
+        A spec of type `msgspec.Raw` is stored as the JSON that it holds.
+        """
         current = self.kinds.setdefault(kind, {}).get(name)
         return await self._store(kind, name, spec, current)
 
@@ -162,8 +167,9 @@
             "Finalizers": [],
             "Deleting": False,
         }
-        # Copied because the caller may go on changing its object.
-        spec = json.loads(json.dumps(spec))
+        if not isinstance(spec, msgspec.Raw):
+            # Copied because the caller may go on changing its object.
+            spec = json.loads(json.dumps(spec))
         document = {"Metadata": metadata, "Spec": spec, "Status": None}
         self.kinds[kind][name] = document
         revision = self.revision
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -16,7 +16,7 @@
 import httptools
 import msgspec
 
-from ..settings import split_endpoint
+from ..endpoints import split_endpoint
 
 READ_BYTES: Final = 65_536
 MAX_ENDLESS_BYTES: Final = 1 << 30
--- a/berylpost/platform/cloud.py
+++ b/berylpost/platform/cloud.py
@@ -4,13 +4,19 @@
 to remove entries of VMs that no longer run.
 """
 
-from typing import Any
+import logging
+from typing import Any, Final
 
 import msgspec
 
+from ..endpoints import split_endpoint
 from ..errors import PlatformError
+from ..logs import log_event
+from .tolerant_json import decode_document
 from .web import call, make_pool
 
+LOGGER: Final = logging.getLogger(__name__)
+
 
 class Vm(msgspec.Struct, frozen=True, kw_only=True):
     """A VM as the cloud API lists it.
@@ -33,7 +39,7 @@
 
 
 class _VmList(msgspec.Struct, frozen=True):
-    vms: tuple[Vm, ...]
+    vms: tuple[msgspec.Raw, ...]
 
 
 class NoCapacityError(PlatformError):
@@ -51,11 +57,33 @@
     def __init__(self, *, url: str, timeout_s: float) -> None:
         self._url = url
         self._pool = make_pool(timeout_s=timeout_s, n_connections=2)
+        self._known_errors: set[str] = set()
 
     def list_vms(self) -> tuple[Vm, ...]:
         """Lists the VMs that the cloud API reports."""
         response = call(self._pool, "GET", f"{self._url}/v1/vms")
-        return msgspec.json.decode(response.data, type=_VmList).vms
+        return self.decode_vms(response.data)
+
+    def decode_vms(self, body: bytes) -> tuple[Vm, ...]:
+        """Decodes a list of VMs; leaves out and logs entries that cannot be used.
+
+        Raises:
+            PlatformError: the body is no list of VMs.
+        """
+        try:
+            entries = decode_document(body, _VmList).vms
+        except msgspec.MsgspecError as error:
+            raise PlatformError(f"list of VMs cannot be decoded: {error}") from error
+        vms, errors = [], set()
+        for entry in entries:
+            try:
+                vms.append(_decode_vm(entry))
+            except ValueError as error:
+                errors.add(str(error))
+        for text in sorted(errors - self._known_errors):
+            log_event(LOGGER, "bad_vm", logging.WARNING, error=text)
+        self._known_errors = errors
+        return tuple(vms)
 
     def read_vm(self, vm_id: str) -> Vm | None:
         """Reads one VM; returns None if the cloud API has no such VM."""
@@ -89,3 +117,18 @@
     def terminate_vm(self, vm_id: str) -> None:
         """Terminates a VM; does nothing if it no longer exists."""
         call(self._pool, "DELETE", f"{self._url}/v1/vms/{vm_id}")
+
+
+def _decode_vm(entry: msgspec.Raw) -> Vm:
+    """Decodes a VM of the list.
+
+    Raises:
+        ValueError: a field is wrong.
+    """
+    try:
+        vm = msgspec.json.decode(entry, type=Vm)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from error
+    if vm.address:
+        split_endpoint(vm.address)
+    return vm
--- a/berylpost/platform/entries.py
+++ b/berylpost/platform/entries.py
@@ -1,7 +1,6 @@
 """Decoding of the configuration and of backend servers' entries in the store."""
 
-import math
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -10,6 +9,7 @@
     BackendState,
     CallerLimits,
     Customer,
+    Endpoint,
     EngineShape,
     FleetBounds,
     Route,
@@ -18,9 +18,10 @@
     ServiceShare,
     ServingConfiguration,
 )
-from .boot import parse_endpoint
+from ..endpoints import split_endpoint
 
 _MS: Final = 1_000.0
+MAX_NUMBER: Final = 1 << 53  # larger ones are not exact as JSON numbers
 _ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.AT_MOST_ONCE,
@@ -33,9 +34,13 @@
     """An object in the store that cannot be used; the message says why."""
 
 
+_Count = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
+
 class _Split(msgspec.Struct, frozen=True, rename="pascal"):
     service: str
-    weight: float = 1
+    weight: _Number = 1
 
 
 class _Route(msgspec.Struct, frozen=True, rename="pascal"):
@@ -43,57 +48,57 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 30_000
-    target_latency_ms: float = 1_000
-    gap_aim_ms: float = 0
-    priority: int = 5
+    timeout_ms: _Number = 30_000
+    target_latency_ms: _Number = 1_000
+    gap_aim_ms: _Number = 0
+    priority: _Count = 5
     service: str = ""
     traffic_split: tuple[_Split, ...] = ()
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     can_resume: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True, rename="pascal"):
-    slots: int
-    kv_capacity: int
-    stride: int = 1
+    slots: _Count
+    kv_capacity: _Count
+    stride: _Count = 1
 
 
 class _Scaling(msgspec.Struct, frozen=True, rename="pascal"):
-    min: int
-    max: int
-    boot_s: float = 0
-    spot_price: float = 1
-    zone_prices: dict[str, float] = {}
+    min: _Count
+    max: _Count
+    boot_s: _Number = 0
+    spot_price: _Number = 1
+    zone_prices: dict[str, _Number] = {}
 
 
 class _Service(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
-    max_conns: int = 64
+    max_conns: _Count = 64
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
-    header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Number = 3_000
+    idle_timeout_ms: _Number = 15_000
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: _Count | None = None
     unit: str = ""
-    plain_tokens: float = 1
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: _Number = 1
+    rate_per_s: _Number = 0
+    burst: _Number = 0
 
 
 class _Configuration(msgspec.Struct, frozen=True, rename="pascal"):
-    version: int
+    version: _Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
@@ -229,15 +234,17 @@
     """
     try:
         wire = msgspec.convert(spec, _Backend)
-        address = parse_endpoint(wire.address)
+        address = Endpoint(*split_endpoint(wire.address))
     except (msgspec.ValidationError, ValueError) as error:
         raise InvalidEntryError(f"backend server {name}: {error}") from error
     if wire.state not in _BACKEND_STATES:
         raise InvalidEntryError(f"backend server {name}: unknown state {wire.state!r}")
-    if wire.slots < 1 or not 0 < address.port < 65_536 or not math.isfinite(wire.born):
-        raise InvalidEntryError(
-            f"backend server {name}: Slots, port or born out of range"
-        )
+    numbers = {"Slots": wire.slots, "leaves_ms": wire.leaves_ms or 0, "born": wire.born}
+    for field, value in numbers.items():
+        if abs(value) > MAX_NUMBER or (field == "Slots" and value < 1):
+            raise InvalidEntryError(
+                f"backend server {name}: {field} {value} out of range"
+            )
     return Backend(
         id=name,
         service=wire.service,
--- a/berylpost/platform/object_wire.py
+++ b/berylpost/platform/object_wire.py
@@ -3,16 +3,23 @@
 `object_store` uses it from an event loop and `objects` from threads.
 """
 
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from ..errors import LostAnswerError, PlatformError
+from ..logs import log_event
 from . import names
 from .headers import is_number
+from .tolerant_json import EMPTY, decode_document, decode_value
+
+LOGGER: Final = logging.getLogger(__name__)
+
+T = TypeVar("T")
 
 MAX_ERA: Final = (1 << 31) - 1  # keeps fencing numbers within 63 bits
 OK_STATUSES: Final = frozenset({200, 201, 204})
@@ -71,6 +78,33 @@
     revision: int
 
 
+class _WireMetadata(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="Name")
+    revision: int = msgspec.field(name="Revision")
+    created: int | None = msgspec.field(name="CreateRevision", default=0)
+
+
+class _WireObject(msgspec.Struct, frozen=True):
+    metadata: _WireMetadata = msgspec.field(name="Metadata")
+    spec: msgspec.Raw = msgspec.field(name="Spec", default=EMPTY)
+
+
+class _WirePage(msgspec.Struct, frozen=True):
+    revision: int = msgspec.field(name="StoreRevision")
+    items: tuple[msgspec.Raw, ...] | None = msgspec.field(name="Items", default=())
+    has_more: bool | None = msgspec.field(name="HasMore", default=False)
+
+
+class _WireEvent(msgspec.Struct, frozen=True):
+    object: msgspec.Raw = msgspec.field(name="Object", default=EMPTY)
+    removed: bool | None = msgspec.field(name="Removed", default=False)
+
+
+class _WireChanges(msgspec.Struct, frozen=True):
+    revision: int = msgspec.field(name="StoreRevision")
+    events: tuple[_WireEvent, ...] | None = ()
+
+
 class ConflictError(PlatformError):
     """The condition of a write did not hold.
 
@@ -133,35 +167,34 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decodes one page of a listing.
+    """Decodes one page of a listing; leaves out what names no object.
 
     Raises:
         LostAnswerError: the response is not a page.
     """
-    document = _decode(body)
-    parsed = [_parse_object(item) for item in document.get("Items") or ()]
+    page = _decode(body, _WirePage)
+    parsed = [_parse_object(item) for item in page.items or ()]
     items = tuple(item for item in parsed if item is not None)
-    has_more = bool(document.get("HasMore")) and items
     return Page(
         items=items,
-        revision=_parse_revision(document),
-        continue_after=items[-1].name if has_more else "",
+        revision=page.revision,
+        continue_after=items[-1].name if page.has_more and items else "",
     )
 
 
 def decode_changes(body: bytes) -> Changes:
-    """Decodes the response to a watch.
+    """Decodes the response to a watch; leaves out what names no object.
 
     Raises:
         LostAnswerError: the response is not a list of changes.
     """
-    document = _decode(body)
+    document = _decode(body, _WireChanges)
     changes = []
-    for event in document.get("events") or ():
-        item = _parse_object(event.get("Object"))
+    for event in document.events or ():
+        item = _parse_object(event.object)
         if item is not None:
-            changes.append(Change(item=item, removed=bool(event.get("Removed"))))
-    return Changes(changes=tuple(changes), revision=_parse_revision(document))
+            changes.append(Change(item=item, removed=bool(event.removed)))
+    return Changes(changes=tuple(changes), revision=document.revision)
 
 
 def decode_object(body: bytes) -> StoredObject:
@@ -170,7 +203,7 @@
     Raises:
         LostAnswerError: the response is not an object.
     """
-    stored = _parse_object(_decode(body))
+    stored = _parse_object(_cut(body))
     if stored is None:
         raise LostAnswerError("response is not a stored object")
     return stored
@@ -187,7 +220,7 @@
         raise ConflictError(f"{call}: no such object", None)
     if status == 409:
         raise ConflictError(
-            f"{call}: object is at another revision", _parse_object(_decode(body))
+            f"{call}: object is at another revision", _parse_object(_cut(body))
         )
     return decode_object(body)
 
@@ -198,37 +231,38 @@
     return int(text) if is_number(text) and int(text) <= MAX_ERA else None
 
 
-def _decode(body: bytes) -> dict[str, Any]:
+def _decode(body: bytes, document_type: type[T]) -> T:
     try:
-        document = msgspec.json.decode(body)
+        return decode_document(body, document_type)
     except msgspec.MsgspecError as error:
-        raise LostAnswerError(f"response is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise LostAnswerError("response is not a JSON object")
-    return document
+        raise LostAnswerError(f"response cannot be decoded: {error}") from error
 
 
-def _parse_revision(document: dict[str, Any]) -> int:
-    revision = document.get("StoreRevision")
-    if not isinstance(revision, int):
-        raise LostAnswerError("response has no store revision")
-    return revision
+def _cut(body: bytes) -> msgspec.Raw:
+    return _decode(body, msgspec.Raw)
 
 
-def _parse_object(document: Any) -> StoredObject | None:
-    """Parses a stored object; returns None if its name or revision is missing."""
-    if not isinstance(document, dict):
-        return None
-    metadata = document.get("Metadata")
-    if not isinstance(metadata, dict):
-        return None
-    name, revision = metadata.get("Name"), metadata.get("Revision")
-    if not isinstance(name, str) or not isinstance(revision, int):
+def _parse_object(document: msgspec.Raw) -> StoredObject | None:
+    """Parses a stored object; returns None if its name or revision is missing.
+
+    A spec that cannot be decoded is None, which is valid for no kind of object.
+    """
+    try:
+        stored = msgspec.json.decode(document, type=_WireObject)
+    except msgspec.MsgspecError as error:
+        log_event(LOGGER, "bad_object", logging.WARNING, error=error)
         return None
-    created = metadata.get("CreateRevision")
+    metadata = stored.metadata
+    try:
+        spec = decode_value(stored.spec)
+    except ValueError as error:
+        log_event(
+            LOGGER, "bad_spec", logging.WARNING, object=metadata.name, error=error
+        )
+        spec = None
     return StoredObject(
-        name=name,
-        revision=revision,
-        created_revision=created if isinstance(created, int) else 0,
-        spec=document.get("Spec"),
+        name=metadata.name,
+        revision=metadata.revision,
+        created_revision=metadata.created or 0,
+        spec=spec,
     )
--- a/berylpost/platform/objects.py
+++ b/berylpost/platform/objects.py
@@ -160,7 +160,7 @@
             for change in changes.changes:
                 key = _join_key(kind, change.item.name)
                 if key.startswith(prefix) and not change.removed:
-                    yield key, _decode_value(change.item)
+                    yield from _decode_entry(key, change.item)
 
     def _list(self, prefix: str) -> tuple[list[tuple[str, StoredObject]], int]:
         kind, _ = _split_key(prefix)
@@ -175,7 +175,7 @@
             for item in page.items:
                 key = _join_key(kind, item.name)
                 if key.startswith(prefix):
-                    listed.append((key, _decode_value(item)))
+                    listed += _decode_entry(key, item)
             after = page.continue_after
             if not after:
                 return listed, first_revision
@@ -220,6 +220,17 @@
     return f"{kind.removeprefix(KIND_PREFIX)}/{name}"
 
 
+def _decode_entry(
+    key: str, stored: object_wire.StoredObject
+) -> list[tuple[str, StoredObject]]:
+    """Decodes one entry of a list; an empty list and a log line for an odd one."""
+    try:
+        return [(key, _decode_value(stored))]
+    except PlatformError as error:
+        log_event(LOGGER, "bad_object", logging.WARNING, key=key, error=error)
+        return []
+
+
 def _decode_value(stored: object_wire.StoredObject) -> StoredObject:
     """Decodes the value of a stored object.
 
--- a/berylpost/relay_holds.py
+++ b/berylpost/relay_holds.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from .endpoints import split_endpoint
 from .errors import BerylpostError, ErrorKind
 from .hashing import hash_text
 from .kernel import Slot
@@ -27,7 +28,6 @@
 from .policy.quarantine import SUSPICION_S, list_numbers
 from .policy.stream_version import rank_keepers
 from .request_holds import TRIAL_S, RequestHolds, Suspects, digest_request
-from .settings import split_endpoint
 from .streams import Stream, StreamRequest
 
 LOGGER: Final = logging.getLogger(__name__)
--- a/berylpost/settings.py
+++ b/berylpost/settings.py
@@ -7,7 +7,6 @@
 `configuration`.
 """
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated, Final
 
@@ -15,6 +14,7 @@
 import yaml
 from msgspec import Meta, Struct
 
+from .endpoints import split_endpoint
 from .errors import SettingsError
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -212,16 +212,3 @@
     if settings.ledger.retention_s < MIN_RETENTION_S:
         return f"must be at least {MIN_RETENTION_S} - at `$.ledger.retention_s`"
     return ""
-
-
-def split_endpoint(endpoint: str) -> tuple[str, int]:
-    """Splits IP-NUMBER:PORT into address and port.
-
-    Raises:
-        ValueError: the host is not an IP number or the port is not valid.
-    """
-    host, _, port = endpoint.rpartition(":")
-    address = ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65_536:
-        raise ValueError(f"port {port} is not between 1 and 65535")
-    return str(address), int(port)
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -12,7 +12,7 @@
 import httptools
 import msgspec
 
-from .settings import split_endpoint
+from .endpoints import split_endpoint
 
 READ_BYTES: Final = 65_536
 MAX_LINE_BYTES: Final = 1 << 20
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -24,12 +24,12 @@
 
 from .configuration import Identity, hash_token
 from .configurations import ConfigurationInForce
+from .endpoints import split_endpoint
 from .errors import BerylpostError, ErrorKind, SettingsError, render_problem
 from .forwarding import Forwarder
 from .kernel import Context, Plugin, Slot, register_plugin
 from .logs import log_event
 from .metrics import REFUSALS
-from .settings import split_endpoint
 from .streams import render_response
 
 LOGGER: Final = logging.getLogger(__name__)
--- a/features/entry_cut_daemons.feature
+++ b/features/entry_cut_daemons.feature
@@ -53,7 +53,8 @@
 
   Scenario Outline: A stream in flight when the links are reset goes on through a peer
     Given 3 entry daemons and 2 servers
-    When the links of a daemon are reset while <n> streams run
+    When callers send requests of all kinds to all daemons for 2 s
+    And the links of a daemon are reset while <n> streams run
     Then all streams came whole and in order
     And nothing is held back
 
--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,63 @@
+Feature: An odd entry of another writer stops neither a daemon nor the list
+
+  Scenario Outline: Entry daemons follow the store past an object of kind "<kind>" with <oddity>
+    Given 2 entry daemons and 1 servers
+    When another writer stores an object of the kind "<kind>" with <oddity>
+    Then a server and a configuration that are stored later are in force within 2 s
+    And a daemon that starts later knows them, too
+    And a daemon that missed them gets them from another one
+
+    Examples:
+      | kind              | oddity                  |
+      | servers           | very deep nesting       |
+      | servers           | a number out of range   |
+      | servers           | a very large integer    |
+      | servers           | a port out of range     |
+      | servers           | a host name             |
+      | servers           | a list                  |
+      | servers           | bytes that are no text  |
+      | config            | very deep nesting       |
+      | config            | a number out of range   |
+      | config            | a very large integer    |
+      | berylpost-members | very deep nesting       |
+      | berylpost-members | a port out of range     |
+      | berylpost-members | a host name             |
+      | berylpost-members | a very large integer    |
+      | berylpost-holds   | very deep nesting       |
+      | berylpost-holds   | a number out of range   |
+      | berylpost-leases  | very deep nesting       |
+      | berylpost-leases  | a very large integer    |
+
+  Scenario: A sound entry that follows an odd one counts
+    Given 2 entry daemons and 2 servers
+    When another writer overwrites the entry of a server with very deep nesting
+    Then the daemons do not use that server
+    When the server writes its entry again
+    Then the daemons use that server again
+
+  Scenario Outline: Daemons of the own interface read the list of VMs past an entry with <oddity>
+    Given a cloud that lists a sound VM beside an entry with <oddity>
+    Then the sound VM is listed, and the other one is logged once
+
+    Examples:
+      | oddity                  |
+      | very deep nesting       |
+      | a number out of range   |
+      | a very large integer    |
+      | a port out of range     |
+      | a host name             |
+      | a list                  |
+      | bytes that are no text  |
+
+  Scenario Outline: Daemons of the own interface follow stored objects past one with <oddity>
+    Given 1 entry daemons and 1 servers
+    And an object of the own interface beside one with <oddity>
+    Then a watch brings the sound one, and one that is stored later
+
+    Examples:
+      | oddity                  |
+      | very deep nesting       |
+      | a number out of range   |
+      | a very large integer    |
+      | a list                  |
+      | bytes that are no text  |
--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,179 @@
+"""Steps for entries of other writers that cannot be used."""
+
+import asyncio
+import base64
+import logging
+import time
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+from steps.entry_steps import wait_for
+
+from berylpost.fakes.cloud import Cloud, Vm
+from berylpost.fakes.entry_world import make_configuration
+from berylpost.fakes.replica import Replica
+from berylpost.platform.cloud import HttpCloud
+from berylpost.platform.objects import KIND_PREFIX, HttpObjects
+
+DEEP = b"[" * 20_000 + b"]" * 20_000
+FIELDS = {
+    "very deep nesting": b'"Extra": ' + DEEP,
+    "a number out of range": b'"Extra": 1e999, "port": 1e999',
+    "a very large integer": b'"Slots": ' + b"9" * 300 + b', "port": ' + b"9" * 300,
+    "a port out of range": b'"Address": "127.0.0.1:70000", "port": 70000',
+    "a host name": b'"Address": "example.invalid:80", "ip": "example.invalid"',
+    "bytes that are no text": b'"Extra": "\xff\xfe"',
+}
+ENTRY = (
+    b'{"Service": "app", "Address": "127.0.0.1:9", "Zone": "a", "Version": 2, '
+    b'"Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": 1, '
+    b'"ip": "127.0.0.1", "port": 9, "crashes": [], "holder": "x", %s}'
+)
+
+
+def make_odd(oddity):
+    if oddity == "a list":
+        return msgspec.Raw(b"[1, 2]")
+    return msgspec.Raw(ENTRY % FIELDS[oddity])
+
+
+@when('another writer stores an object of the kind "{kind}" with {oddity}')
+def step_store_odd(context: Context, kind: str, oddity: str) -> None:
+    name = {"config": "main", "berylpost-leases": "duties"}.get(kind, "aa-odd")
+    context.world.run(context.world.store.put(kind, name, make_odd(oddity)))
+    time.sleep(0.3)
+
+
+def is_current(daemon):
+    configuration = daemon.catalogue.configuration
+    known = {record.backend.id for record in daemon.table.records.values()}
+    number = configuration.number if configuration else 0
+    return ("r-late" in known and number == 2) or (known, number)
+
+
+@then("a server and a configuration that are stored later are in force within {n:d} s")
+def step_check_followed(context: Context, n: int) -> None:
+    world = context.world
+    first = world.replicas[0]
+    late = Replica(id="r-late", ip=first.ip, port=first.port + 1)
+    world.run(world.put_replica(late))
+    world.run(world.put_configuration(make_configuration(2)))
+    for daemon in world.daemons.values():
+        wait_for(n, lambda daemon=daemon: is_current(daemon))
+
+
+@then("a daemon that starts later knows them, too")
+def step_check_late(context: Context) -> None:
+    daemon = context.world.run(context.world.start_daemon(7))
+    wait_for(3, lambda: is_current(daemon))
+
+
+@then("a daemon that missed them gets them from another one")
+def step_check_bridged(context: Context) -> None:
+    daemons = list(context.world.daemons.values())
+
+    async def fetch():
+        late = daemons[-1]
+        member = late.members.members[daemons[0].settings.name]
+        state = daemons[0].catalogue.export_state()
+        await late._fetch_state(member, 0)
+        return msgspec.json.encode(state)
+
+    assert context.world.run(fetch())
+
+
+@when("another writer overwrites the entry of a server with {oddity}")
+def step_overwrite(context: Context, oddity: str) -> None:
+    spec = msgspec.Raw(b'{"Service": %s}' % (DEEP,))
+    context.world.run(context.world.store.put("servers", "r-0", spec))
+
+
+@then("the daemons do not use that server")
+def step_check_unused(context: Context) -> None:
+    for daemon in context.world.daemons.values():
+        wait_for(3, lambda daemon=daemon: "r-0" not in daemon.table.records)
+        assert "r-1" in daemon.table.records
+
+
+@when("the server writes its entry again")
+def step_rewrite(context: Context) -> None:
+    context.world.run(context.world.put_replica(context.world.replicas[0]))
+
+
+@then("the daemons use that server again")
+def step_check_used(context: Context) -> None:
+    for daemon in context.world.daemons.values():
+        wait_for(3, lambda daemon=daemon: "r-0" in daemon.table.records)
+
+
+@given("a cloud that lists a sound VM beside an entry with {oddity}")
+def step_start_cloud(context: Context, oddity: str) -> None:
+    entry = (
+        b'{"id": "odd", "zone": "a", "role": "engine", "address": "127.0.0.1:9", %s}'
+    )
+    fields = FIELDS.get(oddity, b"").replace(b'"Address"', b'"address"')
+    fields = fields.replace(b'"Extra"', b'"notice_at"').replace(b'"Slots"', b'"id"')
+    odd = msgspec.Raw(b"[1]" if oddity == "a list" else entry % fields)
+
+    async def serve():
+        async def ignore(_vm):
+            """No VM is started or stopped."""
+
+        cloud = Cloud(
+            endpoint="127.0.0.1:0", boot=ignore, stop=ignore, notify=lambda _vm: None
+        )
+        cloud.odd_entries = [odd]
+        cloud.add(Vm(id="sound", zone="a", role="engine", address="127.0.0.1:10"))
+        return cloud
+
+    context.cloud = asyncio.run(serve())
+
+
+@then("the sound VM is listed, and the other one is logged once")
+def step_check_listed(context: Context) -> None:
+    lines = []
+
+    class Handler(logging.Handler):
+        def emit(self, record):
+            lines.append(record.getMessage())
+
+    handler = Handler()
+    logger = logging.getLogger("berylpost.platform.cloud")
+    logger.addHandler(handler)
+    disabled = logging.root.manager.disable
+    logging.disable(logging.NOTSET)
+    try:
+        body = msgspec.json.encode(
+            {"vms": [*context.cloud.odd_entries, *context.cloud.vms.values()]}
+        )
+        cloud = HttpCloud(url="http://127.0.0.1:9", timeout_s=1.0)
+        listed = [cloud.decode_vms(body) for _ in range(2)]
+    finally:
+        logging.disable(disabled)
+        logger.removeHandler(handler)
+    assert [[vm.id for vm in vms] for vms in listed] == [["sound"]] * 2, listed
+    assert sum("bad_vm" in line for line in lines) == 1, lines
+
+
+@given("an object of the own interface beside one with {oddity}")
+def step_store_beside(context: Context, oddity: str) -> None:
+    context.kind = f"{KIND_PREFIX}configurations"
+    spec = base64.b64encode(b"sound").decode()
+    store = context.world.store
+    context.world.run(store.put(context.kind, "aa", make_odd(oddity)))
+    context.world.run(store.put(context.kind, "bb", spec))
+
+
+@then("a watch brings the sound one, and one that is stored later")
+def step_check_watch(context: Context) -> None:
+    store = context.world.store
+    objects = HttpObjects(url=f"http://{store.server.endpoint}", timeout_s=2.0)
+    watch = objects.watch("configurations/", lambda: True)
+    assert next(watch)[0] == "configurations/bb"
+    odd = make_odd("a list")
+    context.world.run(store.put(context.kind, "ab", odd))
+    spec = base64.b64encode(b"late").decode()
+    context.world.run(store.put(context.kind, "cc", spec))
+    assert next(watch)[0] == "configurations/cc"
+    watch.close()
