Answer what is unfinished at the end of a planned stop

Requests that a stopped daemon had passed on and that still ran at the end of its grace period were cut without an answer, among them some that may not be repeated (reports of other operators). Cause: the daemon closed idle connections and ended; busy ones were closed by the end of the process. Change: at the planned end each request in progress is cancelled and answered: as not run if no attempt can have run, else with 'outcome unknown'; a stream that has begun stays incomplete. The own interface refuses work from the end of its addresses' lifetime on and hands streams over, so that class is not met there.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -111,6 +111,16 @@
         if self._server is not None:
             self._server.close()
 
+    async def end_requests(self, timeout_s: float) -> None:
+        """Ends the requests in progress and waits until their handlers have answered.
+
+        Args:
+            timeout_s: how long to wait.
+        """
+        tasks = [t for c in self.connections if (t := c.end_requests()) is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     def count_busy(self) -> int:
         """Counts the connections with an unanswered request."""
         return sum(1 for connection in self.connections if connection.is_busy)
@@ -356,6 +366,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def end_requests(self) -> asyncio.Task[None] | None:
+        """Cancels the request in progress, whose handler is still to answer.
+
+        Returns:
+            The task of the handler; None if no request is in progress.
+        """
+        self._closing = True
+        if self._task is not None:
+            self._task.cancel()
+        return self._task
+
     def close_when_written(self) -> None:
         """Closes the connection after pending writes and the request in progress."""
         self._closing = True
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -68,6 +68,7 @@
 # Few callers still use a directory answer that is older than this.
 MIN_LEAVE_S: Final = 4.5
 EXIT_MARGIN_S: Final = 0.7  # between the planned exit and SIGKILL
+LAST_ANSWERS_S: Final = 0.2  # to answer what is unfinished at the planned exit
 # How long idle callers' connections stay open after shutdown begins.
 IDLE_CLOSE_S: Final = 2.5
 
@@ -275,6 +276,7 @@
             if elapsed_s > MIN_LEAVE_S and not n_busy:
                 break
             await asyncio.sleep(0.1)
+        await self.front.end_requests(LAST_ANSWERS_S)
         self.watch.stop()
         self.notice_poller.stop()
         self.quarantine.stop()
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -139,8 +139,11 @@
             else:
                 caller.answer_error(error)
         except asyncio.CancelledError:
-            outcome = "caller_left"
-            raise
+            if not caller.is_open:
+                outcome = "caller_left"
+                raise
+            told = self._end_unfinished(context, caller)
+            outcome, detail = told.kind.value, told.detail
         finally:
             # An attempt that has not ended here, or was answered, was a trial.
             if (
@@ -151,6 +154,28 @@
                 self._quarantine.cancel_trial(context.suspects)
             self._log_request(head, context, outcome, detail, request.arrived_at)
 
+    def _end_unfinished(
+        self, context: RequestContext | None, caller: CallerConnection
+    ) -> BerylpostError:
+        """Answers a request that is in progress when this daemon has to end.
+
+        Returns:
+            The error that the caller is told, unless its answer had begun.
+        """
+        may_have_run = context is not None and context.n_sent > context.n_not_run
+        if may_have_run:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            error = BerylpostError(kind, "this daemon has to end")
+        else:
+            error = make_refusal(ErrorKind.LEAVING, "this daemon is leaving", 0.0)
+            if context is not None and context.customer is not None:
+                self._quotas.refund(context.customer, context.units)
+        if caller.answer_started:
+            caller.abort()
+        else:
+            caller.answer_error(error)
+        return error
+
     async def _run_attempts(
         self, context: RequestContext, caller: CallerConnection
     ) -> None:
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -59,7 +59,8 @@
     def send(self, line, request_id, *, key=API_KEY, body=b"", extra_headers=()):
         headers = [f"{line} HTTP/1.1", f"Host: {HOST}"]
         headers += [f"X-Berylpost-Attempt-Id: {request_id}"]
-        headers += [f"X-Berylpost-Deadline-Ms: {DEADLINE_MS}"]
+        if not any("Deadline-Ms" in header for header in extra_headers):
+            headers += [f"X-Berylpost-Deadline-Ms: {DEADLINE_MS}"]
         if key:
             headers.append(f"Authorization: Bearer {key}")
         headers += extra_headers
