Spare servers that say how many refusals in a second they bear

Servers that say Server-Brittle fall over when they turn more than N requests away in a second, over all daemons; the header was read by nothing. Change: a brittle server's slots are shared evenly among the daemons (the remainder changes every 2 s), requests beyond that are refused as not run or go to another server, and what it might turn away goes only in the slots of a rate of half of N - 2 that all daemons share, as named request rates are; N reaches daemons in the same way. Below N = 2 nothing is risked.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 from ..logs import log_event
+from ..policy.brittle import has_room
 from ..policy.placement import BackendLoad
 from .clock import read_boottime
 from .model import Backend, BackendState, PromptPart, Service
@@ -72,6 +73,9 @@
         leaving: set once the server is known to be leaving.
         bad_limit: malformed request rate that it named last.
         bad_leaving: malformed value that said last whether it leaves.
+        bad_brittle: malformed value that said last whether it is brittle.
+        n_connecting: requests of this daemon that wait for a connection.
+        refused_at: boot-time clock when it last turned a request away.
     """
 
     def __init__(
@@ -94,6 +98,9 @@
         self.leaving = asyncio.Event()
         self.bad_limit = b""
         self.bad_leaving = b""
+        self.bad_brittle = b""
+        self.n_connecting = 0
+        self.refused_at = float("-inf")
 
 
 class BackendTable:
@@ -288,6 +295,26 @@
             )
         return views
 
+    def has_room(self, record: BackendRecord, share: int) -> bool:
+        """Tells whether a brittle server probably takes another request.
+
+        Args:
+            record: the server.
+            share: requests that this daemon may have there.
+        """
+        now = read_boottime()
+        n_own = record.n_outstanding + record.n_connecting
+        name = record.backend.id
+        reports = (report.get(name) for report in self._list_reports(now))
+        n_others = sum(entry[0] for entry in reports if entry is not None)
+        return has_room(
+            slots=record.backend.slots,
+            n_own=n_own,
+            share=share,
+            n_known=n_own + round(n_others),
+            since_refusal_s=now - record.refused_at,
+        )
+
     def count_daemons(self) -> int:
         """Returns the number of daemons that share the servers."""
         return self._count_members()
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -44,7 +44,7 @@
 from .quotas import Quotas
 from .registration import Registration
 from .request_quarantine import RequestQuarantine
-from .server_limits import ServerLimits
+from .server_limits import RISK_MARK, ServerLimits
 from .store_era import StoreEra
 from .store_watch import StoreWatch
 from .stream_origins import StreamOrigins
@@ -155,6 +155,12 @@
         self.limits = ServerLimits(
             name=settings.name, members=self.members, table=self.table
         )
+        self.brittle = ServerLimits(
+            name=settings.name,
+            members=self.members,
+            table=self.table,
+            mark=RISK_MARK,
+        )
         self.leaving_servers = LeavingServers(members=self.members, table=self.table)
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
@@ -162,6 +168,7 @@
             origins=self.origins,
             quarantine=self.quarantine,
             limits=self.limits,
+            brittle=self.brittle,
             leaving=self.leaving_servers,
             quotas=self.quotas,
             usage=self.usage,
@@ -228,6 +235,7 @@
         self.notice_poller.start()
         self.quarantine.start()
         self.limits.start()
+        self.brittle.start()
         self.leaving_servers.start()
         if self.duties is not None:
             self.duties.start()
@@ -281,6 +289,7 @@
         self.notice_poller.stop()
         self.quarantine.stop()
         self.limits.stop()
+        self.brittle.stop()
         self.leaving_servers.stop()
         self.paths.stop()
         self.members.announce(everyone=True)
@@ -298,6 +307,7 @@
         self.notice_poller.stop()
         self.quarantine.stop()
         self.limits.stop()
+        self.brittle.stop()
         self.leaving_servers.stop()
         self.paths.stop()
         self.registration.stop()
@@ -398,6 +408,7 @@
             "busy_connections": self.front.count_busy(),
             "held_parts": self.quarantine.n_held,
             "limited_servers": self.limits.n_limited,
+            "brittle_servers": self.brittle.n_limited,
             "suspect_servers": self.table.count_suspect(),
             "cut_links": self.paths.n_cut,
             "passed_on_connections": self.paths.tunnels.n_open,
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 from ..errors import BerylpostError, ErrorKind
@@ -21,6 +22,7 @@
     parse_rate_limit,
     render_request,
 )
+from ..policy.brittle import find_risk_rate
 from ..policy.repeat import AttemptOutcome, may_retry
 from .admission import Admission
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
@@ -74,6 +76,7 @@
         origins: software versions of the streams that callers take up.
         quarantine: requests and prompt parts that are held back.
         limits: request rates that servers name.
+        brittle: rates of what brittle servers may turn away.
         leaving: servers that said that they leave.
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
@@ -90,6 +93,7 @@
         origins: StreamOrigins,
         quarantine: RequestQuarantine,
         limits: ServerLimits,
+        brittle: ServerLimits,
         leaving: LeavingServers,
         quotas: Quotas,
         usage: Usage,
@@ -99,11 +103,14 @@
         self.admission = Admission(
             catalogue=catalogue, quotas=quotas, quarantine=quarantine
         )
-        self._router = Router(table=table, limits=limits, work_meter=work_meter)
+        self._router = Router(
+            table=table, limits=limits, brittle=brittle, work_meter=work_meter
+        )
         self._relay = StreamRelay(
             table=table, limits=limits, record_origin=origins.record
         )
         self._limits = limits
+        self._brittle = brittle
         self._leaving = leaving
         self._origins = origins
         self._quarantine = quarantine
@@ -319,9 +326,12 @@
             self._note_limit(record, head)
             if head.status != 421:  # another server answered
                 self._note_leaving(record, head)
+                self._note_brittle(record, head)
             if head.status == 421 or head.find(names.NOT_EXECUTED):
                 await self._await_body(context, exchange)
                 complete = True
+                if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+                    record.refused_at = read_boottime()
                 detail = f"not executed, status {head.status}"
                 raise AttemptFailed(
                     detail, may_have_run=False, unreachable=head.status == 421
@@ -380,6 +390,19 @@
             record.bad_limit = value
             log_event(LOGGER, "bad_limit", backend=record.backend.id, value=value[:40])
 
+    def _note_brittle(self, record: BackendRecord, head: AnswerHead) -> None:
+        """Records whether a server says that it is brittle."""
+        value = head.find(names.BRITTLE)
+        n_allowed = parse_rate_limit(value)
+        if n_allowed is not None or not value:
+            rate = None if n_allowed is None else find_risk_rate(n_allowed)
+            self._brittle.note_answer(record, rate)
+        elif record.bad_brittle != value:
+            record.bad_brittle = value
+            log_event(
+                LOGGER, "bad_brittle", backend=record.backend.id, value=value[:40]
+            )
+
     def _note_leaving(self, record: BackendRecord, head: AnswerHead) -> None:
         """Records whether a server says that it leaves."""
         value = head.find(names.LEAVING)
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -35,6 +35,7 @@
 MAX_CONNECT_ATTEMPTS: Final = 4  # servers tried for a connection before giving up
 NO_BACKEND_RETRY_S: Final = 0.5  # a suspect server is tried again after about this time
 MAX_REPEAT_WAIT_S: Final = 0.5  # for a slot of a server that names a rate
+FULL_RETRY_S: Final = 0.3  # a full server has room after about one request
 DEFAULT_WORK_S: Final = 0.06  # assumed time of one request to a plain backend server
 
 
@@ -44,14 +45,21 @@
     Args:
         table: state of the backend servers.
         limits: request rates that servers name.
+        brittle: rates of what brittle servers may turn away.
         work_meter: measures the work that callers' requests cause.
     """
 
     def __init__(
-        self, *, table: BackendTable, limits: ServerLimits, work_meter: WorkMeter
+        self,
+        *,
+        table: BackendTable,
+        limits: ServerLimits,
+        brittle: ServerLimits,
+        work_meter: WorkMeter,
     ) -> None:
         self._table = table
         self._limits = limits
+        self._brittle = brittle
         self._work_meter = work_meter
         self._random = random.Random()
 
@@ -72,9 +80,12 @@
             context.predicted_wait_s = choice.wait_s
             slot_s = self._limits.find_wait(record)
             self._limits.take(record)
+            if not self._has_room(record):
+                self._brittle.take(record)
             # The copied KV cache of a moved run does not wait.
             if slot_s and context.moved_to != record.backend.id:
                 await asyncio.sleep(slot_s)
+            record.n_connecting += 1
             try:
                 connection = await record.pool.acquire(max_idle_s=max_idle_s)
             except UpstreamError as error:
@@ -90,6 +101,8 @@
                     n_servers=len(self._table.records),
                 )
                 continue
+            finally:
+                record.n_connecting -= 1
             if self._table.is_usable(record) or context.moved_to == record.backend.id:
                 return record, connection
             record.pool.release(connection)
@@ -123,6 +136,7 @@
                 f"no backend server{detail} is ready",
                 NO_BACKEND_RETRY_S,
             )
+        records = self._leave_out_full(context, records)
         records = self._prefer_open(context, records)
         loads = self._table.view_loads(records, min(N_URGENCIES - 1, context.urgency))
         parts = context.head.parts
@@ -141,6 +155,32 @@
         chosen = next(record for record in records if record.backend.id == choice.id)
         return chosen, choice
 
+    def _has_room(self, record: BackendRecord) -> bool:
+        """Tells whether a server is not brittle, or probably takes a request."""
+        if not self._brittle.has_rate(record):
+            return True
+        return self._table.has_room(record, self._brittle.count_share(record))
+
+    def _leave_out_full(
+        self, context: RequestContext, records: list[BackendRecord]
+    ) -> list[BackendRecord]:
+        """Leaves out brittle servers that might turn the request away.
+
+        Raises:
+            BerylpostError: all are left out, so the request is refused or fails.
+        """
+        left = [
+            record
+            for record in records
+            if self._has_room(record) or self._brittle.has_slot(record)
+        ]
+        if left:
+            return left
+        detail = "every server is brittle and full"
+        if context.may_have_run:
+            raise BerylpostError(ErrorKind.BACKEND_FAILED, detail)
+        raise make_refusal(ErrorKind.OVERLOADED, detail, FULL_RETRY_S)
+
     def _prefer_open(
         self, context: RequestContext, records: list[BackendRecord]
     ) -> list[BackendRecord]:
--- a/berylpost/edge/server_limits.py
+++ b/berylpost/edge/server_limits.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..policy.brittle import EPOCH_S, share_slots
 from ..rate_limits import RateLimits, Statement
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
@@ -15,8 +16,9 @@
 from .members import Members
 from .model import Backend, Endpoint
 
-# First bytes of this module's datagrams; no other message begins with them.
-DATAGRAM_MARK: Final = b"\xc1\xc2"
+# First bytes of the datagrams of each kind of rate; no other message begins with them.
+LIMIT_MARK: Final = b"\xc1\xc2"
+RISK_MARK: Final = b"\xc1\xc4"
 
 
 class _Told(msgspec.Struct, frozen=True, array_like=True, tag="told"):
@@ -38,21 +40,34 @@
         name: name of this daemon.
         members: the other daemons, and the time of day that they agree on.
         table: state of the backend servers.
+        mark: `LIMIT_MARK`, or `RISK_MARK` for the rate of what brittle servers may
+            turn away.
     """
 
-    def __init__(self, *, name: str, members: Members, table: BackendTable) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        members: Members,
+        table: BackendTable,
+        mark: bytes = LIMIT_MARK,
+    ) -> None:
+        self._name = name
         self._members = members
         self._table = table
+        # This daemon's share of each server and the epoch that it holds for.
+        self._shares: dict[str, tuple[int, int]] = {}
         self._rates = RateLimits(
             name=name,
             read_clock=read_boottime,
             read_wall_clock=members.estimate_wall_clock,
             list_others=members.list_serving,
             on_change=self._pass_on,
+            event="backend_limit" if mark == LIMIT_MARK else "backend_brittle",
         )
         self._channel: DatagramChannel[_Told | _Question] = DatagramChannel(
             members=members,
-            mark=DATAGRAM_MARK,
+            mark=mark,
             message_type=_Told | _Question,
             handle=self._handle,
         )
@@ -76,6 +91,15 @@
         """Records what an answer says of the rate; None if it names none."""
         self._rates.note_answer(_identify(record.backend), rate)
 
+    def has_rate(self, record: BackendRecord) -> bool:
+        """Tells whether a server names a rate."""
+        return self._rates.find_rate(_identify(record.backend)) is not None
+
+    def has_slot(self, record: BackendRecord) -> bool:
+        """Tells whether a slot of a rate above zero can be used now."""
+        server = _identify(record.backend)
+        return bool(self._rates.find_rate(server)) and not self._rates.find_wait(server)
+
     def find_wait(self, record: BackendRecord) -> float:
         """Returns the seconds until a server may be sent a request; 0 for at once."""
         return self._rates.find_wait(_identify(record.backend))
@@ -84,10 +108,23 @@
         """Uses the next slot of a server, if it names a rate."""
         self._rates.take(_identify(record.backend))
 
+    def count_share(self, record: BackendRecord) -> int:
+        """Returns how many requests this daemon may have at a brittle server."""
+        server = record.backend.id
+        epoch = int(self._members.estimate_wall_clock() / EPOCH_S)
+        known = self._shares.get(server)
+        if known is None or known[0] != epoch:
+            names = [self._name, *self._members.list_serving()]
+            share = share_slots(record.backend.slots, server, names, epoch)[0]
+            known = self._shares[server] = (epoch, share)
+        return known[1]
+
     def _drop_outdated(self) -> None:
         self._rates.drop_outdated(
             {_identify(record.backend) for record in self._table.records.values()}
         )
+        for server in self._shares.keys() - self._table.records.keys():
+            del self._shares[server]
 
     def _pass_on(self, servers: list[str]) -> None:
         for statements in self._rates.export(servers):
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 from typing import Final
@@ -73,6 +73,12 @@
             takes; empty for none.
         leaving: value of the header that says whether the server leaves; empty for
             none.
+        brittle: value of the header that names how many requests the server may turn
+            away in a second before it falls over; empty for none.
+        room: requests that it runs at the same time; it turns others away.
+        may_fall: whether it falls over then; it says so some time before.
+        fall_s: time for which it is gone after it fell over.
+        n_falls: how often it fell over.
         born: start of the server, Unix milliseconds; 0 to leave it out of its entry.
         received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
@@ -114,6 +120,12 @@
         )
         self.limit = ""
         self.leaving = ""
+        self.brittle = ""
+        self.room = 1_000_000
+        self.may_fall = False
+        self.fall_s = 1.0
+        self.n_falls = 0
+        self._turned_away_at: deque[float] = deque()
         self.born = 0
         self.received_at: list[float] = []
         self.work_s = 0.0
@@ -217,6 +229,8 @@
                 headers["Server-Leaving"] = self.leaving
             _write(writer, 421, headers, b"")
             return True
+        if self.n_running >= self.room:
+            return await self._turn_away(incoming, writer)
         self.n_running += 1
         handle = FAULTS[self.fault]
         if not self.crashing_parts.isdisjoint(list_shared_parts(incoming)):
@@ -236,6 +250,24 @@
             with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await disconnect
 
+    async def _turn_away(
+        self, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Refuses a request for want of room; falls over after too many."""
+        now = time.monotonic()
+        self._turned_away_at.append(now)
+        while self._turned_away_at[0] < now - 1.0:
+            self._turned_away_at.popleft()
+        if self.may_fall and len(self._turned_away_at) > float(self.brittle):
+            self._turned_away_at.clear()
+            self.n_falls += 1
+            await self.stop()
+            asyncio.get_running_loop().call_later(
+                self.fall_s, lambda: asyncio.ensure_future(self.start())
+            )
+            return False
+        return await _refuse(self, incoming, writer)
+
 
 def list_shared_parts(incoming: _IncomingRequest) -> list[str]:
     """Lists the ids of the parts of a prompt that other requests may share."""
@@ -273,6 +305,8 @@
         headers["Server-Limit"] = replica.limit
     if replica.leaving:
         headers["Server-Leaving"] = replica.leaving
+    if replica.brittle:
+        headers["Server-Brittle"] = replica.brittle
     return headers
 
 
--- a/berylpost/platform/names.py
+++ b/berylpost/platform/names.py
@@ -43,6 +43,7 @@
 LOAD: Final = b"x-berylpost-replica-load"
 RATE_LIMIT: Final = b"server-limit"
 LEAVING: Final = b"server-leaving"
+BRITTLE: Final = b"server-brittle"
 NOT_EXECUTED: Final = b"x-berylpost-not-executed"
 
 # Header of all the store's responses.
--- a/berylpost/rate_limits.py
+++ b/berylpost/rate_limits.py
@@ -67,6 +67,7 @@
         read_wall_clock: returns the time of day, Unix seconds.
         list_others: lists the other daemons that may be serving.
         on_change: called with the servers whose rate changed, to tell other daemons.
+        event: name of the log line on a change.
     """
 
     def __init__(
@@ -77,8 +78,10 @@
         read_wall_clock: Callable[[], float],
         list_others: Callable[[], Collection[str]],
         on_change: Callable[[list[str]], None],
+        event: str = "backend_limit",
     ) -> None:
         self._name = name
+        self._event = event
         self._read_clock = read_clock
         self._read_wall_clock = read_wall_clock
         self._list_others = list_others
@@ -101,6 +104,11 @@
         if self._update(server, rate, self._read_clock()):
             self._on_change([server])
 
+    def find_rate(self, server: str) -> float | None:
+        """Returns the rate that a server names; None if it names none."""
+        limit = self._limits.get(server)
+        return None if limit is None else limit.rate
+
     def find_wait(self, server: str) -> float:
         """Returns the seconds until a server may be sent a request; 0 for at once."""
         limit = self._limits.get(server)
@@ -199,7 +207,7 @@
             return False
         log_event(
             LOGGER,
-            "backend_limit",
+            self._event,
             backend=server,
             rate="none" if rate is None else rate,
             before="none" if limit.rate is None else limit.rate,
