Cut daemons off and make servers brittle in the soak

The soak's daemons run on an event loop whose links to servers can be cut (hang, reset, new connections refused), alone in a phase of their own beside planned work and among all other faults; a daemon that starts anew stays cut. Checked by the rule's own bound: first tries at cut daemons are served at least two thirds as often as at the others, or 10 + 1 in 50 failed at most. Brittle servers say so 3 s before they may fall over, and fall twice at most.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import msgspec
@@ -577,9 +577,14 @@
                 self._log_stream.flush_lines()
 
 
-def main() -> int:
+def main(
+    make_loop: Callable[[LoopMeter], asyncio.AbstractEventLoop] = LoopMeter.make_loop,
+) -> int:
     """Runs the entry daemon.
 
+    Args:
+        make_loop: makes the event loop, with the meter as its selector.
+
     Returns:
         0 after a graceful shutdown, 2 if the settings are invalid.
     """
@@ -591,7 +596,7 @@
     log_stream = install_log_stream(level=os.environ.get("BERYLPOST_LOG", "info"))
     gc.freeze()
     meter = LoopMeter()
-    with asyncio.Runner(loop_factory=meter.make_loop) as runner:
+    with asyncio.Runner(loop_factory=lambda: make_loop(meter)) as runner:
         daemon = EdgeDaemon(settings=settings, log_stream=log_stream, loop_meter=meter)
         runner.run(daemon.run())
     return 0
--- a/berylpost/fakes/links.py
+++ b/berylpost/fakes/links.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import selectors
 from contextvars import ContextVar
 from enum import StrEnum
 from typing import Any, Final
@@ -51,48 +52,55 @@
         connected: connections opened so far, by daemon and IP address.
     """
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, selector: selectors.BaseSelector | None = None) -> None:
+        super().__init__(selector)
         self.connected: dict[tuple[str, str], int] = {}
         self._faults: dict[tuple[str, str], LinkFault] = {}
         self._healed = asyncio.Event()
-        self._transports: dict[tuple[str, str], list[Any]] = {}
+        self._opened: dict[tuple[str, str], list[Any]] = {}
         self._held: dict[tuple[str, str], list[_Held]] = {}
 
-    def cut(self, daemon: str, ip: str, fault: LinkFault) -> None:
-        """Cuts the link from a daemon to an IP address."""
-        link = (daemon, ip)
-        self.heal(daemon, ip)
-        self._faults[link] = fault
-        transports = self._list_open(link)
+    def cut(self, daemon: str, prefix: str, fault: LinkFault) -> None:
+        """Cuts the links from a daemon to the IP addresses that begin with a prefix."""
+        self.heal(daemon, prefix)
+        self._faults[daemon, prefix] = fault
+        transports = [
+            transport
+            for (owner, ip), opened in self._opened.items()
+            for transport in opened
+            if owner == daemon and ip.startswith(prefix) and not transport.is_closing()
+        ]
         if fault is LinkFault.RESET:
             for transport in transports:
                 transport.abort()
         elif fault is LinkFault.HANG:
-            self._held[link] = [_Held(transport) for transport in transports]
+            self._held[daemon, prefix] = [_Held(transport) for transport in transports]
 
-    def heal(self, daemon: str, ip: str) -> None:
-        """Heals the link from a daemon to an IP address."""
-        link = (daemon, ip)
-        self._faults.pop(link, None)
-        for held in self._held.pop(link, ()):
+    def heal(self, daemon: str, prefix: str) -> None:
+        """Heals the links that were cut with the same arguments."""
+        self._faults.pop((daemon, prefix), None)
+        for held in self._held.pop((daemon, prefix), ()):
             held.release()
         self._healed.set()
         self._healed = asyncio.Event()
 
+    def _find_fault(self, daemon: str, ip: str) -> LinkFault | None:
+        for (owner, prefix), fault in self._faults.items():
+            if owner == daemon and ip.startswith(prefix):
+                return fault
+        return None
+
     async def create_connection(  # type: ignore[override]
         self, factory: Any, host: str, port: int, **options: Any
     ) -> Any:
         """Opens a connection unless the link is cut."""
         link = (CURRENT_DAEMON.get(), host)
-        while self._faults.get(link) is LinkFault.HANG:
+        while (fault := self._find_fault(*link)) is LinkFault.HANG:
             await self._healed.wait()
-        if link in self._faults:
+        if fault is not None:
             raise ConnectionResetError(f"the link to {host} is cut")
         pair = await super().create_connection(factory, host, port, **options)
         self.connected[link] = self.connected.get(link, 0) + 1
-        self._transports[link] = [*self._list_open(link), pair[0]]
+        opened = [t for t in self._opened.get(link, ()) if not t.is_closing()]
+        self._opened[link] = [*opened, pair[0]]
         return pair
-
-    def _list_open(self, link: tuple[str, str]) -> list[Any]:
-        return [t for t in self._transports.get(link, ()) if not t.is_closing()]
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -60,6 +60,7 @@
         version: version of its software.
         on_run: called with the headers of each request that begins to run.
         on_crash: called when the server has crashed.
+        on_fall: called when a brittle server has fallen over.
 
     Attributes:
         cut_at: share of an answer's head after which the fault "head cut" stops.
@@ -101,7 +102,9 @@
         version: str = "v1",
         on_run: Callable[[Mapping[str, str]], None] = lambda _headers: None,
         on_crash: Callable[["Replica"], None] = lambda _replica: None,
+        on_fall: Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_fall = on_fall
         self.on_run = on_run
         self.on_crash = on_crash
         self.crashing_parts: frozenset[str] = frozenset()
@@ -261,6 +264,7 @@
         if self.may_fall and len(self._turned_away_at) > float(self.brittle):
             self._turned_away_at.clear()
             self.n_falls += 1
+            self.on_fall()
             await self.stop()
             asyncio.get_running_loop().call_later(
                 self.fall_s, lambda: asyncio.ensure_future(self.start())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,16 +11,21 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from berylpost.fakes.links import LinkFault
 from berylpost.fakes.replica import FAULTS
 
 from .proxy import Mode, Proxy
-from .world import DRAIN_S, HEARTBEAT_S, Daemon, World
+from .world import DRAIN_S, HEARTBEAT_S, CutPeriod, Daemon, World
 
 FAULT_PHASE_S: Final = (5.0, 11.0)
 # The strict checks do not apply in its first three seconds (`STEADY_S` of `judge`).
 QUIET_PHASE_S: Final = (7.0, 10.0)
 # Longer than the time after which a part that crashes servers must be held back.
 CRASH_PHASE_S: Final = (10.0, 12.0)
+# Longer than the time after which cut daemons must serve again.
+CUT_PHASE_S: Final = (7.0, 9.0)
+BRITTLE_NOTICE_S: Final = 3.0
+BRITTLE_S: Final = (2.0, 5.0)
 FAULT_INTERVAL_S: Final = (0.1, 1.2)
 QUIET_INTERVAL_S: Final = (0.4, 1.6)
 DAEMON_START_S: Final = 3.0  # from the start of a daemon until it serves
@@ -60,6 +65,8 @@
             "store_fault": self._disturb_store,
             "backend_limit": self._limit_backend,
             "store_restore": self._restore_store,
+            "backend_cut": self._cut_daemons,
+            "backend_brittle": self._make_brittle,
         }
         self.planned_actions: dict[str, Action] = {
             "stop": self._restart,
@@ -79,6 +86,7 @@
             await self._run_phase(all_actions, FAULT_PHASE_S, FAULT_INTERVAL_S, ends_at)
             await self._wait_for_actions()
             await self._run_crash_phase()
+            await self._run_cut_phase()
             await self._run_phase(
                 self.planned_actions, QUIET_PHASE_S, QUIET_INTERVAL_S, ends_at
             )
@@ -93,6 +101,33 @@
         self._world.end_bad_part()
         await self._wait_for_actions()
 
+    async def _run_cut_phase(self) -> None:
+        """Cuts daemons off from all backend servers, beside planned work."""
+        period = self._begin_cut(CUT_PHASE_S[1])
+        await self._run_phase(
+            self.planned_actions, CUT_PHASE_S, QUIET_INTERVAL_S, float("inf")
+        )
+        if period is not None:
+            self._world.end_cut(period)
+        await self._wait_for_actions()
+
+    def _begin_cut(self, lasts_s: float) -> CutPeriod | None:
+        """Cuts some daemons off, not all; None if others are cut off now."""
+        daemons = self._world.daemons
+        if any(daemon.cut for daemon in daemons):
+            return None
+        chosen = self._random.sample(daemons, self._random.randrange(1, len(daemons)))
+        for daemon in chosen:
+            self._world.record_disturbance("backend_cut", daemon.name, lasts_s=lasts_s)
+        return self._world.begin_cut(chosen, self._random.choice(list(LinkFault)))
+
+    async def _cut_daemons(self) -> None:
+        seconds = self._random.uniform(0.5, 6.0)
+        period = self._begin_cut(seconds)
+        if period is not None:
+            await asyncio.sleep(seconds)
+            self._world.end_cut(period)
+
     async def _run_phase(
         self,
         actions: dict[str, Action],
@@ -248,6 +283,23 @@
         await asyncio.sleep(self._random.uniform(*LIMIT_S))
         self._world.end_limit(period)
 
+    async def _make_brittle(self) -> None:
+        """Lets a backend server fall over some time after it says that it may."""
+        backends = self._world.list_active_backends()
+        if len(backends) < MIN_BACKENDS:
+            return
+        backend = self._random.choice(backends)
+        if any(
+            p.backend is backend and p.ended_at == float("inf")
+            for p in self._world.brittle_periods
+        ):
+            return
+        period = self._world.begin_brittle(backend, self._random.choice((0, 2, 5)))
+        await asyncio.sleep(BRITTLE_NOTICE_S)
+        self._world.let_fall(period)
+        await asyncio.sleep(self._random.uniform(*BRITTLE_S))
+        self._world.end_brittle(period)
+
     async def _pause_backend(self) -> None:
         backends = self._world.list_active_backends()
         if not backends:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -9,8 +9,8 @@
 from berylpost.fakes.duty_api import DutyCallChecker
 from berylpost.fakes.replica import N_EVENTS, SIGNATURE
 
-from .callers import RequestRecord
-from .world import DRAIN_S, Backend, LimitPeriod, World
+from .callers import REQUEST_KINDS, RequestRecord
+from .world import DRAIN_S, Backend, CutPeriod, LimitPeriod, World
 
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 DENIED_STATUSES: Final = frozenset({401, 403, 404})
@@ -29,6 +29,7 @@
 N_CRASHES: Final = 5  # after which a part that crashes servers must be known
 N_REQUEST_CRASHES: Final = 3  # after which a request that crashes servers must be known
 LIMIT_WINDOW_S: Final = 4.0  # in which the requests of a limited server are counted
+MAX_FALLS: Final = 2  # of a brittle server, as the platform's rule allows
 MAX_LATE_RUNS: Final = 3  # of such a part, later than `STEADY_S` after that
 MIN_SOUND: Final = 20  # sound streams from which on the share of those begun counts
 MIN_SOUND_SHARE: Final = 0.5  # of the share that begins outside disturbances
@@ -139,6 +140,13 @@
             self._check_bad_part(part, crashes)
         for period in self.world.limit_periods:
             self._check_limit(period)
+        for cut in self.world.cut_periods:
+            self._check_cut(cut)
+        for brittle in self.world.brittle_periods:
+            if brittle.n_falls > MAX_FALLS:
+                self._add_violation(
+                    "brittle", brittle.backend.id, f"fell over {brittle.n_falls} times"
+                )
         self._check_named_leaving()
         for violation in self.world.cloud.checker.violations:
             self._add_violation("holders", "-", violation)
@@ -224,6 +232,44 @@
                 )
                 return
 
+    def _check_cut(self, period: CutPeriod) -> None:
+        """Checks that daemons which reach no server serve callers as the others do."""
+        served: Counter[bool] = Counter()
+        sent: Counter[bool] = Counter()
+        for record in self.records:
+            since = record.sent_at - STEADY_S
+            if (
+                not period.started_at + STEADY_S <= record.sent_at <= period.ended_at
+                or record.abandoned
+                or record.kind not in REQUEST_KINDS
+                or record.key in self.world.revoked
+                or self.world.was_disturbed(since, record.ended_at, target="all")
+                or self._was_otherwise_disturbed(record, since)
+            ):
+                continue
+            is_cut = record.daemon in period.daemons
+            sent[is_cut] += 1
+            served[is_cut] += record.complete and record.status == 200
+        n_failed = sent[True] - served[True]
+        if not sent[False] or n_failed <= 10 + sent.total() / 50:
+            return
+        if served[True] * sent[False] < 2 / 3 * served[False] * sent[True]:
+            self._add_violation(
+                "cut off",
+                ",".join(sorted(period.daemons)),
+                f"served {served[True]} of {sent[True]}, "
+                f"others {served[False]} of {sent[False]}",
+            )
+
+    def _was_otherwise_disturbed(self, record: RequestRecord, since: float) -> bool:
+        return any(
+            d.target == record.daemon
+            and d.kind != "backend_cut"
+            and d.started_at <= record.ended_at
+            and d.ended_at >= since
+            for d in self.world.disturbances
+        )
+
     def _check_named_leaving(self) -> None:
         """Checks that servers whose answers say that they leave get no new requests.
 
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -3,8 +3,10 @@
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
 has an effect. From standard input it reads the fault to inject, one name a line,
 `crash NAME` for a prompt part, or a whole body, that ends the process when it begins to
-answer it, `limit RATE` for the request rate to name in answers, `limit` for none, and
-`leaving` to say in all answers that it leaves.
+answer it, `limit RATE` for the request rate to name in answers, `limit` for none,
+`leaving` to say in all answers that it leaves, `brittle N` to have little room and to
+say how many refusals it bears, `fragile` to fall over beyond that, and `brittle` to be
+sound again. It writes the line `fell` when it falls over.
 """
 
 import asyncio
@@ -14,6 +16,8 @@
 
 from berylpost.fakes.replica import FAULTS, Replica
 
+BRITTLE_ROOM = 8  # requests, as many as the slots that its entry names
+
 
 def print_run(headers: Mapping[str, str]) -> None:
     """Writes a line for a request that starts to run."""
@@ -24,6 +28,11 @@
     sys.stdout.flush()
 
 
+def print_fall() -> None:
+    """Writes a line for a fall."""
+    print("fell", flush=True)
+
+
 async def serve(replica_id: str, ip: str, port: int, version: str) -> None:
     """Serves until the process is killed or standard input is closed."""
     replica = Replica(
@@ -33,7 +42,9 @@
         version=version,
         on_run=print_run,
         on_crash=lambda _replica: os._exit(1),
+        on_fall=print_fall,
     )
+    unlimited = replica.room
     replica.work_s = 0.02
     await replica.start()
     print("ready", flush=True)
@@ -48,6 +59,12 @@
             name = order.removeprefix("crash ")
             replica.crashing_parts |= {name}
             replica.crashing_bodies |= {name.encode()}
+        elif order == "fragile":
+            replica.may_fall = True
+        elif order.startswith("brittle"):
+            replica.brittle = order.removeprefix("brittle").strip()
+            replica.room = BRITTLE_ROOM if replica.brittle else unlimited
+            replica.may_fall = False
         elif order == "leaving":
             replica.leaving = "1"
         elif order.startswith("limit"):
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,6 +21,7 @@
 PORT: Final = 8_221  # the same for all processes, since each has its own IP address
 N_PORTS: Final = 4  # front, readiness, directory, peer
 # Heartbeat interval of backend servers; their entry ends after three missed ones.
+FALL_MARK: Final = "fell"  # first word of a server's line about its own fall
 VERSIONS: Final = ("v1", "v2")  # of the backend servers, in turn
 HEARTBEAT_S: Final = 1.2
 GRACE_S: Final = 8.0  # from SIGTERM to SIGKILL
@@ -49,6 +50,7 @@
         n_starts: Number of starts so far.
         stopping: Whether SIGTERM or SIGKILL was sent to the current process.
         paused: Whether the current process is stopped by SIGSTOP.
+        cut: Fault of the links to all backend servers; empty for none.
     """
 
     name: str
@@ -62,6 +64,7 @@
     n_starts: int = 0
     stopping: bool = False
     paused: bool = False
+    cut: str = ""
 
     @property
     def is_up(self) -> bool:
@@ -108,6 +111,25 @@
     ended_at: float = float("inf")
 
 
+@dataclass(slots=True, kw_only=True)
+class CutPeriod:
+    """Time in which daemons reach no backend server, monotonic seconds."""
+
+    daemons: frozenset[str]
+    started_at: float
+    ended_at: float = float("inf")
+
+
+@dataclass(slots=True, kw_only=True)
+class BrittlePeriod:
+    """Time in which a backend server may fall over, monotonic seconds."""
+
+    backend: Backend
+    started_at: float
+    ended_at: float = float("inf")
+    n_falls: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Disturbance:
     """A fault or planned action; times are in seconds on the monotonic clock.
@@ -145,6 +167,8 @@
         bad_requests: Those of these names that are whole requests, not prompt parts.
         crashes: When servers crashed, by prompt part, monotonic seconds.
         limit_periods: When backend servers named a request rate.
+        cut_periods: When daemons were cut off from all backend servers.
+        brittle_periods: When backend servers were brittle.
         bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
     """
 
@@ -171,6 +195,8 @@
         self.crashes: dict[str, list[float]] = {}
         self.bad_part_ended_at: dict[str, float] = {}
         self.limit_periods: list[LimitPeriod] = []
+        self.cut_periods: list[CutPeriod] = []
+        self.brittle_periods: list[BrittlePeriod] = []
         self.store = ObjectStore(endpoint=f"{address_prefix}.0.1:{PORT}")
         self.cloud = DutyApi(endpoint=f"{address_prefix}.0.2:{PORT}")
         self._document: dict[str, Any] = {}
@@ -334,16 +360,45 @@
         daemon.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "berylpost.edge",
+            "soak.daemon",
             cwd=ROOT,
             env=environment,
+            stdin=asyncio.subprocess.PIPE,
             stdout=daemon.log,
             stderr=daemon.log,
         )
         daemon.n_starts += 1
         daemon.stopping = daemon.paused = False
+        if daemon.cut:
+            self._order_links(daemon, daemon.cut)
         self.spawn(self._watch_exit(daemon, daemon.process))
 
+    def begin_cut(self, daemons: list[Daemon], fault: str) -> CutPeriod:
+        """Cuts daemons off from all backend servers, also later ones."""
+        for daemon in daemons:
+            daemon.cut = fault
+            self._order_links(daemon, fault)
+        period = CutPeriod(
+            daemons=frozenset(daemon.name for daemon in daemons),
+            started_at=time.monotonic(),
+        )
+        self.cut_periods.append(period)
+        return period
+
+    def end_cut(self, period: CutPeriod) -> None:
+        """Heals the links of a period."""
+        period.ended_at = time.monotonic()
+        for daemon in self.daemons:
+            if daemon.name in period.daemons:
+                daemon.cut = ""
+                self._order_links(daemon, "heal")
+
+    def _order_links(self, daemon: Daemon, order: str) -> None:
+        process = daemon.process
+        if process is not None and process.returncode is None and process.stdin:
+            # Backend servers are reached at the addresses of their proxies.
+            process.stdin.write(f"{order} {self.address_prefix}.4.\n".encode())
+
     async def _watch_exit(
         self, daemon: Daemon, process: asyncio.subprocess.Process
     ) -> None:
@@ -468,6 +523,22 @@
         period.ended_at = time.monotonic()
         self._order(period.backend, "limit")
 
+    def begin_brittle(self, backend: Backend, n_allowed: int) -> BrittlePeriod:
+        """Lets a backend server say that it is brittle, before it is so."""
+        self._order(backend, f"brittle {n_allowed}")
+        period = BrittlePeriod(backend=backend, started_at=time.monotonic())
+        self.brittle_periods.append(period)
+        return period
+
+    def let_fall(self, period: BrittlePeriod) -> None:
+        """Lets a backend server fall over from now on."""
+        self._order(period.backend, "fragile")
+
+    def end_brittle(self, period: BrittlePeriod) -> None:
+        """Lets it be sound again."""
+        period.ended_at = time.monotonic()
+        self._order(period.backend, "brittle")
+
     def begin_bad_part(self, *, is_request: bool) -> str:
         """Lets callers send a prompt part that crashes servers; returns its name.
 
@@ -541,8 +612,17 @@
         assert backend.process.stdout is not None
         while line := await backend.process.stdout.readline():
             attempt, _, customer = line.decode().strip().partition(" ")
+            if attempt == FALL_MARK:
+                self._note_fall(backend)
+                continue
             self.on_run(attempt, customer, backend)
 
+    def _note_fall(self, backend: Backend) -> None:
+        self.record_disturbance("backend_fall", "all", lasts_s=2.0)
+        for period in self.brittle_periods:
+            if period.backend is backend:
+                period.n_falls += 1
+
     # Operator.
 
     async def put_configuration(self) -> None:
