Refuse a connection that was reset before its first use as not connected

Cause: a connection that is reset between the end of the race of paths and its use has no socket any more. Change: it counts as not connected.

--- a/berylpost/edge/paths.py
+++ b/berylpost/edge/paths.py
@@ -213,6 +213,9 @@
         self._note_race(backend, race, path)
         if path is None:
             raise NotConnectedError(race.render_failures(), refused=race.was_refused)
+        if path.transport.is_closing():
+            # It was reset between the end of the race and now.
+            raise NotConnectedError("reset at once", refused=True)
         return path
 
     async def _open_relayed(self, backend: Backend, peer: str) -> OpenPath:
--- a/features/entry_cut_daemons.feature
+++ b/features/entry_cut_daemons.feature
@@ -51,6 +51,11 @@
     And callers send requests of all kinds to all daemons for 2 s
     Then no daemon takes a link for cut
 
+  Scenario: A connection that is reset as soon as it is open is no internal error
+    Given 2 entry daemons and 2 servers
+    When each connection to a server is reset as soon as it is open
+    Then 40 requests at once get no answer with status 500
+
   Scenario Outline: A stream in flight when the links are reset goes on through a peer
     Given 3 entry daemons and 2 servers
     When callers send requests of all kinds to all daemons for 2 s
--- a/features/steps/entry_cut_steps.py
+++ b/features/steps/entry_cut_steps.py
@@ -11,6 +11,7 @@
 from steps.entry_limit_steps import list_daemons
 from steps.entry_steps import make_events, make_request_line, send_request
 
+from berylpost.edge import paths
 from berylpost.edge.tunnels import attach_to_tunnel
 from berylpost.fakes.links import LinkFault
 from berylpost.fakes.replica import N_EVENTS
@@ -316,3 +317,31 @@
         assert user.data == data.encode(), (cut_at, user.data)
         assert user.closed == (end == "a close"), (cut_at, end)
         assert user.reset == (end == "a reset"), (cut_at, end)
+
+
+@when("each connection to a server is reset as soon as it is open")
+def step_reset_at_once(context: Context) -> None:
+    open_direct = paths.open_direct
+
+    async def open_and_reset(address, timeout_s):
+        path = await open_direct(address, timeout_s)
+        path.transport.abort()
+        await asyncio.sleep(0)
+        return path
+
+    paths.open_direct = open_and_reset
+    context.add_cleanup(setattr, paths, "open_direct", open_direct)
+
+
+@then("{n:d} requests at once get no answer with status {status:d}")
+def step_check_no_status(context: Context, n: int, status: int) -> None:
+    async def send():
+        daemons = list_daemons(context)
+        requests = [
+            send_request(daemons[k % 2], make_request_line("read"), f"reset-{k}")
+            for k in range(n)
+        ]
+        return await asyncio.gather(*requests)
+
+    statuses = Counter(a.status for a in context.world.run(send(), timeout_s=60))
+    assert statuses and not statuses[status], statuses
