Use a server again at once when it goes on after a short silence

A sound server that fell silent for a second was left out for more than 2.5 s after it went on (scenario: no request within 1 s of its return). Cause: all requests that the silence failed at the same moment added up, so the server was suspect for 6 s instead of 0.8, and each raised its failure rate, which only an answer lowers, so it was not asked again while another server was free. Change: a failure of an attempt that began before the server was suspect adds nothing; a server that has answered nothing since the attempt began is suspect, but its failure rate stays. A server that answers others and hangs some still gets one.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -63,6 +63,8 @@
     Attributes:
         pending_tokens: prompt tokens that were sent and whose first output token has
             not arrived, by urgency.
+        answered_at: boot-time clock at its last answer.
+        suspect_since: boot-time clock at which it last became suspect.
         suspect_until: boot-time clock until which the server is suspect.
         mean_answer_s: moving average of comparable answer times; 0 when unknown.
         cached_parts: tokens of the prompt parts in the engine's KV cache, by part id,
@@ -89,6 +91,8 @@
         self.pending_tokens = [0.0] * N_URGENCIES
         self.failure_rate = 0.0
         self.n_failures_in_row = 0
+        self.answered_at = float("-inf")
+        self.suspect_since = float("-inf")
         self.suspect_until = 0.0
         self.mean_answer_s = 0.0
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
@@ -388,6 +392,7 @@
 
     def note_success(self, record: BackendRecord, answer_s: float | None) -> None:
         """Records an answer; `answer_s` is its duration, None if not comparable."""
+        record.answered_at = read_boottime()
         record.failure_rate *= 1 - FAILURE_WEIGHT
         record.n_failures_in_row = 0
         record.suspect_until = 0.0
@@ -395,20 +400,35 @@
             known = record.mean_answer_s or answer_s
             record.mean_answer_s = known + ANSWER_TIME_WEIGHT * (answer_s - known)
 
-    def note_failure(self, record: BackendRecord, *, unreachable: bool) -> None:
-        """Records a failure; `unreachable` if the server may no longer exist."""
-        record.failure_rate += FAILURE_WEIGHT * (1 - record.failure_rate)
+    def note_failure(
+        self, record: BackendRecord, *, unreachable: bool, began_at: float
+    ) -> None:
+        """Records a failure.
+
+        Args:
+            record: the server.
+            unreachable: whether the server may no longer exist.
+            began_at: boot-time clock at which the attempt began. One that began before
+                the server was suspect says nothing new, so that many requests that a
+                short silence fails together do not add up.
+        """
+        # A server that has answered nothing since is silent rather than faulty, for
+        # which it is suspect; a share of failures would outlast its silence.
+        if not unreachable or record.answered_at > began_at:
+            record.failure_rate += FAILURE_WEIGHT * (1 - record.failure_rate)
+        if not unreachable or began_at < record.suspect_since:
+            return
         record.n_failures_in_row += 1
-        if unreachable:
-            suspect_s = FIRST_SUSPECT_S * 2 ** min(4, record.n_failures_in_row - 1)
-            record.suspect_until = read_boottime() + min(MAX_SUSPECT_S, suspect_s)
-            log_event(
-                LOGGER,
-                "backend_suspect",
-                backend=record.backend.id,
-                n_failures=record.n_failures_in_row,
-                rest_s=min(MAX_SUSPECT_S, suspect_s),
-            )
+        suspect_s = FIRST_SUSPECT_S * 2 ** min(4, record.n_failures_in_row - 1)
+        record.suspect_since = read_boottime()
+        record.suspect_until = record.suspect_since + min(MAX_SUSPECT_S, suspect_s)
+        log_event(
+            LOGGER,
+            "backend_suspect",
+            backend=record.backend.id,
+            n_failures=record.n_failures_in_row,
+            rest_s=min(MAX_SUSPECT_S, suspect_s),
+        )
 
     def count_suspect(self) -> int:
         """Counts the servers that are suspect now."""
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -211,6 +211,7 @@
                 record.pool.release(connection)
                 self._give_up(context, caller, "repeat budget is spent")
                 return
+            began_at = read_boottime()
             try:
                 await self._attempt(context, caller, record, connection)
                 return
@@ -224,7 +225,9 @@
                 else:
                     context.n_not_run += 1
                 context.tried.append(record.backend.id)
-                self._table.note_failure(record, unreachable=failure.unreachable)
+                self._table.note_failure(
+                    record, unreachable=failure.unreachable, began_at=began_at
+                )
                 log_event(
                     LOGGER,
                     "attempt_failed",
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -86,11 +86,12 @@
             if slot_s and context.moved_to != record.backend.id:
                 await asyncio.sleep(slot_s)
             record.n_connecting += 1
+            began_at = read_boottime()
             try:
                 connection = await record.pool.acquire(max_idle_s=max_idle_s)
             except UpstreamError as error:
                 context.tried.append(record.backend.id)
-                self._table.note_failure(record, unreachable=True)
+                self._table.note_failure(record, unreachable=True, began_at=began_at)
                 log_event(
                     LOGGER,
                     "connect_failed",
--- a/features/entry_cut_daemons.feature
+++ b/features/entry_cut_daemons.feature
@@ -105,3 +105,9 @@
       | 00000000                 |      | a close |
       | 0000000161000000016200   | ab   | a reset |
       | ffffffff61               |      | a reset |
+
+  Scenario: A server that falls silent for a second is used again at once when it goes on
+    Given 1 entry daemons and 2 servers
+    When a server is silent for 1 s while callers send "read"
+    Then it gets requests again within 1 s
+    And the callers' requests were answered
--- a/features/steps/entry_cut_steps.py
+++ b/features/steps/entry_cut_steps.py
@@ -345,3 +345,34 @@
 
     statuses = Counter(a.status for a in context.world.run(send(), timeout_s=60))
     assert statuses and not statuses[status], statuses
+
+
+@when('a server is silent for {seconds:g} s while callers send "read"')
+def step_silence(context: Context, seconds: float) -> None:
+    world = context.world
+    replica = world.replicas[0]
+
+    async def play():
+        sends = asyncio.ensure_future(send_all(context, seconds + 2.5, ("read",)))
+        await asyncio.sleep(0.5)
+        world.loop.cut("entry-0", replica.ip, LinkFault.HANG)
+        await asyncio.sleep(seconds)
+        world.loop.heal("entry-0", replica.ip)
+        context.heard_at = time.monotonic()
+        return await sends
+
+    context.records = world.run(play(), timeout_s=seconds + 30)
+
+
+@then("it gets requests again within {seconds:g} s")
+def step_check_back(context: Context, seconds: float) -> None:
+    # Those that were held back arrive at once.
+    since = context.heard_at + 0.1
+    times = [at for at in context.world.replicas[0].received_at if at > since]
+    assert times and times[0] < context.heard_at + seconds, (times, context.heard_at)
+
+
+@then("the callers' requests were answered")
+def step_check_all_served(context: Context) -> None:
+    failed = [r.answer.status for r in context.records if not r.ok]
+    assert len(failed) <= 0.05 * len(context.records), failed
