--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import threading
@@ -32,6 +33,8 @@
             loop.call_soon_threadsafe(loop.heal, "", prefix)
         else:
             loop.call_soon_threadsafe(loop.cut, "", prefix, LinkFault(order))
+    # The soak itself has ended.
+    os.kill(os.getpid(), signal.SIGKILL)
 
 
 if __name__ == "__main__":
