--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -267,7 +267,8 @@
     async def leave(self) -> None:
         """Stops taking callers, finishes running requests and ends before SIGKILL."""
         began_at = read_boottime()
-        ends_at = began_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        grace_s = self.settings.bounds.grace_s
+        ends_at = began_at + grace_s - EXIT_MARGIN_S - LAST_ANSWERS_S
         log_event(LOGGER, "daemon_leaving", n_busy=self.front.count_busy())
         self.members.leaving = True
         self.front.leaving = True
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -27,7 +27,8 @@
 
 
 def _read_orders(loop: LinkedLoop) -> None:
-    for line in sys.stdin:
+    # Not sys.stdin, whose lock this thread would hold when the interpreter ends.
+    for line in open(0, closefd=False):
         order, prefix = line.strip().rsplit(" ", 1)
         if order == "heal":
             loop.call_soon_threadsafe(loop.heal, "", prefix)
