Change the shares of brittle servers without an overlap; split paths and tunnels

A run of entry_brittle_servers.feature beside other load answered 49 of a room for 101 (bound: half) in the row of nine daemons, one server and N = 0. Cause: when the shares change, a request of the period before may still run, so that a server turned one away and fell over. Change: for half a second the smaller of the two shares counts. The modules of paths and tunnels are split by job.

--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -14,7 +14,7 @@
 
 from ..errors import LostAnswerError, PlatformError
 from .model import Endpoint
-from .paths import NotConnectedError, OpenPath
+from .open_paths import NotConnectedError, OpenPath
 
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
 # Servers send heads of a few hundred bytes; one read may bring more than the head.
--- a/berylpost/edge/paths.py
+++ b/berylpost/edge/paths.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Collection, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, Final
 
 from ..logs import log_event
@@ -22,7 +22,6 @@
     PathKind,
     Peer,
     Refusal,
-    Step,
     apply_event,
     decide_relay,
     delay_trial,
@@ -35,81 +34,17 @@
 from .clock import read_boottime
 from .members import Members
 from .model import Backend, EdgeSettings, Endpoint
-from .tunnels import (
-    Outcome,
-    PendingConnection,
-    TunnelError,
-    TunnelServer,
-    attach_to_tunnel,
-    open_tunnel,
-)
+from .open_paths import NotConnectedError, OpenPath, PathRace, open_direct
+from .tunnel_server import TunnelServer
+from .tunnels import CONNECT_TIMEOUT_S, Outcome, TunnelError, open_tunnel
 
 LOGGER: Final = logging.getLogger(__name__)
 
-# Time limit for one path: a hundred round trips, and well below every route's
-# objective.
-CONNECT_TIMEOUT_S: Final = 0.4
 # A peer needs its own time to connect.
 TUNNEL_TIMEOUT_S: Final = CONNECT_TIMEOUT_S + HEAD_START_S
 TICK_S: Final = 0.25
 
 
-class NotConnectedError(Exception):
-    """No path led to a server.
-
-    Attributes:
-        refused: whether an address refused, as after the end of a server's process;
-            otherwise nothing answered.
-    """
-
-    def __init__(self, detail: str, *, refused: bool) -> None:
-        super().__init__(detail)
-        self.refused = refused
-
-
-class OpenPath:
-    """A new connection that nothing uses yet.
-
-    Attributes:
-        transport: the connection.
-        peer: daemon that passes it on; empty if it is direct.
-    """
-
-    def __init__(self, *, transport: asyncio.Transport, peer: str = "") -> None:
-        self.transport = transport
-        self.peer = peer
-
-    def attach(self, user: asyncio.Protocol) -> None:
-        """Lets a protocol use the connection."""
-        if self.peer:
-            attach_to_tunnel(self.transport, user)
-            return
-        self.transport.set_protocol(user)
-        user.connection_made(self.transport)
-
-
-async def open_direct(address: Endpoint, timeout_s: float) -> OpenPath:
-    """Connects to an address without asking another daemon.
-
-    Raises:
-        NotConnectedError: nothing answered in time, or the address refused.
-    """
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_s):
-            transport, pending = await loop.create_connection(
-                PendingConnection, *address
-            )
-    except TimeoutError as error:
-        raise NotConnectedError(repr(error), refused=False) from error
-    except OSError as error:
-        raise NotConnectedError(repr(error), refused=True) from error
-    if transport.is_closing() or pending.has_data:
-        transport.abort()
-        raise NotConnectedError("reset at once", refused=True)
-    return OpenPath(transport=transport)
-
-
 class BackendPaths:
     """The links of this daemon to the backend servers, and the ways around them.
 
@@ -208,7 +143,7 @@
             peers = peers or iter(self._rank_peers(backend))
             return self._open_relayed(backend, next(peers, ""))
 
-        race = _Race(steps=steps, start=start)
+        race = PathRace(steps=steps, start=start)
         path = await race.run()
         self._note_race(backend, race, path)
         if path is None:
@@ -246,7 +181,7 @@
         return OpenPath(transport=transport, peer=peer)
 
     def _note_race(
-        self, backend: Backend, race: "_Race", path: OpenPath | None
+        self, backend: Backend, race: PathRace, path: OpenPath | None
     ) -> None:
         if path is None:
             self._apply_event(backend.id, LinkEvent.NOT_OPENED)
@@ -371,92 +306,3 @@
             return
         path.transport.abort()
         self._apply_event(server, LinkEvent.DIRECT_OPENED)
-
-
-class _Race:
-    """Tries paths one after the other, each with a head start before the next one.
-
-    Args:
-        steps: the paths in order.
-        start: tries one of them.
-
-    Attributes:
-        failures: kinds of the paths that led nowhere, and why.
-    """
-
-    def __init__(
-        self,
-        *,
-        steps: Collection[Step],
-        start: Callable[[PathKind], Coroutine[Any, Any, OpenPath]],
-    ) -> None:
-        self.failures: list[tuple[PathKind, NotConnectedError]] = []
-        self._steps = steps
-        self._start = start
-        self._running: dict[asyncio.Task[OpenPath], PathKind] = {}
-
-    @property
-    def was_direct_tried(self) -> bool:
-        """Whether the direct path was tried."""
-        failed = (kind for kind, _ in self.failures)
-        return PathKind.DIRECT in (*failed, *self._running.values())
-
-    @property
-    def was_direct_refused(self) -> bool:
-        """Whether the direct path was refused."""
-        return any(kind is PathKind.DIRECT and e.refused for kind, e in self.failures)
-
-    @property
-    def was_refused(self) -> bool:
-        """Whether every path was refused and none left without an answer."""
-        return all(error.refused for _, error in self.failures)
-
-    def render_failures(self) -> str:
-        """Renders the failures for a log line."""
-        texts = (f"{kind}: {error}" for kind, error in self.failures)
-        return "; ".join(dict.fromkeys(texts))
-
-    async def run(self) -> OpenPath | None:
-        """Returns the first path that leads to the server; None if none does."""
-        winner: OpenPath | None = None
-        try:
-            for step in self._steps:
-                winner = winner or await self._await_path(step.delay_s)
-                if winner is not None:
-                    break
-                task = asyncio.create_task(self._start(step.kind))
-                self._running[task] = step.kind
-            while winner is None and self._running:
-                winner = await self._await_path(None)
-        finally:
-            for task in self._running:
-                task.add_done_callback(_close_unused)
-                task.cancel()
-        return winner
-
-    async def _await_path(self, delay_s: float | None) -> OpenPath | None:
-        """Waits until a path is open, one has failed or the delay is over."""
-        if not self._running:
-            return None
-        done, _ = await asyncio.wait(
-            self._running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
-        )
-        winner: OpenPath | None = None
-        for task in done:
-            kind = self._running.pop(task)
-            error = task.exception()
-            if isinstance(error, NotConnectedError):
-                self.failures.append((kind, error))
-            elif error is not None:
-                raise error
-            elif winner is None:
-                winner = task.result()
-            else:
-                _close_unused(task)
-        return winner
-
-
-def _close_unused(task: "asyncio.Task[OpenPath]") -> None:
-    """Closes a path that was opened after another one was chosen."""
-    if not task.cancelled() and task.exception() is None:
-        task.result().transport.abort()
--- a/berylpost/edge/request_quarantine.py
+++ b/berylpost/edge/request_quarantine.py
@@ -29,7 +29,7 @@
 from .hold_store import HoldStore
 from .members import FAN_OUT, Members
 from .model import Endpoint
-from .paths import NotConnectedError
+from .open_paths import NotConnectedError
 from .store_era import StoreEra
 
 LOGGER: Final = logging.getLogger(__name__)
--- a/berylpost/edge/server_limits.py
+++ b/berylpost/edge/server_limits.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..policy.brittle import EPOCH_S, share_slots
+from ..policy.brittle import find_epochs, share_slots
 from ..rate_limits import RateLimits, Statement
 from .backend_table import BackendRecord, BackendTable
 from .clock import read_boottime
@@ -55,8 +55,8 @@
         self._name = name
         self._members = members
         self._table = table
-        # This daemon's share of each server and the epoch that it holds for.
-        self._shares: dict[str, tuple[int, int]] = {}
+        # This daemon's share of each server and the epochs that it holds for.
+        self._shares: dict[str, tuple[tuple[int, ...], int]] = {}
         self._rates = RateLimits(
             name=name,
             read_clock=read_boottime,
@@ -111,12 +111,13 @@
     def count_share(self, record: BackendRecord) -> int:
         """Returns how many requests this daemon may have at a brittle server."""
         server = record.backend.id
-        epoch = int(self._members.estimate_wall_clock() / EPOCH_S)
+        epochs = find_epochs(self._members.estimate_wall_clock())
         known = self._shares.get(server)
-        if known is None or known[0] != epoch:
+        if known is None or known[0] != epochs:
             names = [self._name, *self._members.list_serving()]
-            share = share_slots(record.backend.slots, server, names, epoch)[0]
-            known = self._shares[server] = (epoch, share)
+            slots = record.backend.slots
+            share = min(share_slots(slots, server, names, e)[0] for e in epochs)
+            known = self._shares[server] = (epochs, share)
         return known[1]
 
     def _drop_outdated(self) -> None:
--- /dev/null
+++ b/berylpost/edge/tunnel_server.py
@@ -0,0 +1,240 @@
+"""Passes connections of other daemons on to backend servers; see `tunnels`."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final, cast
+
+from ..logs import log_event
+from ..policy.paths import Refusal
+from .model import Endpoint
+from .tunnels import (
+    CONNECT_TIMEOUT_S,
+    END_OF_HEAD,
+    FRAME_HEAD,
+    MAX_HEAD_BYTES,
+    STATUS_LINES,
+    Outcome,
+    parse_request,
+    reset_connection,
+    set_keepalive,
+)
+
+LOGGER: Final = logging.getLogger(__name__)
+
+HEAD_TIMEOUT_S: Final = 1.0
+
+
+class TunnelServer:
+    """Passes connections of other daemons on to backend servers.
+
+    Args:
+        decide: returns why a connection is not passed on, or None; called with the IP
+            address that asks, the id and the address of the server.
+        note_connected: called with the id of a server and whether it was reached.
+
+    Attributes:
+        n_opened: connections passed on so far.
+        n_refused: connections not passed on.
+    """
+
+    def __init__(
+        self,
+        *,
+        decide: Callable[[str, str, Endpoint], Refusal | None],
+        note_connected: Callable[[str, bool], None] = lambda _server, _opened: None,
+    ) -> None:
+        self.decide = decide
+        self.note_connected = note_connected
+        self.n_opened = 0
+        self.n_refused = 0
+        self.tunnels: set[_NearSide] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def n_open(self) -> int:
+        """Number of connections that are passed on now."""
+        return len(self.tunnels)
+
+    async def start(self, ip: str, port: int) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _NearSide(server=self), ip, port, reuse_address=True
+        )
+
+    def stop(self) -> None:
+        """Stops listening and resets all connections."""
+        if self._server is not None:
+            self._server.close()
+        for tunnel in list(self.tunnels):
+            tunnel.reset()
+
+
+class _Side(asyncio.Protocol):
+    """One of the two connections of a tunnel.
+
+    Attributes:
+        other: the other one; None until it is open, and after it has ended.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.other: _Side | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Stores the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+        set_keepalive(self.transport)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes that came from the other side."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def end(self) -> None:
+        """Sends what is left, then closes."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Passes bytes on."""
+        if self.other is not None:
+            self.other.write(data)
+
+    def pause_writing(self) -> None:
+        """Stops reading from the other side while this one is slow."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Reads from the other side again."""
+        other = self.other.transport if self.other is not None else None
+        if other is not None and not other.is_closing():
+            other.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the other side in the same way: orderly, or by a reset."""
+        self.transport = None
+        other, self.other = self.other, None
+        if other is None:
+            return
+        other.other = None
+        if exc is None:
+            other.end()
+        else:
+            other.reset()
+
+    def reset(self) -> None:
+        """Resets this connection and the other one."""
+        other, self.other = self.other, None
+        if other is not None:
+            other.other = None
+            other.reset()
+        if self.transport is not None:
+            reset_connection(self.transport)
+
+
+class _NearSide(_Side):
+    """The connection from the daemon that asked."""
+
+    def __init__(self, *, server: TunnelServer) -> None:
+        super().__init__()
+        self._server = server
+        self._head = b""
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes of the server in one frame."""
+        super().write(FRAME_HEAD.pack(len(data)) + data)
+
+    def end(self) -> None:
+        """Marks the end of what the server sent, then closes."""
+        super().write(FRAME_HEAD.pack(0))
+        super().end()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Waits a limited time for the request."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(HEAD_TIMEOUT_S, self.reset)
+
+    def data_received(self, data: bytes) -> None:
+        """Reads the request, then passes bytes on."""
+        if self.other is not None:
+            super().data_received(data)
+            return
+        self._head += data
+        if self._task is not None or len(self._head) > MAX_HEAD_BYTES:
+            self.reset()  # it must not speak before the answer
+        elif END_OF_HEAD in self._head:
+            self._task = asyncio.ensure_future(self._open())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends a connect that is in progress, and the other side."""
+        self._cancel_timer()
+        if self._task is not None:
+            self._task.cancel()
+        self._server.tunnels.discard(self)
+        super().connection_lost(exc)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    async def _open(self) -> None:
+        """Answers the request and connects the two sides."""
+        self._cancel_timer()
+        assert self.transport is not None
+        request = parse_request(self._head)
+        if request is None:
+            self.reset()
+            return
+        server, address = request
+        asker = self.transport.get_extra_info("peername")[0]
+        refusal = self._server.decide(asker, server, address)
+        if refusal is not None:
+            self._decline(server, asker, refusal)
+            return
+        self._server.tunnels.add(self)
+        outcome, far = await _connect(address)
+        self._server.note_connected(server, outcome is Outcome.OPENED)
+        if far is None:
+            self._server.tunnels.discard(self)
+            self._finish(outcome)
+            return
+        self._server.n_opened += 1
+        self.other, far.other = far, self
+        self._answer(Outcome.OPENED)
+
+    def _decline(self, server: str, asker: str, refusal: Refusal) -> None:
+        self._server.n_refused += 1
+        log_event(
+            LOGGER, "tunnel_declined", backend=server, asker=asker, reason=refusal
+        )
+        self._finish(Outcome.DECLINED)
+
+    def _answer(self, outcome: Outcome) -> None:
+        super().write(b"HTTP/1.1 " + STATUS_LINES[outcome] + END_OF_HEAD)
+
+    def _finish(self, outcome: Outcome) -> None:
+        self._answer(outcome)
+        super().end()
+
+
+async def _connect(address: Endpoint) -> tuple[Outcome, _Side | None]:
+    """Connects to a server; returns no side unless the outcome is `OPENED`."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, side = await loop.create_connection(_Side, *address)
+    except TimeoutError:
+        return Outcome.SILENT, None
+    except OSError:
+        return Outcome.REFUSED, None
+    return Outcome.OPENED, side
--- a/berylpost/edge/tunnels.py
+++ b/berylpost/edge/tunnels.py
@@ -7,25 +7,22 @@
 
 What the server sends comes in frames, of which an empty one marks its orderly close: an
 answer without a length must not look complete when the peer itself ends.
+
+This module has the asking side; `tunnel_server` has the other one.
 """
 
 import asyncio
-import logging
 import re
 import socket
 import struct
-from collections.abc import Callable
 from enum import StrEnum
 from typing import Final, cast
 
-from ..logs import log_event
-from ..policy.paths import Refusal
 from .model import Endpoint
 
-LOGGER: Final = logging.getLogger(__name__)
-
+# Time limit for one path: a hundred round trips, and well below every route's
+# objective.
 CONNECT_TIMEOUT_S: Final = 0.4
-HEAD_TIMEOUT_S: Final = 1.0
 MAX_HEAD_BYTES: Final = 1_024
 # A peer that has lost power is noticed by these probes, since an idle connection sends
 # nothing. A TCP_USER_TIMEOUT would replace their count, so none is set.
@@ -49,13 +46,13 @@
     DECLINED = "declined"  # by the daemon itself
 
 
-_STATUS_LINES: Final = {
+STATUS_LINES: Final = {
     Outcome.OPENED: b"200 Connection Established",
     Outcome.REFUSED: b"502 Refused",
     Outcome.SILENT: b"504 Silent",
     Outcome.DECLINED: b"503 Declined",
 }
-_OUTCOMES: Final = {line[:3]: outcome for outcome, line in _STATUS_LINES.items()}
+_OUTCOMES: Final = {line[:3]: outcome for outcome, line in STATUS_LINES.items()}
 
 
 class TunnelError(Exception):
@@ -89,6 +86,19 @@
     transport.abort()
 
 
+def render_request(server: str, address: Endpoint) -> bytes:
+    """Renders the request for a connection to a server."""
+    return f"CONNECT {address} HTTP/1.1\r\nHost: {server}\r\n\r\n".encode("latin-1")
+
+
+def parse_request(data: bytes) -> tuple[str, Endpoint] | None:
+    """Parses such a request into id and address; None if it is malformed."""
+    match = REQUEST_PATTERN.fullmatch(data)
+    if match is None:
+        return None
+    return match[3].decode(), Endpoint(match[1].decode(), int(match[2]))
+
+
 class PendingConnection(asyncio.Protocol):
     """Holds a new connection until its user takes it over."""
 
@@ -117,7 +127,7 @@
         self.answered: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._request = f"CONNECT {address} HTTP/1.1\r\nHost: {server}\r\n\r\n"
+        self._request = render_request(server, address)
         self._answer = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,7 +135,7 @@
         super().connection_made(transport)
         assert self.transport is not None
         set_keepalive(self.transport)
-        self.transport.write(self._request.encode("latin-1"))
+        self.transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
         """Reads the answer, after which the server does not speak first."""
@@ -218,219 +228,3 @@
         handshake.transport.abort()
         raise TunnelError(outcome)
     return handshake.transport
-
-
-class TunnelServer:
-    """Passes connections of other daemons on to backend servers.
-
-    Args:
-        decide: returns why a connection is not passed on, or None; called with the IP
-            address that asks, the id and the address of the server.
-        note_connected: called with the id of a server and whether it was reached.
-
-    Attributes:
-        n_opened: connections passed on so far.
-        n_refused: connections not passed on.
-    """
-
-    def __init__(
-        self,
-        *,
-        decide: Callable[[str, str, Endpoint], Refusal | None],
-        note_connected: Callable[[str, bool], None] = lambda _server, _opened: None,
-    ) -> None:
-        self.decide = decide
-        self.note_connected = note_connected
-        self.n_opened = 0
-        self.n_refused = 0
-        self.tunnels: set[_NearSide] = set()
-        self._server: asyncio.Server | None = None
-
-    @property
-    def n_open(self) -> int:
-        """Number of connections that are passed on now."""
-        return len(self.tunnels)
-
-    async def start(self, ip: str, port: int) -> None:
-        """Starts listening.
-
-        Raises:
-            OSError: the address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _NearSide(server=self), ip, port, reuse_address=True
-        )
-
-    def stop(self) -> None:
-        """Stops listening and resets all connections."""
-        if self._server is not None:
-            self._server.close()
-        for tunnel in list(self.tunnels):
-            tunnel.reset()
-
-
-class _Side(asyncio.Protocol):
-    """One of the two connections of a tunnel.
-
-    Attributes:
-        other: the other one; None until it is open, and after it has ended.
-    """
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.other: _Side | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport."""
-        self.transport = cast(asyncio.Transport, transport)
-        set_keepalive(self.transport)
-
-    def write(self, data: bytes) -> None:
-        """Sends bytes that came from the other side."""
-        if self.transport is not None:
-            self.transport.write(data)
-
-    def end(self) -> None:
-        """Sends what is left, then closes."""
-        if self.transport is not None:
-            self.transport.close()
-
-    def data_received(self, data: bytes) -> None:
-        """Passes bytes on."""
-        if self.other is not None:
-            self.other.write(data)
-
-    def pause_writing(self) -> None:
-        """Stops reading from the other side while this one is slow."""
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.pause_reading()
-
-    def resume_writing(self) -> None:
-        """Reads from the other side again."""
-        other = self.other.transport if self.other is not None else None
-        if other is not None and not other.is_closing():
-            other.resume_reading()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Ends the other side in the same way: orderly, or by a reset."""
-        self.transport = None
-        other, self.other = self.other, None
-        if other is None:
-            return
-        other.other = None
-        if exc is None:
-            other.end()
-        else:
-            other.reset()
-
-    def reset(self) -> None:
-        """Resets this connection and the other one."""
-        other, self.other = self.other, None
-        if other is not None:
-            other.other = None
-            other.reset()
-        if self.transport is not None:
-            reset_connection(self.transport)
-
-
-class _NearSide(_Side):
-    """The connection from the daemon that asked."""
-
-    def __init__(self, *, server: TunnelServer) -> None:
-        super().__init__()
-        self._server = server
-        self._head = b""
-        self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-
-    def write(self, data: bytes) -> None:
-        """Sends bytes of the server in one frame."""
-        super().write(FRAME_HEAD.pack(len(data)) + data)
-
-    def end(self) -> None:
-        """Marks the end of what the server sent, then closes."""
-        super().write(FRAME_HEAD.pack(0))
-        super().end()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Waits a limited time for the request."""
-        super().connection_made(transport)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(HEAD_TIMEOUT_S, self.reset)
-
-    def data_received(self, data: bytes) -> None:
-        """Reads the request, then passes bytes on."""
-        if self.other is not None:
-            super().data_received(data)
-            return
-        self._head += data
-        if self._task is not None or len(self._head) > MAX_HEAD_BYTES:
-            self.reset()  # it must not speak before the answer
-        elif END_OF_HEAD in self._head:
-            self._task = asyncio.ensure_future(self._open())
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Ends a connect that is in progress, and the other side."""
-        self._cancel_timer()
-        if self._task is not None:
-            self._task.cancel()
-        self._server.tunnels.discard(self)
-        super().connection_lost(exc)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-    async def _open(self) -> None:
-        """Answers the request and connects the two sides."""
-        self._cancel_timer()
-        assert self.transport is not None
-        match = REQUEST_PATTERN.fullmatch(self._head)
-        if match is None:
-            self.reset()
-            return
-        address = Endpoint(match[1].decode(), int(match[2]))
-        server = match[3].decode()
-        asker = self.transport.get_extra_info("peername")[0]
-        refusal = self._server.decide(asker, server, address)
-        if refusal is not None:
-            self._decline(server, asker, refusal)
-            return
-        self._server.tunnels.add(self)
-        outcome, far = await _connect(address)
-        self._server.note_connected(server, outcome is Outcome.OPENED)
-        if far is None:
-            self._server.tunnels.discard(self)
-            self._finish(outcome)
-            return
-        self._server.n_opened += 1
-        self.other, far.other = far, self
-        self._answer(Outcome.OPENED)
-
-    def _decline(self, server: str, asker: str, refusal: Refusal) -> None:
-        self._server.n_refused += 1
-        log_event(
-            LOGGER, "tunnel_declined", backend=server, asker=asker, reason=refusal
-        )
-        self._finish(Outcome.DECLINED)
-
-    def _answer(self, outcome: Outcome) -> None:
-        super().write(b"HTTP/1.1 " + _STATUS_LINES[outcome] + END_OF_HEAD)
-
-    def _finish(self, outcome: Outcome) -> None:
-        self._answer(outcome)
-        super().end()
-
-
-async def _connect(address: Endpoint) -> tuple[Outcome, _Side | None]:
-    """Connects to a server; returns no side unless the outcome is `OPENED`."""
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, side = await loop.create_connection(_Side, *address)
-    except TimeoutError:
-        return Outcome.SILENT, None
-    except OSError:
-        return Outcome.REFUSED, None
-    return Outcome.OPENED, side
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -20,7 +20,8 @@
 from ..platform.headers import Header, parse_keep_alive
 from .http_channel import MAX_HEAD_BYTES, set_socket_options
 from .model import Backend
-from .paths import BackendPaths, NotConnectedError, OpenPath
+from .open_paths import NotConnectedError, OpenPath
+from .paths import BackendPaths
 
 LOGGER: Final = logging.getLogger(__name__)
 
--- a/berylpost/policy/brittle.py
+++ b/berylpost/policy/brittle.py
@@ -19,6 +19,8 @@
 FULL_S: Final = 1.0
 # After this time other daemons have the places that cannot be shared evenly.
 EPOCH_S: Final = 2.0
+# Time after which the other daemons know of requests that were sent in the last period.
+OVERLAP_S: Final = 0.5
 # Requests that daemons may send beyond a shared rate at once (`policy.server_limit`).
 BURST: Final = 2.0
 # Share of the rest of the named number that is used.
@@ -53,6 +55,15 @@
     return [each + (name in preferred) for name in names]
 
 
+def find_epochs(now: float) -> tuple[int, ...]:
+    """Returns the periods whose shares bind at a time; the smallest share counts.
+
+    Args:
+        now: time of day that all daemons agree on, seconds.
+    """
+    return tuple({int((now - OVERLAP_S) / EPOCH_S), int(now / EPOCH_S)})
+
+
 def has_room(
     *, slots: int, n_own: int, share: int, n_known: int, since_refusal_s: float
 ) -> bool:
