Report a server that resets a passed-on connection before it is joined

Found on reading: a server's connection that ended between its opening and the joining of the two sides left the asking daemon with an opened tunnel whose bytes went nowhere, so a request on it would have waited for its time-out and counted as possibly run. Change: the peer answers that the server refused, as for any connect that fails. Shown by a scenario that resets each passed-on connection there: '200 Connection Established' before, 502 now.

--- a/berylpost/edge/tunnel_server.py
+++ b/berylpost/edge/tunnel_server.py
@@ -203,6 +203,8 @@
             return
         self._server.tunnels.add(self)
         outcome, far = await _connect(address)
+        if far is not None and (far.transport is None or far.transport.is_closing()):
+            outcome, far = Outcome.REFUSED, None  # reset before the sides are joined
         self._server.note_connected(server, outcome is Outcome.OPENED)
         if far is None:
             self._server.tunnels.discard(self)
--- a/features/entry_cut_daemons.feature
+++ b/features/entry_cut_daemons.feature
@@ -93,6 +93,12 @@
       | a daemon for an unknown address  | HTTP/1.1 503                            |
       | a daemon for a server            | HTTP/1.1 200 Connection Established     |
 
+  Scenario: A peer reports a server that resets the connection at once
+    Given 2 entry daemons and 1 servers
+    And servers reset what a peer connects as soon as it is open
+    When a daemon for a server asks a daemon for a connection
+    Then the answer to it begins with "HTTP/1.1 502"
+
   Scenario Outline: What a peer brings counts as whole only with the server's close (<bytes>)
     Then frames "<bytes>" of a tunnel that then ends give "<data>" and <end>
 
--- a/features/steps/entry_cut_steps.py
+++ b/features/steps/entry_cut_steps.py
@@ -6,12 +6,12 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 from steps.entry_limit_steps import list_daemons
 from steps.entry_steps import make_events, make_request_line, send_request
 
-from berylpost.edge import paths
+from berylpost.edge import paths, tunnel_server
 from berylpost.edge.tunnels import attach_to_tunnel
 from berylpost.fakes.links import LinkFault
 from berylpost.fakes.replica import N_EVENTS
@@ -251,6 +251,20 @@
     context.answers = context.world.run(stop())
 
 
+@given("servers reset what a peer connects as soon as it is open")
+def step_reset_far(context: Context) -> None:
+    connect = tunnel_server._connect
+
+    async def connect_and_reset(address):
+        outcome, side = await connect(address)
+        side.transport.abort()
+        await asyncio.sleep(0.01)
+        return outcome, side
+
+    tunnel_server._connect = connect_and_reset
+    context.add_cleanup(setattr, tunnel_server, "_connect", connect)
+
+
 @when("{who} asks a daemon for a connection")
 def step_ask(context: Context, who: str) -> None:
     first, second = list_daemons(context)
