Show that cut daemons of our own interface fail their callers

Of 30 bookings and of 30 summaries at daemons that cannot connect to any backend server none was answered ('no server could be reached', 'retry budget used up'), with one and with two of three daemons cut off. The fleet of the tests can start daemons whose connects to listed addresses fail. Known red until the fix.

--- a/berylpost/bench/fleet.py
+++ b/berylpost/bench/fleet.py
@@ -78,6 +78,7 @@
         customers: entries of the configuration; each customer's token is `NAME-token`.
         separate_world: whether the fakes run in a process of their own, for timings;
             they are then reached only over HTTP.
+        cuttable: whether `Fleet.cut` may cut daemons off from backend servers.
         other_deployments: first configurations of the further deployments that the
             daemons serve, by name.
         tls: whether callers use HTTPS, with certificates made for this run.
@@ -99,6 +100,7 @@
     engine_shape: EngineShape = field(default_factory=EngineShape)
     overrides: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     separate_world: bool = False
+    cuttable: bool = False
     tls: bool = False
     other_deployments: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
 
@@ -315,7 +317,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "berylpost",
+                    *self._list_module(daemon),
                     "serve",
                     "-c",
                     daemon.settings_path,
@@ -326,6 +328,23 @@
         if wait:
             self.wait_ready(daemon)
 
+    def _list_module(self, daemon: Daemon) -> list[str]:
+        if self.spec.cuttable:
+            return ["berylpost.fakes.cut_daemon", str(self._find_cut_path(daemon))]
+        return ["berylpost"]
+
+    def _find_cut_path(self, daemon: Daemon) -> Path:
+        return daemon.settings_path.with_suffix(".cut")
+
+    def cut(self, daemon: Daemon) -> None:
+        """Lets a daemon connect to no backend server."""
+        addresses = [backend.address for backend in self.world_spec.backends]
+        self._find_cut_path(daemon).write_text("\n".join(addresses))
+
+    def heal(self, daemon: Daemon) -> None:
+        """Lets a daemon connect to all backend servers again."""
+        self._find_cut_path(daemon).unlink()
+
     def _make_settings(self, daemon: Daemon) -> dict[str, Any]:
         world = self.world_spec
         document: dict[str, Any] = {
--- a/features/environment.py
+++ b/features/environment.py
@@ -53,6 +53,10 @@
             spec=FleetSpec(engine_shape=SHAPE, overrides=OVERRIDES)
         )
         context.own_fleet.__enter__()
+    if "cuttable_fleet" in scenario.effective_tags:
+        spec = FleetSpec(engine_shape=SHAPE, overrides=OVERRIDES, cuttable=True)
+        context.own_fleet = Fleet(spec=spec)
+        context.own_fleet.__enter__()
     if "tls_fleet" in scenario.effective_tags:
         spec = FleetSpec(engine_shape=SHAPE, overrides=OVERRIDES, tls=True)
         context.own_fleet = Fleet(spec=spec)
