--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """One odd entry of another writer stands among the replicas as all daemons restart."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -63,4 +64,4 @@
     return n_after < n_sent_after / 4
 
 
-run_case(play)
+run_case(play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A faulty replica ends its answers with trailer fields without end."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -78,4 +79,4 @@
     return sum(n >= N_ENDS for n in ends.values()) >= 2
 
 
-run_case(play)
+run_case(play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """All daemons are killed while the last replicas of a software version leave."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,12 +12,13 @@
 
 N_STREAMS = 24
 N_TRIES = 3  # of a client, within its deadline
-PAUSE_S = 0.8  # of a client before it tries again
+PAUSE_S = 1.0  # of a client before it tries again
 DEADLINE_S = 15.0
 DRAIN_S = 2.0
 EXTRA_S = 0.2  # for which a replica serves longer than it has to
 KILL_BEFORE_S = 0.7  # the last replica of the old version leaves
-RESTART_S = 0.5
+RESTART_S = 1.0
+COLD_S = 8.0  # for which a new replica remains slow, as its entry says
 MAX_MIXED = 2
 
 
@@ -91,7 +93,7 @@
         tasks.append(world.spawn(follow(world, number, stream)))
         await asyncio.sleep(0.02)
     for _ in old:
-        await world.add_replica("v2")
+        await world.add_replica("v2", COLD_S)
     await asyncio.sleep(0.5)
     releases = [world.spawn(replace(replica)) for replica in old]
     await asyncio.sleep(DRAIN_S + EXTRA_S - KILL_BEFORE_S)
@@ -116,4 +118,4 @@
     return n_mixed > MAX_MIXED
 
 
-run_case(play)
+run_case(play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """The holder of the duties is killed while the store comes back from an older copy."""
 
 import asyncio
+import os
 import random
 import sys
 import time
@@ -66,4 +67,4 @@
     return broken
 
 
-run_case(play)
+run_case(play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A daemon freezes just before a new software version of the replicas is listed."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -143,4 +144,4 @@
     return n_on / len(taken_up) < n_begun / len(new) / 2
 
 
-run_case(play)
+run_case(play, trouble=os.environ.get("TROUBLE", "1") != "0")
