Bound every part of an answer; deliver it when only trailers follow

Cause: httptools reports trailer fields like headers, and edge/upstream kept each, 25 times its bytes; the bound on heads was off after the head. Change: answer_framing follows the parts of an answer for all parsers; trailers are not kept, and a body whose last chunk has come is delivered. buffer_budget bounds all bodies together to a fifth of MemoryMb. http_pools bounds lines, lines without a body and whole answers. Conclusion: what is held no longer depends on what a server sends besides the body, and the body on a bound for one and for all.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -19,6 +19,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header
+from .buffer_budget import BufferBudget
 from .clock import read_boottime
 from .model import CallerLimits
 
@@ -30,6 +31,9 @@
 # request is sent while its connection is being closed.
 IDLE_MARGIN_S: Final = 2.0
 SWEEP_S: Final = 1.0
+# Other requests have been answered by then.
+BUSY_RETRY_S: Final = 0.5
+HEADER_EXTRA_BYTES: Final = 4  # colon, space and line end
 # Limits for callers until a configuration sets others.
 DEFAULT_LIMITS: Final = CallerLimits(
     header_bytes=16_384,
@@ -72,6 +76,7 @@
     Args:
         handler: serves one request; it must finish or abort the answer.
         read_limits: returns the limits for callers that currently apply.
+        buffers: counts the bodies that are held; None for few small ones.
 
     Attributes:
         leaving: whether to close each connection after its next answer.
@@ -82,8 +87,10 @@
         *,
         handler: Handler,
         read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.handler = handler
+        self.buffers = buffers or BufferBudget(memory_bytes=float("inf"))
         self.read_limits = read_limits
         self.leaving = False
         self.connections: set[CallerConnection] = set()
@@ -176,7 +183,12 @@
         self._rejected = False
         self._target = b""
         self._headers: list[Header] = []
-        self._header_bytes = 0
+        # Bytes of headers, trailer fields and heads of chunks.
+        self._overhead_bytes = 0
+        self._in_head = True
+        self._has_progress = False
+        # Bytes counted because the caller reads too slowly.
+        self._n_unsent = 0
         self._body = bytearray()
         self._arrived_at = 0.0
         self._chunked = False
@@ -208,12 +220,15 @@
         if self._rejected:
             return
         self.active_at = read_boottime()
+        self._has_progress = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(ErrorKind.BAD_REQUEST, "protocol upgrades are not offered")
         except httptools.HttpParserError as error:
             self._reject(ErrorKind.BAD_REQUEST, str(error))
+        if not self._has_progress:
+            self._count_overhead(len(data))
 
     def eof_received(self) -> bool:
         """Closes the connection when the caller has closed its side."""
@@ -222,6 +237,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request in progress and drops the queued ones."""
         self._transport = None
+        self._count_unsent(0)
+        n_held = len(self._body) + sum(len(r.body) for r in self._queue)
+        self._server.buffers.adjust(-n_held)
+        self._body = bytearray()
         self._queue.clear()
         self._server.connections.discard(self)
         if self._task is not None:
@@ -231,11 +250,13 @@
 
     def pause_writing(self) -> None:
         """Reports that the caller reads too slowly."""
+        self._count_unsent()
         if self.on_writable is not None:
             self.on_writable(False)
 
     def resume_writing(self) -> None:
         """Reports that writing can resume."""
+        self._count_unsent(0)
         if self.on_writable is not None:
             self.on_writable(True)
 
@@ -245,7 +266,8 @@
         """Resets the parser state for a new request."""
         self._target = b""
         self._headers = []
-        self._header_bytes = 0
+        self._overhead_bytes = 0
+        self._in_head = True
         self._body = bytearray()
         self._arrived_at = read_boottime()
 
@@ -254,21 +276,29 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header."""
-        self._headers.append((name.lower(), value))
-        self._header_bytes += len(name) + len(value) + 4
+        """Stores a header; ignores a trailer field."""
+        self._has_progress = True
+        self._count_overhead(len(name) + len(value) + HEADER_EXTRA_BYTES)
+        if self._in_head and not self._rejected:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Checks the size of the headers and answers `Expect: 100-continue`."""
-        if self._header_bytes > 2 * self._server.read_limits().header_bytes:
-            self._reject(ErrorKind.BAD_REQUEST, "headers are too large")
-        elif dict(self._headers).get(b"expect", b"").lower() == b"100-continue":
+        """Answers `Expect: 100-continue`."""
+        self._in_head = False
+        if (
+            not self._rejected
+            and dict(self._headers).get(b"expect", b"").lower() == b"100-continue"
+        ):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
+        self._has_progress = True
         if self._rejected:
             return
+        if not self._server.buffers.take(len(body)):
+            self._reject(ErrorKind.OVERLOADED, "too many bodies at once", BUSY_RETRY_S)
+            return
         self._body += body
         limit = self._server.read_limits().body_bytes
         if len(self._body) > limit:
@@ -276,6 +306,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
+        self._has_progress = True
         if self._rejected:
             return
         request = CallerRequest(
@@ -383,12 +414,31 @@
         if self._transport is not None and self._task is None:
             self._transport.close()
 
-    def _reject(self, kind: ErrorKind, detail: str) -> None:
+    def _count_overhead(self, n_bytes: int) -> None:
+        """Counts bytes of a request besides its body."""
+        self._overhead_bytes += n_bytes
+        limit = 2 * self._server.read_limits().header_bytes
+        if self._overhead_bytes > limit and not self._rejected:
+            self._reject(ErrorKind.BAD_REQUEST, f"headers of more than {limit} bytes")
+
+    def _count_unsent(self, n_bytes: int | None = None) -> None:
+        """Counts what the caller has not read; by default all that is buffered."""
+        if n_bytes is None and self._transport is not None:
+            n_bytes = self._transport.get_write_buffer_size()
+        before, self._n_unsent = self._n_unsent, n_bytes or 0
+        self._server.buffers.adjust(self._n_unsent - before)
+
+    def _reject(
+        self, kind: ErrorKind, detail: str, retry_after_s: float | None = None
+    ) -> None:
         """Rejects a malformed or too large request and closes the connection."""
         self._rejected = True
         log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
         if self._task is None and not self._queue:
-            status, headers, body = render_problem(BerylpostError(kind, detail))
+            status, headers, body = render_problem(
+                BerylpostError(kind, detail, retry_after_s=retry_after_s),
+                whole_seconds=False,
+            )
             lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
             lines += [f"{name}: {value}" for name, value in headers]
             lines += [f"Content-Length: {len(body)}", "Connection: close"]
@@ -398,6 +448,8 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            if self._n_unsent:
+                self._count_unsent()
 
     def _start_next(self) -> None:
         if self._task is not None or not self._queue or self._transport is None:
@@ -421,6 +473,7 @@
                 kind = ErrorKind.INTERNAL
                 self.answer_error(BerylpostError(kind, "see this daemon's log"))
         finally:
+            self._server.buffers.adjust(-len(request.body))
             self._task = None
             self.on_writable = None
             self.active_at = read_boottime()
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -20,6 +20,7 @@
 from ..platform.headers import is_number, parse_query
 from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
+from .buffer_budget import BufferBudget
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
 from .catalogue import Catalogue
 from .clock import read_boottime
@@ -162,6 +163,7 @@
             mark=RISK_MARK,
         )
         self.leaving_servers = LeavingServers(members=self.members, table=self.table)
+        self.buffers = BufferBudget(memory_bytes=settings.memory_bytes)
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
             table=self.table,
@@ -173,6 +175,7 @@
             quotas=self.quotas,
             usage=self.usage,
             work_meter=self.work,
+            buffers=self.buffers,
             observe=observe_request,
         )
         self.duties: Duties | None = None
@@ -189,7 +192,9 @@
             )
             self.members.role.must_stay_active = self.duties.lease.is_held
         self.front = CallerServer(
-            handler=self.forwarder.serve, read_limits=self._read_limits
+            handler=self.forwarder.serve,
+            read_limits=self._read_limits,
+            buffers=self.buffers,
         )
         self.members.role.has_callers = lambda: bool(self.front.connections)
         self._random = random.Random()
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -26,6 +26,7 @@
 from ..policy.repeat import AttemptOutcome, may_retry
 from .admission import Admission
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
+from .buffer_budget import BufferBudget
 from .callers import CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_boottime
@@ -81,6 +82,7 @@
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
         work_meter: measures the work that callers' requests cause.
+        buffers: counts the bodies that are held.
         observe: called for metrics with the outcome, the route, the seconds until the
             answer began (negative if it did not) and the total seconds.
     """
@@ -98,6 +100,7 @@
         quotas: Quotas,
         usage: Usage,
         work_meter: WorkMeter,
+        buffers: BufferBudget,
         observe: Callable[[str, Route, float, float], None],
     ) -> None:
         self.admission = Admission(
@@ -119,6 +122,7 @@
         self._quotas = quotas
         self._usage = usage
         self._observe = observe
+        self._buffers = buffers
 
     async def serve(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Serves one request; sends a complete answer or aborts the connection."""
@@ -301,6 +305,7 @@
         exchange = Exchange(
             attempt_id=context.head.id.encode("latin-1"),
             has_body=context.head.method != b"HEAD",
+            buffers=self._buffers,
         )
         data = render_request(
             context.head,
@@ -382,6 +387,7 @@
                 record.pool.release(connection)
             else:
                 connection.abort()
+            exchange.discard_body()
 
     def _note_limit(self, record: BackendRecord, head: AnswerHead) -> None:
         """Records the request rate that a server names; ignores a malformed one."""
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -12,13 +12,12 @@
 
 import httptools
 
+from ..answer_framing import AnswerFraming, OversizedAnswerError
 from ..errors import LostAnswerError, PlatformError
 from .model import Endpoint
 from .open_paths import NotConnectedError, OpenPath
 
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
-# Servers send heads of a few hundred bytes; one read may bring more than the head.
-MAX_HEAD_BYTES: Final = 512 << 10
 
 
 class HttpAnswer(NamedTuple):
@@ -40,8 +39,7 @@
         self._body = bytearray()
         self._headers: dict[bytes, bytes] = {}
         self._unframed = False
-        self._n_head_bytes = 0
-        self._in_body = False
+        self._framing = AnswerFraming()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -51,14 +49,15 @@
         """Parses received bytes."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(f"malformed answer: {error}")
-            self.abort()
-        if not self._in_body:
-            self._n_head_bytes += len(data)
-            if self._n_head_bytes > MAX_HEAD_BYTES:
-                self._fail("head too large")
+            self._framing.end_read(len(data))
+        except (httptools.HttpParserError, OversizedAnswerError) as error:
+            if not self._framing.in_trailers:
+                self._fail(f"malformed answer: {error}")
                 self.abort()
+        if self._framing.in_trailers:
+            # The body is complete; the trailer fields may have no end.
+            self.keep_alive = False
+            self._complete()
 
     def eof_received(self) -> bool:
         """Completes an answer whose end is marked by an orderly close."""
@@ -77,15 +76,21 @@
         self._body.clear()
         self._headers.clear()
         self._unframed = False
+        self._framing.begin_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header."""
-        self._headers[name.lower()] = value
+        """Stores a header; ignores a trailer field."""
+        if self._framing.add_field():
+            self._headers[name.lower()] = value
+
+    def on_chunk_header(self) -> None:
+        """Notes the size of a chunk."""
+        self._framing.begin_chunk()
 
     def on_headers_complete(self) -> None:
         """Notes whether the answer ends with its connection."""
-        self._in_body = True
-        self._n_head_bytes = 0
+        if self._parser.get_status_code() >= 200:
+            self._framing.end_head()
         self._unframed = (
             b"content-length" not in self._headers
             and b"chunked" not in self._headers.get(b"transfer-encoding", b"").lower()
@@ -93,6 +98,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
+        self._framing.add_body()
         self._body += body
         if len(self._body) > MAX_ANSWER_BYTES:
             self._fail("answer too large")
@@ -100,8 +106,9 @@
 
     def on_message_complete(self) -> None:
         """Completes an answer whose end is marked in its framing."""
-        self._in_body = False
         self._unframed = False
+        if self._parser.get_status_code() >= 200:
+            self._framing.begin_answer()
         self._complete()
 
     def _complete(self) -> None:
--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -85,6 +85,7 @@
         duties: duties that the platform asks for.
         bounds: bounds that the platform declares.
         n_cores: processor cores that the daemon may use, also a part of one.
+        memory_bytes: memory that the daemon may use.
     """
 
     name: str
@@ -102,6 +103,7 @@
     duties: frozenset[str]
     bounds: Bounds
     n_cores: float = 1.0
+    memory_bytes: float = 160e6
 
 
 class ServiceShare(NamedTuple):
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -14,11 +14,13 @@
 
 import httptools
 
+from ..answer_framing import AnswerFraming, OversizedAnswerError
 from ..event_stream import CONTENT_TYPE
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header, parse_keep_alive
-from .http_channel import MAX_HEAD_BYTES, set_socket_options
+from .buffer_budget import BufferBudget
+from .http_channel import set_socket_options
 from .model import Backend
 from .open_paths import NotConnectedError, OpenPath
 from .paths import BackendPaths
@@ -96,15 +98,23 @@
     Args:
         attempt_id: id that the answer must echo if it has an id at all.
         has_body: False for an answer that never has a body.
+        buffers: counts the bytes of the body that are held.
 
     Attributes:
         head: the head of the answer, when it has arrived.
         end: done when the answer is complete, or failed.
         body: bytes of the body that no sink has taken.
+        n_held: number of bytes that count as buffered.
         sink: receives the body instead of `body`.
     """
 
-    def __init__(self, *, attempt_id: bytes, has_body: bool) -> None:
+    def __init__(
+        self,
+        *,
+        attempt_id: bytes,
+        has_body: bool,
+        buffers: BufferBudget | None = None,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.attempt_id = attempt_id
         self.has_body = has_body
@@ -112,13 +122,33 @@
         self.end: asyncio.Future[None] = loop.create_future()
         self.body = bytearray()
         self.sink: Callable[[bytes], None] | None = None
+        self.n_held = 0
+        self._buffers = buffers or BufferBudget(memory_bytes=float("inf"))
 
     def add_body(self, data: bytes) -> None:
-        """Passes a piece of the body to the sink, or buffers it."""
+        """Passes a piece of the body to the sink, or buffers it.
+
+        Raises:
+            OversizedAnswerError: the body is too large to be buffered.
+        """
         if self.sink is not None:
             self.sink(data)
-        else:
+            return
+        if len(self.body) + len(data) > MAX_BUFFERED_BYTES:
+            raise OversizedAnswerError(f"body of more than {MAX_BUFFERED_BYTES} bytes")
+        if not self.end.done():
             self.body += data
+            self._buffers.hold(self, len(data))
+
+    def give_up(self) -> None:
+        """Fails the exchange since all buffered bodies take too much memory."""
+        self.fail(UpstreamError(Failure.BAD_ANSWER, "too many large answers at once"))
+        self.discard_body()
+
+    def discard_body(self) -> None:
+        """Discards the bytes that are buffered."""
+        self.body = bytearray()
+        self._buffers.release(self)
 
     def attach(self, sink: Callable[[bytes], None]) -> None:
         """Sends the body to a function, including the bytes already buffered."""
@@ -129,6 +159,7 @@
 
     def finish(self) -> None:
         """Marks the answer as complete."""
+        self._buffers.keep(self)
         if not self.end.done():
             self.end.set_result(None)
 
@@ -176,8 +207,7 @@
         self._reason = b""
         self._discarding = False
         self._unframed = False
-        self._awaits_head = False
-        self._n_head_bytes = 0
+        self._framing = AnswerFraming()
         # Whether the server has named the request that it answered on this connection.
         self._has_echoed = False
 
@@ -190,8 +220,7 @@
         """Sends a request whose answer goes to the exchange."""
         assert self._transport is not None
         self._exchange = exchange
-        self._awaits_head = True
-        self._n_head_bytes = 0
+        self._framing.begin_answer()
         self.n_exchanges += 1
         self._transport.write(data)
 
@@ -226,15 +255,14 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+            self._framing.end_read(len(data))
+        except (httptools.HttpParserError, OversizedAnswerError) as error:
+            if self._framing.in_trailers:
+                self._finish_in_trailers()
             self._fail(Failure.BAD_ANSWER, str(error))
             self.abort()
-        if self._awaits_head:
-            # Also heads of other answers before the right one.
-            self._n_head_bytes += len(data)
-            if self._n_head_bytes > MAX_HEAD_BYTES:
-                self._fail(Failure.BAD_ANSWER, "head too large")
-                self.abort()
+        if self._framing.in_trailers:
+            self._finish_in_trailers()
 
     def eof_received(self) -> bool:
         """Completes an answer whose end is marked by an orderly close."""
@@ -251,10 +279,18 @@
         self._fail(kind, str(exc or "closed"))
         self._on_closed(self)
 
+    def _finish_in_trailers(self) -> None:
+        """Completes an exchange whose body is complete; trailers may have no end."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self.reusable = False
+            exchange.finish()
+
     def on_message_begin(self) -> None:
         """Resets the parser state for a new answer."""
         self._headers = []
         self._reason = b""
+        self._framing.begin_message()
         self._discarding = self._exchange is None
         if self._discarding:
             # Bytes after the end of the answer belong to no request.
@@ -265,8 +301,13 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header."""
-        self._headers.append((name.lower(), value))
+        """Stores a header; ignores a trailer field."""
+        if self._framing.add_field():
+            self._headers.append((name.lower(), value))
+
+    def on_chunk_header(self) -> None:
+        """Notes the size of a chunk."""
+        self._framing.begin_chunk()
 
     def on_headers_complete(self) -> None:
         """Checks the head of the answer and passes it to the exchange."""
@@ -312,7 +353,7 @@
             length=int(length) if length is not None and not chunked else None,
             framed=not self._unframed,
         )
-        self._awaits_head = False
+        self._framing.end_head()
         if not exchange.head.done():
             exchange.head.set_result(head)
         if bodiless:
@@ -326,13 +367,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes a piece of the body to the exchange."""
+        self._framing.add_body()
         exchange = self._exchange
         if self._discarding or exchange is None:
             return
         exchange.add_body(body)
-        if len(exchange.body) > MAX_BUFFERED_BYTES:
-            self._fail(Failure.BAD_ANSWER, "answer too large to keep")
-            self.abort()
 
     def on_message_complete(self) -> None:
         """Completes the exchange."""
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -83,6 +83,7 @@
         born: start of the server, Unix milliseconds; 0 to leave it out of its entry.
         received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
+        answer_bytes: size that its answer is padded to.
         unframed_moves: whether the answer to a move has no length.
         loses_moves: whether to stop the run on a move without answering the call.
         runs: number of runs by attempt id.
@@ -132,6 +133,7 @@
         self.born = 0
         self.received_at: list[float] = []
         self.work_s = 0.0
+        self.answer_bytes = 0
         self.loses_moves = False
         self.unframed_moves = False
         self.runs: Counter[str] = Counter()
@@ -338,7 +340,8 @@
     if _is_stream(incoming):
         return await _stream_events(replica, incoming, writer, n_events=N_EVENTS)
     await asyncio.sleep(replica.work_s)
-    _write(writer, 200, _make_headers(replica, incoming), b"echo:" + incoming.body)
+    body = (b"echo:" + incoming.body).ljust(replica.answer_bytes)
+    _write(writer, 200, _make_headers(replica, incoming), body)
     return True
 
 
@@ -717,6 +720,56 @@
     return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
 
 
+def _render_chunked(replica: Replica, incoming: _IncomingRequest) -> bytes:
+    """Renders an answer in chunks, up to and without the line of the last one."""
+    lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+    body = b"echo:" + incoming.body
+    if _is_stream(incoming):
+        lines.append("Content-Type: text/event-stream")
+        body = b"".join(
+            b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, N_EVENTS + 1)
+        )
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return head + b"%x\r\n" % len(body) + body + b"\r\n"
+
+
+async def _send_endless_trailers(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a complete body and then trailer fields without end."""
+    _record_run(replica, incoming)
+    head = _render_chunked(replica, incoming) + b"0\r\n"
+    return await _send_endlessly(writer, head, b"a:b\r\n" * 13_000)
+
+
+async def _send_endless_trailer(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a complete body and then a trailer field whose value has no end."""
+    _record_run(replica, incoming)
+    head = _render_chunked(replica, incoming) + b"0\r\nX-Long: "
+    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+
+
+async def _send_endless_extension(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a part of the body and then a chunk extension without end."""
+    _record_run(replica, incoming)
+    head = _render_chunked(replica, incoming) + b"5;x="
+    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+
+
+async def _send_endless_interim_answers(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends interim answers without end in place of an answer."""
+    _record_run(replica, incoming)
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    return await _send_endlessly(writer, interim, interim * 400)
+
+
 async def _send_endlessly(
     writer: asyncio.StreamWriter, head: bytes, rest: bytes
 ) -> bool:
@@ -751,6 +804,10 @@
     "endless status": _send_endless_status,
     "endless header": _send_endless_header,
     "endless headers": _send_endless_headers,
+    "endless trailers": _send_endless_trailers,
+    "endless trailer": _send_endless_trailer,
+    "endless chunk extension": _send_endless_extension,
+    "endless interim answers": _send_endless_interim_answers,
     "endless body": _send_endless_body,
     "mute": _stay_silent,
 }
--- a/berylpost/fakes/server.py
+++ b/berylpost/fakes/server.py
@@ -96,6 +96,8 @@
             on its connection.
         endless: number of responses that go on without end until the caller closes.
         endless_head: whether their head goes on, rather than their body.
+        endless_trailers: number of streamed responses that are followed by trailer
+            fields without end.
         match: text that the path of affected requests contains; does not limit cuts.
         methods: methods of affected requests; empty for all; does not limit cuts.
     """
@@ -115,6 +117,7 @@
     repeats_refusals: bool = False
     endless: int = 0
     endless_head: bool = False
+    endless_trailers: int = 0
     match: str = ""
     methods: tuple[str, ...] = ()
 
@@ -306,9 +309,12 @@
 
     async def _send_endlessly(self, writer: asyncio.StreamWriter) -> bool:
         """Sends a response without end, bounded in case nobody closes it."""
-        line = b"X-More: and-more\r\n"
         end = b"X-More: " if self.faults.endless_head else b"\r\n"
         writer.write(b"HTTP/1.1 200 OK\r\n" + end)
+        return await self._repeat_line(writer)
+
+    async def _repeat_line(self, writer: asyncio.StreamWriter) -> bool:
+        line = b"X-More: and-more\r\n"
         for _ in range(MAX_ENDLESS_BYTES // (1_000 * len(line))):
             writer.write(line * 1_000)
             await writer.drain()
@@ -337,7 +343,11 @@
                     raise ConnectionResetError("response cut off by an injected fault")
                 send(chunk)
                 await writer.drain()
-        if framed:
+        if framed and self.faults.endless_trailers > 0:
+            self.faults.endless_trailers -= 1
+            writer.write(b"0\r\n")
+            await self._repeat_line(writer)
+        elif framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         return framed
--- a/berylpost/http_pools.py
+++ b/berylpost/http_pools.py
@@ -1,4 +1,8 @@
-"""Pools of HTTP connections that take no broken answer for a whole one.
+"""Pools of HTTP connections that bear the answers of faulty servers.
+
+No broken answer is taken for a whole one, and no part of an answer takes more memory
+than a bound, although the standard library sets none to lines, trailer fields, interim
+answers and bodies.
 
 The standard library takes a head that breaks off for a whole one: the answer then has
 the status of its first line, no length and, once the server has closed, an empty body.
@@ -17,23 +21,85 @@
 _REFUSALS: Final = frozenset({408, 421, 429, 503})
 # What ends a head; the standard library accepts both.
 _HEAD_ENDS: Final = frozenset({b"\r\n", b"\n"})
+MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
+MAX_LINE_BYTES: Final = 64 << 10  # as the standard library allows in a head
+MAX_LINES: Final = 256  # fields of a head, or of the trailers
 
 
 class BrokenHeadError(http.client.HTTPException):
     """The server closed the connection inside the head of its answer."""
 
 
-class _LineRecorder:
-    """A file that remembers the last line that was read."""
+class OversizedPartError(http.client.HTTPException):
+    """A part of the answer is larger than the bound given in the message."""
+
+
+class _BoundedFile:
+    """What a server sends, with bounds on lines and on the whole.
+
+    Attributes:
+        last_line: the last line that was read.
+    """
 
     def __init__(self, file: Any) -> None:
         self.file = file
         self.last_line = b""
+        self._n_lines = 0  # since the last piece of the body
+        self._n_bytes = 0
 
     def readline(self, limit: int = -1) -> bytes:
-        """Reads a line."""
-        self.last_line = self.file.readline(limit)
-        return self.last_line
+        """Reads a line.
+
+        Raises:
+            OversizedPartError: the line, or the number of lines without a body, exceeds
+                the bound.
+        """
+        is_in_trailers = self._is_last_chunk_read()
+        self._n_lines += 1
+        if self._n_lines > MAX_LINES:
+            if is_in_trailers:
+                return b""  # the body is complete
+            raise OversizedPartError(f"more than {MAX_LINES} lines without a body")
+        line = self.file.readline(limit if 0 <= limit else MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES and limit < 0:
+            if is_in_trailers:
+                return b""
+            raise OversizedPartError(f"line of more than {MAX_LINE_BYTES} bytes")
+        if not is_in_trailers:
+            self.last_line = line
+        return bytes(line)
+
+    def read(self, n_bytes: int = -1) -> bytes:
+        """Reads a part of the body.
+
+        Raises:
+            OversizedPartError: the answer exceeds the bound.
+        """
+        left = MAX_ANSWER_BYTES - self._n_bytes
+        data = self.file.read(left + 1 if n_bytes is None or n_bytes < 0 else n_bytes)
+        self._count(len(data))
+        return bytes(data)
+
+    def readinto(self, buffer: Any) -> int:
+        """Reads a part of the body into a buffer.
+
+        Raises:
+            OversizedPartError: the answer exceeds the bound.
+        """
+        n_bytes = int(self.file.readinto(buffer))
+        self._count(n_bytes)
+        return n_bytes
+
+    def _is_last_chunk_read(self) -> bool:
+        """Tells whether the last line that was read is the head of an empty chunk."""
+        size = self.last_line.partition(b";")[0].strip()
+        return bool(size) and not size.strip(b"0")
+
+    def _count(self, n_bytes: int) -> None:
+        self._n_lines = 0
+        self._n_bytes += n_bytes
+        if self._n_bytes > MAX_ANSWER_BYTES:
+            raise OversizedPartError(f"answer of more than {MAX_ANSWER_BYTES} bytes")
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.file, name)
@@ -48,13 +114,11 @@
         Raises:
             BrokenHeadError: the connection was closed before the head ended.
         """
-        recorder = _LineRecorder(self.fp)
-        self.fp = recorder  # type: ignore[assignment]
+        bounded = _BoundedFile(self.fp)
+        self.fp = bounded  # type: ignore[assignment]
         super().begin()
-        if recorder.last_line not in _HEAD_ENDS:
+        if bounded.last_line not in _HEAD_ENDS:
             raise BrokenHeadError("connection closed inside the head of the answer")
-        if self.fp is not None:  # it is closed if no body follows
-            self.fp = recorder.file
 
 
 class _Connection(HTTPConnection):
--- a/berylpost/peers.py
+++ b/berylpost/peers.py
@@ -88,6 +88,8 @@
 # find each other within about this time after the partition ends.
 REJOIN_S: Final = 30.0
 MAX_QUEUED_MESSAGES: Final = 1_000
+# A handover holds the answers so far of all running requests.
+MAX_MESSAGE_BYTES: Final = 64 << 20
 # Number of probes and probe answers that carry a changed backend server record.
 BACKEND_TRANSMISSIONS: Final = 6
 MAX_BACKENDS_PER_MESSAGE: Final = 10
@@ -259,6 +261,7 @@
         self._router = self._zmq.socket(zmq.ROUTER)
         self._router.linger = 0
         self._router.rcvhwm = MAX_QUEUED_MESSAGES * 10
+        self._router.maxmsgsize = MAX_MESSAGE_BYTES
         if self._settings.public_key and self._settings.secret_key:
             self._start_curve()
         try:
@@ -380,6 +383,7 @@
         dealer = self._zmq.socket(zmq.DEALER)
         dealer.linger = 0
         dealer.sndhwm = MAX_QUEUED_MESSAGES
+        dealer.maxmsgsize = MAX_MESSAGE_BYTES
         dealer.reconnect_ivl = 100
         dealer.reconnect_ivl_max = 2_000
         if self._settings.public_key and self._settings.secret_key:
--- a/berylpost/platform/boot.py
+++ b/berylpost/platform/boot.py
@@ -17,6 +17,7 @@
 # Also set in deploy/system.toml; the usual port of metrics exporters.
 METRICS_PORT: Final = 9464
 _MS: Final = 1_000.0
+_MB: Final = 1e6
 
 _Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
@@ -53,6 +54,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
+    memory_mb: float = 160  # the least of the current deployments
 
 
 class _SettingsFile(msgspec.Struct, frozen=True, rename="pascal"):
@@ -144,4 +146,5 @@
             heartbeat_s=document.heartbeat_ms / _MS,
         ),
         n_cores=document.limits.cpu_share * document.limits.cpu_cores,
+        memory_bytes=document.limits.memory_mb * _MB,
     )
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -12,11 +12,13 @@
 import httptools
 import msgspec
 
+from .answer_framing import AnswerFraming, OversizedAnswerError
 from .endpoints import split_endpoint
 
 READ_BYTES: Final = 65_536
 MAX_LINE_BYTES: Final = 1 << 20
 MAX_IDLE_BYTES: Final = 2 << 20  # of a head, or between two events
+MAX_TEXT_BYTES: Final = 4 << 20  # of the tokens of one attempt
 LOAD_HEADER: Final = b"endpoint-load-metrics"  # ORCA load report of the usual engines
 
 
@@ -130,6 +132,8 @@
         self._events: list[UpstreamEvent] = []
         self._partial_line = b""
         self._n_idle_bytes = 0
+        self._n_text_bytes = 0
+        self._framing = AnswerFraming()
         self._n_tokens = 0
         self._done = False
         self._refused = False
@@ -138,6 +142,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Reads a load report from the response headers."""
+        if not self._framing.add_field():
+            return
         if name.lower() != LOAD_HEADER:
             return
         report = decode_load_report(value)
@@ -145,15 +151,23 @@
         if report is not None:
             self._events.append(report)
 
+    def on_chunk_header(self) -> None:
+        """Notes the size of a chunk."""
+        self._framing.begin_chunk()
+
     def on_headers_complete(self) -> None:
         """Reports an error status as a refusal."""
         status = self._parser.get_status_code()
+        if status < 200:
+            return  # an interim answer
+        self._framing.end_head()
         if status != 200:
             self._refused = True
             self._events.append(Refusal(status=status))
 
     def on_body(self, data: bytes) -> None:
         """Splits the body into lines and handles its data lines."""
+        self._framing.add_body()
         if self._refused:
             return
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
@@ -165,6 +179,10 @@
 
     def on_message_complete(self) -> None:
         """Reports the end of the attempt when HTTP's framing ends the body."""
+        if self._parser.get_status_code() >= 200:
+            self._end_body()
+
+    def _end_body(self) -> None:
         if self._done:
             self._events.append(AttemptEnded(whole=True, sent=True))
         elif not self._refused:
@@ -182,6 +200,9 @@
             self._n_tokens += 1
         for choice in chunk.choices:
             text = choice.delta.content if choice.delta else choice.text
+            self._n_text_bytes += len(text or "")
+            if self._n_text_bytes > MAX_TEXT_BYTES:
+                raise OversizedAnswerError(f"text of more than {MAX_TEXT_BYTES} bytes")
             token = Token(
                 text=text or "",
                 n_tokens=self._n_tokens,
@@ -223,7 +244,15 @@
         self.last_data_at = now
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, msgspec.MsgspecError, UnicodeDecodeError):
+            self._framing.end_read(len(data))
+            if self._framing.in_trailers:
+                self._end_body()
+        except (
+            httptools.HttpParserError,
+            msgspec.MsgspecError,
+            OversizedAnswerError,
+            UnicodeDecodeError,
+        ):
             self._events.append(AttemptEnded(whole=False, sent=True))
         events: list[UpstreamEvent] = self._events
         self._events = []
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -35,6 +35,7 @@
 LOGGER: Final = logging.getLogger(__name__)
 HANDOVER_KEY: Final = "berylpost.handover"
 N_QUEUED_CONNECTIONS: Final = 512
+MAX_HEADER_BYTES: Final = 64 << 10  # the server sets no bound by itself
 
 _STATUS_KINDS: Final = {
     400: ErrorKind.BAD_REQUEST,
@@ -380,6 +381,7 @@
         )
         self._server.gateway = _HandoverGateway
         self._server.ConnectionClass = _ProblemConnection
+        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = listen.max_body_bytes
         setattr(self._server, "error_log", _log_server_error)  # noqa: B010
         if listen.tls_certificate:
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -254,3 +254,24 @@
       | headers | stream      |
       | body    | stream      |
       | body    | stream/once |
+      | chunk extension | read   |
+      | chunk extension | stream |
+      | interim answers | read   |
+      | interim answers | book   |
+
+  # Trailer fields without end were all kept, until the daemon passed its memory limit.
+  Scenario Outline: A complete <kind> before a <fault> without end is delivered
+    Given an entry daemon and two backend servers
+    And every server's fault is "endless <fault>"
+    When a caller sends a "<kind>" request and the daemon's memory is watched
+    Then it has the whole answer within its deadline and the daemon took at most 16 MB
+    And the servers' connections are closed
+
+    Examples:
+      | fault    | kind        |
+      | trailers | read        |
+      | trailers | book        |
+      | trailers | stream      |
+      | trailers | stream/once |
+      | trailer  | read        |
+      | trailer  | stream      |
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -50,3 +50,20 @@
 
   Scenario: No sequence of answers on a connection is taken for another
     Then for 400 drawn sequences of answers no refusal is untrue and no body foreign
+
+  # Many small parts take more memory than their bytes.
+  Scenario: No part of a message without end is kept
+    Then for 60 drawn messages without end no parser keeps more than 2 MB
+
+  # Each of many bodies is within its bound, all together exceeded the memory.
+  Scenario Outline: Bodies of <n> <kind> at once take no more than their share of memory
+    Given 1 entry daemons and 2 servers
+    And the daemon may hold 8 MB of bodies
+    When callers exchange <n> bodies of 3 MB in <kind> at once
+    Then the daemon held at most 8 MB of bodies, and holds none at the end
+    And some were answered, and those refused did not run
+
+    Examples:
+      | n  | kind     |
+      | 12 | requests |
+      | 12 | answers  |
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -51,6 +51,16 @@
       | head | 4 |
       | body | 4 |
 
+  # Trailer fields without end held up the thread of a call for as long as they came.
+  @fresh_fleet
+  Scenario: Engines and services whose trailer fields have no end
+    Given both engines and the services end the next answers with endless trailer fields
+    When 6 summaries of 30 tokens are asked for at once over all daemons
+    And a caller asks the service for its events
+    Then each caller has the whole answer to its own prompt
+    And the service call returns all events
+    And every daemon took at most 24 MB more than before
+
   Scenario: Every attempt is cut
     Given both engines cut the next 1000 answers after 3 tokens
     When one summary of 200 tokens is asked for
--- a/features/steps/entry_fault_steps.py
+++ b/features/steps/entry_fault_steps.py
@@ -87,6 +87,16 @@
     assert context.most_mb <= n, context.most_mb
 
 
+@then(
+    "it has the whole answer within its deadline and the daemon took at most {n:d} MB"
+)
+def step_check_delivered(context: Any, n: int) -> None:
+    assert context.answer.status == 200 and context.answer.complete, context.answer
+    assert context.answer.body.startswith((b"echo:", b"id: 1\n")), context.answer
+    assert context.took_s <= DEADLINE_MS / 1_000 + 0.5, context.took_s
+    assert context.most_mb <= n, context.most_mb
+
+
 @then("the servers' connections are closed")
 def step_check_closed(context: Any) -> None:
     wait_for(
--- /dev/null
+++ b/features/steps/entry_size_steps.py
@@ -0,0 +1,191 @@
+"""Steps for messages without end, and for many large bodies at once."""
+
+import asyncio
+import contextlib
+import tracemalloc
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as draw
+from hypothesis import settings
+from hypothesis import strategies as st
+from steps.entry_faulty_server_steps import _Transport
+from steps.entry_limit_steps import list_daemons
+from steps.entry_steps import make_request_line, send_request
+from steps.shared import DETERMINISTIC
+
+from berylpost.edge.callers import CallerConnection, CallerServer
+from berylpost.edge.http_channel import _AnswerProtocol
+from berylpost.edge.upstream import Connection, Exchange
+from berylpost.upstream import Upstream
+
+FLOOD_BYTES = 4 << 20
+MB = 1 << 20
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+# How each part without end begins after the first line, and what is repeated.
+PARTS = {
+    "header": (b"X-Long: ", b"x" * 1_000),
+    "headers": (b"", b"a:b\r\n"),
+    "chunk size": (CHUNKED + b"3\r\nabc\r\n", b"0" * 1_000),
+    "chunk extension": (CHUNKED + b"3\r\nabc\r\n3;", b"x" * 1_000),
+    "trailer": (CHUNKED + b"3\r\nabc\r\n0\r\nX-Long: ", b"x" * 1_000),
+    "trailers": (CHUNKED + b"3\r\nabc\r\n0\r\n", b"a:b\r\n"),
+}
+
+
+class _Flow(_Transport):
+    """Records whether the parser closes the connection."""
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def close(self):
+        self.closing = True
+
+
+def feed_connection(pieces):
+    connection = Connection(backend_id="r", on_closed=lambda _connection: None)
+    transport = _Flow()
+    connection.connection_made(transport)
+    connection.send(b"request", Exchange(attempt_id=b"", has_body=True))
+    for piece in pieces:
+        if not transport.closing:
+            connection.data_received(piece)
+    return connection
+
+
+def feed_channel(pieces):
+    protocol = _AnswerProtocol()
+    protocol.connection_made(_Flow())
+    protocol.answer = asyncio.get_running_loop().create_future()
+    for piece in pieces:
+        if protocol.transport is not None and not protocol.answer.done():
+            protocol.data_received(piece)
+    if protocol.answer.done():
+        protocol.answer.exception()
+    return protocol
+
+
+def feed_upstream(pieces):
+    upstream = Upstream(
+        address="127.0.0.1:9", path="/", body=b"", request_id="", now=0.0
+    )
+    upstream.close()
+
+    class _Socket:
+        def recv(self, _n):
+            return next(pieces)
+
+    upstream.socket = _Socket()
+    with contextlib.suppress(StopIteration):
+        while not any(hasattr(e, "whole") for e in upstream.on_readable(0.0)):
+            pass
+    return upstream
+
+
+def feed_caller(pieces):
+    async def handle(_request, _connection):
+        """Nothing is answered."""
+
+    transport = _Flow()
+    connection = CallerConnection(server=CallerServer(handler=handle))
+    connection.connection_made(transport)
+    for piece in pieces:
+        if not transport.closing:
+            connection.data_received(piece)
+    return connection
+
+
+PARSERS = {
+    feed_connection: b"HTTP/1.1 200 OK\r\n",
+    feed_channel: b"HTTP/1.1 200 OK\r\n",
+    feed_upstream: b"HTTP/1.1 200 OK\r\n",
+    feed_caller: b"POST /read/x HTTP/1.1\r\nHost: x\r\n",
+}
+
+
+def cut_pieces(head, unit, n_read_bytes):
+    """Cuts a message without end into what single reads bring."""
+    repeated = unit * (n_read_bytes // len(unit) + 1)
+    yield head
+    for _ in range(FLOOD_BYTES // len(repeated)):
+        yield repeated
+
+
+@then("for {n:d} drawn messages without end no parser keeps more than {most:d} MB")
+def step_check_parsers(context: Context, n: int, most: int) -> None:
+    @settings(DETERMINISTIC, max_examples=n)
+    @draw(
+        st.sampled_from(sorted(PARTS)),
+        st.sampled_from(list(PARSERS)),
+        st.sampled_from([1, 1_460, 65_536, 262_144]),
+    )
+    def check(part, feed, n_read_bytes):
+        async def measure():
+            head, unit = PARTS[part]
+            pieces = cut_pieces(PARSERS[feed] + head, unit, n_read_bytes)
+            tracemalloc.start()
+            try:
+                kept = feed(pieces)
+                n_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert kept and n_bytes <= most * MB, (part, feed, n_read_bytes, n_bytes)
+
+        asyncio.run(measure())
+
+    check()
+
+
+@given("the daemon may hold {n:d} MB of bodies")
+def step_set_budget(context: Context, n: int) -> None:
+    (daemon,) = list_daemons(context)
+    daemon.buffers.limit = n * MB
+    context.most_held = 0
+
+
+@when("callers exchange {n:d} bodies of {size:d} MB in {kind} at once")
+def step_exchange(context: Context, n: int, size: int, kind: str) -> None:
+    (daemon,) = list_daemons(context)
+    body = b"x" * (size * MB)
+    for replica in context.world.replicas:
+        replica.work_s = 0.2
+        replica.answer_bytes = len(body) if kind == "answers" else 0
+
+    async def watch():
+        while True:
+            context.most_held = max(context.most_held, daemon.buffers.n_held)
+            await asyncio.sleep(0.001)
+
+    async def exchange():
+        watcher = asyncio.ensure_future(watch())
+        sent = body if kind == "requests" else b""
+        answers = await asyncio.gather(
+            *(
+                send_request(
+                    daemon, make_request_line("book"), f"large-{number}", body=sent
+                )
+                for number in range(n)
+            )
+        )
+        watcher.cancel()
+        return {f"large-{k}": answer for k, answer in enumerate(answers)}
+
+    context.answers = context.world.run(exchange())
+
+
+@then("the daemon held at most {n:d} MB of bodies, and holds none at the end")
+def step_check_held(context: Context, n: int) -> None:
+    (daemon,) = list_daemons(context)
+    assert 0 < context.most_held <= n * MB, context.most_held
+    assert daemon.buffers.n_held == 0, daemon.buffers.n_held
+
+
+@then("some were answered, and those refused did not run")
+def step_check_refused(context: Context) -> None:
+    replicas = context.world.replicas
+    statuses = [answer.status for answer in context.answers.values()]
+    assert 200 in statuses and set(statuses) - {200}, statuses
+    for attempt, answer in context.answers.items():
+        if answer.status == 503:
+            assert not any(r.runs[attempt] for r in replicas), attempt
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -168,6 +168,15 @@
     context.resident = [d.read_resident_bytes() for d in context.fleet.daemons]
 
 
+@given("both engines and the services end the next answers with endless trailer fields")
+def end_with_trailers(context: Context) -> None:
+    world = context.fleet.world.world
+    servers = [*world.engines.values(), *world.services.values()]
+    for server in servers:
+        context.fleet.set_fault(server.server.endpoint, endless_trailers=1_000)
+    context.resident = [d.read_resident_bytes() for d in context.fleet.daemons]
+
+
 @then("every daemon took at most {n:d} MB more than before")
 def check_memory(context: Context, n: int) -> None:
     for daemon, before in zip(context.fleet.daemons, context.resident, strict=True):
