Keep in the store which versions began the live streams

Cause: a daemon took the versions that it had listed since its start for all that could have begun a stream; records were kept by daemons only. Change: stream_store keeps the versions of each service in one object, and the live streams as a table a daemon while a service has several versions. A daemon that starts reads both, says until then that its list is not complete, and looks unknown streams up. The answer between daemons has one more, optional field.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -145,7 +145,12 @@
         self.notice_poller = ReclaimNoticePoller(
             table=self.table, read_store_age=self.catalogue.read_confirmation_age
         )
-        self.origins = StreamOrigins(members=self.members, catalogue=self.catalogue)
+        self.origins = StreamOrigins(
+            settings=settings,
+            members=self.members,
+            catalogue=self.catalogue,
+            era=self.era,
+        )
         self.quarantine = RequestQuarantine(
             name=settings.name,
             store=settings.store,
@@ -238,6 +243,7 @@
         self.registration.start()
         self.watch.start()
         self.notice_poller.start()
+        self.origins.start()
         self.quarantine.start()
         self.limits.start()
         self.brittle.start()
@@ -293,6 +299,7 @@
         await self.front.end_requests(LAST_ANSWERS_S)
         self.watch.stop()
         self.notice_poller.stop()
+        self.origins.stop()
         self.quarantine.stop()
         self.limits.stop()
         self.brittle.stop()
@@ -311,6 +318,7 @@
         """Stops at once without cleaning up, like a killed process."""
         self.watch.stop()
         self.notice_poller.stop()
+        self.origins.stop()
         self.quarantine.stop()
         self.limits.stop()
         self.brittle.stop()
--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -3,15 +3,16 @@
 Each daemon records the streams that it began or took up. While more than one version
 of a service may have live streams, it also sends the records to a few other daemons, so
 that a stream can be taken up after its daemon died. A daemon that does not know a
-stream asks those. `policy.stream_version` makes the decisions.
+stream asks those. What outlasts all daemons is in `stream_store`.
+`policy.stream_version` makes the decisions.
 """
 
 import asyncio
 import itertools
 import logging
 from collections import OrderedDict
-from collections.abc import Iterable
-from typing import Final, NamedTuple
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
 
 import msgspec
 
@@ -30,7 +31,10 @@
 from .gossip import MESSAGE_MARK
 from .member import Member
 from .members import Members
-from .model import Endpoint, ServingConfiguration
+from .model import EdgeSettings, Endpoint, ServingConfiguration
+from .store_era import StoreEra
+from .stream_store import StreamStore, Versions
+from .stream_tables import Origin, hash_attempt
 from .work import RequestContext, make_refusal
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -44,17 +48,13 @@
 # Without an answer, the own list of servers counts as current for this long after its
 # last confirmation.
 MAX_CONFIRMATION_AGE_S: Final = 2.0
+STORE_TIMEOUT_S: Final = 0.4  # a read takes a few milliseconds
+# Error of the times in the store; a clock that jumps is off by seconds.
+CLOCK_ERROR_S: Final = 10.0
 # By then the daemons that know the stream may answer again.
 UNKNOWN_RETRY_S: Final = 0.5
 
 
-class Origin(NamedTuple):
-    """Where a stream began."""
-
-    service: str
-    version: str
-
-
 class _Records(msgspec.Struct, frozen=True, array_like=True, tag="records"):
     """Streams that the sender began: attempt, service, version."""
 
@@ -75,11 +75,14 @@
     Attributes:
         origin: service and version; None if the stream is not known.
         possible: versions of the service that may have live streams.
+        is_complete: whether these include all versions of before the daemon's start;
+            daemons of earlier builds do not say.
     """
 
     number: int
     origin: tuple[str, str] | None
     possible: tuple[str, ...]
+    is_complete: bool = True
 
 
 class _Inquiry:
@@ -90,11 +93,13 @@
         self.origin: Origin | None = None
         self.possible: set[str] = set()
         self.n_answers = 0
+        self.is_complete = False
         self._n_asked = n_asked
 
     def add(self, answer: _Answer) -> None:
         """Adds one answer."""
         self.n_answers += 1
+        self.is_complete = self.is_complete or answer.is_complete
         self.possible.update(answer.possible)
         if answer.origin is not None:
             self.origin = Origin(*answer.origin)
@@ -106,17 +111,31 @@
     """The versions of the streams that callers may take up.
 
     Args:
+        settings: settings of this daemon.
         members: the other daemons.
         catalogue: source of the list of backend servers.
+        era: era of the store.
     """
 
-    def __init__(self, *, members: Members, catalogue: Catalogue) -> None:
+    def __init__(
+        self,
+        *,
+        settings: EdgeSettings,
+        members: Members,
+        catalogue: Catalogue,
+        era: StoreEra,
+    ) -> None:
         self._members = members
         self._catalogue = catalogue
         self._origins: OrderedDict[str, tuple[float, Origin]] = OrderedDict()
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
         self._memory_s = 0.0
+        # Services with streams that callers may take up.
+        self._services: frozenset[str] = frozenset()
+        # Streams that this daemon began or took up, by the hash of their attempt.
+        self._own: OrderedDict[int, tuple[float, Origin]] = OrderedDict()
+        self._started_at = read_boottime()
         self._numbers = itertools.count(1)
         self._inquiries: dict[int, _Inquiry] = {}
         self._channel: DatagramChannel[_Records | _Query | _Answer] = DatagramChannel(
@@ -125,6 +144,24 @@
             message_type=_Records | _Query | _Answer,
             handle=self._handle,
         )
+        self._store = StreamStore(
+            name=settings.name,
+            address=settings.store,
+            era=era,
+            members=members,
+            list_versions=self._list_versions,
+            list_streams=self._list_mixed_streams,
+            read_memory=lambda: self._memory_s,
+            merge=self._merge_stored,
+        )
+
+    def start(self) -> None:
+        """Starts to read and write what outlasts all daemons."""
+        self._store.start()
+
+    def stop(self) -> None:
+        """Stops."""
+        self._store.stop()
 
     def update(self, configuration: ServingConfiguration) -> None:
         """Notes the versions of the listed servers; call it when the catalogue changes.
@@ -135,11 +172,20 @@
         self._memory_s = MEMORY_TIMEOUTS * max(
             (r.timeout_s for g in configuration.routes.values() for r in g), default=0.0
         )
+        self._services = frozenset(
+            share.service
+            for group in configuration.routes.values()
+            for route in group
+            if route.can_resume
+            for share in route.shares
+        )
         listed: dict[str, set[str]] = {}
         for backend in self._catalogue.backends.values():
             listed.setdefault(backend.service, set()).add(backend.software_version)
         mixed_before = {name for name in listed if self._is_mixed(name)}
         self._note_listed()
+        if listed != self._listed:
+            self._store.notify()
         self._listed = listed
         self._note_listed()
         newly_mixed = {n for n in listed if self._is_mixed(n)} - mixed_before
@@ -161,6 +207,7 @@
         """Records the version of a stream whose first event has arrived."""
         origin = Origin(service, version)
         self._keep(attempt, origin)
+        self._keep_own(attempt, origin)
         if self._is_mixed(service):
             self._send_records([(attempt, origin)])
 
@@ -176,12 +223,15 @@
         if known is None:
             inquiry = await self._ask(attempt, context.service)
         origin = known[1] if known is not None else inquiry.origin
+        stored = None
+        if origin is None and attempt:
+            stored = await self._find_stored(attempt, context.service, inquiry)
+            origin = stored
         possible = self._list_possible(context.service) | inquiry.possible
         version = choose_stream_version(
             origin.version if origin is not None else None,
             possible,
-            is_current=inquiry.n_answers > 0
-            or self._catalogue.read_confirmation_age() < MAX_CONFIRMATION_AGE_S,
+            is_current=self._is_current(inquiry),
         )
         if origin is not None and origin.service in (
             share.service for share in context.route.shares
@@ -195,9 +245,10 @@
             after=context.head.last_event_id,
             service=context.service,
             version="unknown" if version is None else version,
-            source="record" if known else "member" if origin else "list",
+            source=_name_source(known, stored, origin),
             possible=",".join(sorted(possible)),
             n_answers=inquiry.n_answers,
+            complete=self._is_complete() or inquiry.is_complete,
             confirmed_s=self._catalogue.read_confirmation_age(),
         )
         if version is None:
@@ -208,7 +259,68 @@
             )
         context.stream_version = version
         if attempt:
-            self._keep(attempt, Origin(context.service, version))
+            origin = Origin(context.service, version)
+            self._keep(attempt, origin)
+            self._keep_own(attempt, origin)
+
+    async def _find_stored(
+        self, attempt: str, service: str, inquiry: _Inquiry
+    ) -> Origin | None:
+        """Looks a stream up in the store, unless one version only can have begun it."""
+        digest = hash_attempt(attempt)
+        found = self._store.find(digest)
+        versions = self._list_possible(service) | inquiry.possible
+        if found is None and (len(versions) != 1 or not self._is_current(inquiry)):
+            await self._store.refresh(STORE_TIMEOUT_S)
+            found = self._store.find(digest)
+        return found
+
+    def _is_complete(self) -> bool:
+        """Tells whether this daemon knows all versions that may have live streams."""
+        age_s = read_boottime() - self._started_at
+        return self._store.is_complete or age_s > self._memory_s > 0
+
+    def _is_current(self, inquiry: _Inquiry) -> bool:
+        """Tells whether no other version than those known can have begun a stream."""
+        if inquiry.is_complete:
+            return True
+        age_s = self._catalogue.read_confirmation_age()
+        is_fresh = inquiry.n_answers > 0 or age_s < MAX_CONFIRMATION_AGE_S
+        return self._is_complete() and is_fresh
+
+    def _list_versions(self) -> dict[str, list[str]] | None:
+        """Lists the versions that serve now; None until servers are known."""
+        if not self._listed:
+            return None
+        return {
+            service: sorted(versions)
+            for service, versions in self._listed.items()
+            if service in self._services
+        }
+
+    def _list_mixed_streams(self) -> dict[int, Origin] | None:
+        """Lists this daemon's live streams of services with several versions."""
+        mixed = {service for service in self._services if self._is_mixed(service)}
+        if not mixed:
+            return None
+        self._drop_expired(self._own)
+        return {
+            digest: origin
+            for digest, (_, origin) in self._own.items()
+            if origin.service in mixed
+        }
+
+    def _merge_stored(self, versions: Versions, own: Mapping[int, Origin]) -> None:
+        """Takes over what is stored."""
+        now = read_boottime()
+        for service, ages in versions.items():
+            last_listed = self._last_listed.setdefault(service, {})
+            for version, age_s in ages.items():
+                if age_s <= self._memory_s + CLOCK_ERROR_S:
+                    last_listed.setdefault(version, now)
+        for digest, origin in own.items():
+            # This daemon's table is about to be replaced.
+            self._own.setdefault(digest, (now, origin))
 
     def _note_listed(self) -> None:
         """Stamps the versions listed until now."""
@@ -233,12 +345,21 @@
         now = read_boottime()
         self._origins.pop(attempt, None)
         self._origins[attempt] = (now, origin)
-        while self._origins:
-            oldest = next(iter(self._origins))
-            expired = now - self._origins[oldest][0] > self._memory_s
-            if not expired and len(self._origins) <= MAX_RECORDS:
+        self._drop_expired(self._origins)
+
+    def _keep_own(self, attempt: str, origin: Origin) -> None:
+        self._own[hash_attempt(attempt)] = (read_boottime(), origin)
+        self._drop_expired(self._own)
+
+    def _drop_expired(self, records: OrderedDict[Any, tuple[float, Origin]]) -> None:
+        """Drops the records that are too old, or too many."""
+        now = read_boottime()
+        while records:
+            oldest = next(iter(records))
+            expired = now - records[oldest][0] > self._memory_s
+            if not expired and len(records) <= MAX_RECORDS:
                 break
-            del self._origins[oldest]
+            del records[oldest]
 
     def _rank_members(self, attempt: str) -> list[Member]:
         alive = {member.name: member for member in self._members.list_alive()}
@@ -287,9 +408,19 @@
                     number,
                     known[1] if known is not None else None,
                     tuple(sorted(self._list_possible(service))),
+                    self._is_complete(),
                 )
                 self._channel.send(address, answer)
             case _Answer(number):
                 inquiry = self._inquiries.get(number)
                 if inquiry is not None:
                     inquiry.add(message)
+
+
+def _name_source(known: Any, stored: Origin | None, origin: Origin | None) -> str:
+    """Names where a stream's origin comes from, for log lines."""
+    if known is not None:
+        return "record"
+    if stored is not None:
+        return "store"
+    return "list" if origin is None else "member"
--- a/berylpost/policy/stream_version.py
+++ b/berylpost/policy/stream_version.py
@@ -6,7 +6,7 @@
 daemon, also after the one that began it has died.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final
 
 from ..hashing import hash_text
@@ -55,3 +55,32 @@
         return recorded
     versions = set(possible)
     return versions.pop() if is_current and len(versions) == 1 else None
+
+
+def merge_versions(
+    stored: Mapping[str, Mapping[str, float]],
+    listed: Mapping[str, Collection[str]],
+    *,
+    now: float,
+    keep_s: float,
+) -> dict[str, dict[str, float]]:
+    """Merges the versions that serve now into those that are stored.
+
+    Args:
+        stored: by service and version, 0 for one that serves, or the time at which it
+            lost its last server, Unix seconds.
+        listed: versions that serve now, by service.
+        now: the present time, Unix seconds.
+        keep_s: time for which a version without servers is kept.
+    """
+    merged: dict[str, dict[str, float]] = {}
+    for service in stored.keys() | listed.keys():
+        versions = {
+            version: ended_at or now
+            for version, ended_at in stored.get(service, {}).items()
+            if not ended_at or now - ended_at <= keep_s
+        }
+        versions.update(dict.fromkeys(listed.get(service, ()), 0.0))
+        if versions:
+            merged[service] = versions
+    return merged
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -59,3 +59,33 @@
     When the second daemon hears from no other while a server of version v2 starts
     And a caller takes up a stream at the second daemon
     Then it is refused at once
+
+  # Daemons that start took the versions of their first list for all that there were.
+  Scenario Outline: Streams of before <killed> daemons were killed, while <serving> serve
+    Given 3 entry daemons and servers of the versions <before>
+    When 12 callers lose their streams and <killed> daemons are killed
+    And meanwhile <change>
+    And the callers take their streams up after the daemons have started again
+    Then no stream ran at two versions, and those of <whole> are whole
+
+    Examples:
+      | before      | killed  | change                               | serving | whole |
+      | v1,v1,v2,v2 | all     | nothing changes                      | both    | both  |
+      | v1,v1,v2,v2 | all     | the store's history is compacted     | both    | both  |
+      | v1,v1,v2,v2 | 2       | nothing changes                      | both    | both  |
+      | v1,v1,v2,v2 | each of | nothing changes                      | both    | both  |
+      | v1,v1,v2,v2 | all     | the servers of v1 leave              | v2      | v2    |
+      | v1,v1,v2,v2 | 2       | the servers of v1 leave              | v2      | v2    |
+      | v1,v1       | all     | nothing changes                      | v1      | v1    |
+      | v1,v1       | all     | the servers of v1 leave and v2 comes | v2      | none  |
+      | v1,v1       | all     | v2 comes                             | both    | none  |
+      | v1,v1,v2,v2 | all     | the store comes back from a copy     | both    | none  |
+
+  # The store's copy has no trace of the version that began the streams.
+  Scenario: Versions that a restored store has forgotten are not taken for none
+    Given 3 entry daemons and servers of the versions v1,v1
+    When a server of version v2 starts, which the store forgets when all daemons die
+    Then a stream of unknown origin is refused
+
+  Scenario: A stream of a version that has left is not confused for as long as it may live
+    Then for 200 drawn releases no stored version is dropped before its time
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -6,6 +6,9 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from hypothesis import given as draw
+from hypothesis import settings
+from hypothesis import strategies as st
 from steps.entry_steps import (
     connect,
     make_events,
@@ -13,9 +16,11 @@
     send_request,
     start_world,
 )
+from steps.shared import DETERMINISTIC
 
 from berylpost.edge.stream_origins import MAX_CONFIRMATION_AGE_S
 from berylpost.fakes.replica import N_EVENTS, Replica
+from berylpost.policy.stream_version import merge_versions
 
 # A refusal that needs no other daemon's answer, and one that waits for it in vain.
 AT_ONCE_S = 0.5
@@ -335,3 +340,152 @@
 @when("a caller takes up a stream at the second daemon")
 def step_take_up_isolated(context: Context) -> None:
     take_up_unknown(context, list_daemons(context)[1], names_attempt=True)
+
+
+async def kill_daemons(context, names):
+    for name in names:
+        context.world.daemons.pop(name).kill()
+    await asyncio.sleep(0.1)  # until the sockets are closed
+
+
+async def restart_daemons(context, names):
+    numbers = [int(name.removeprefix("entry-")) for name in names]
+    await asyncio.gather(*(context.world.start_daemon(n) for n in numbers))
+
+
+@when("{n:d} callers lose their streams and {killed} daemons are killed")
+def step_kill_daemons(context: Context, n: int, killed: str) -> None:
+    async def lose_and_kill() -> None:
+        world = context.world
+        context.copy = world.store.take_copy()
+        await lose_streams(context, n)
+        await asyncio.sleep(1.5)  # until the daemons have written their tables
+        names = list(world.daemons)
+        if killed == "each of":
+            for name in names:
+                await kill_daemons(context, [name])
+                await restart_daemons(context, [name])
+            names = []
+        context.killed = names[: 2 if killed == "2" else len(names)]
+        await kill_daemons(context, context.killed)
+
+    context.world.run(lose_and_kill())
+
+
+async def remove_servers(context, version):
+    for replica in context.world.replicas:
+        if replica.version == version:
+            await context.world.store.remove("servers", replica.id)
+            await replica.stop()
+
+
+async def restore_store(context):
+    world = context.world
+    await world.store.restore(context.copy)
+    for replica in world.replicas:
+        await world.put_replica(replica, Seq=2)
+
+
+CHANGES = {
+    "nothing changes": (),
+    "the store's history is compacted": ("compact",),
+    "the servers of v1 leave": ("leave",),
+    "the servers of v1 leave and v2 comes": ("leave", "come"),
+    "v2 comes": ("come",),
+    "the store comes back from a copy": ("restore",),
+}
+
+
+@when("meanwhile {change}")
+def step_change(context: Context, change: str) -> None:
+    async def compact() -> None:
+        context.world.store.compact_history()
+
+    make_change = {
+        "compact": compact,
+        "leave": lambda: remove_servers(context, "v1"),
+        "come": lambda: add_version(context, "v2"),
+        "restore": lambda: restore_store(context),
+    }
+    for name in CHANGES[change]:
+        context.world.run(make_change[name]())
+
+
+@when("the callers take their streams up after the daemons have started again")
+def step_take_up_after_start(context: Context) -> None:
+    async def start_and_take_up() -> None:
+        await restart_daemons(context, context.killed)
+        await take_up_streams(context, list_daemons(context)[-1])
+
+    context.world.run(start_and_take_up())
+
+
+@then("no stream ran at two versions, and those of {whole} are whole")
+def step_check_after_start(context: Context, whole: str) -> None:
+    n_whole = {}
+    for number, body in enumerate(context.lost):
+        answer = context.answers[number]
+        versions = list_versions(context, f"first-{number}", f"second-{number}")
+        assert len(versions) == 1, (number, versions)
+        assert answer.status == 503 or is_continued(body, answer), (number, answer)
+        counts = n_whole.setdefault(versions[0], [])
+        counts.append(answer.status == 200)
+    for version, counts in n_whole.items():
+        expected = whole in ("both", version)
+        assert all(counts) if expected else not any(counts), (version, counts)
+
+
+@when("a server of version v2 starts, which the store forgets when all daemons die")
+def step_forget_version(context: Context) -> None:
+    async def forget() -> None:
+        world = context.world
+        await asyncio.sleep(0.5)
+        copied = world.store.take_copy()
+        await add_version(context, "v2")
+        await asyncio.sleep(0.5)
+        names = list(world.daemons)
+        await kill_daemons(context, names)
+        await remove_servers(context, "v2")
+        await world.store.restore(copied)
+        await restart_daemons(context, names)
+
+    context.world.run(forget())
+
+
+@then("a stream of unknown origin is refused")
+def step_check_unknown(context: Context) -> None:
+    take_up_unknown(context, list_daemons(context)[0], names_attempt=True)
+    assert context.answer.status == 503, context.answer
+    assert not list_versions(context, "second-0")
+
+
+# Which versions serve, and how many seconds pass until the next change.
+RELEASES = st.lists(
+    st.tuples(
+        st.sets(st.sampled_from(["v1", "v2", "v3"]), max_size=2), st.integers(1, 40)
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@then("for {n:d} drawn releases no stored version is dropped before its time")
+def step_check_merges(context: Context, n: int) -> None:
+    keep_s = 30.0
+
+    @settings(DETERMINISTIC, max_examples=n)
+    @draw(RELEASES)
+    def check(releases):
+        stored, now, served_at = {}, 1e9, {}
+        for versions, pause_s in releases:
+            served_at.update(dict.fromkeys(versions, now))
+            listed = {"app": sorted(versions)} if versions else {}
+            stored = merge_versions(stored, listed, now=now, keep_s=keep_s)
+            kept = stored.get("app", {})
+            assert all(not kept[version] for version in versions), stored
+            for version, at in served_at.items():
+                assert version in kept or now - at > keep_s, (version, stored)
+            now += pause_s
+            served_at.update(dict.fromkeys(versions, now))
+
+    check()
