Tell a daemon that starts when the store was last restored

Cause: DutyLease.begin_era and Catalogue.begin_era took the first era that a daemon learns for one of long ago. Change: era_record keeps in the store when the present era began. Daemons read it at their start and until then neither try for the lease nor confirm keys by the store alone; the lease and the catalogue are given the begin in all daemons alike. A plain restart of all daemons serves keyed requests within 1 s and loses no window. Conclusion: what a daemon infers after a start rests on a record, not on having seen the restore.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -66,7 +66,8 @@
     def __init__(self, *, revoke_s: float, heartbeat_s: float) -> None:
         self.era = UNKNOWN_ERA
         self._expiry_s = EXPIRY_HEARTBEATS * heartbeat_s + EXPIRY_MARGIN_S
-        self._era_began_at = -1e9
+        # Until it is known when the era began, the store itself confirms nothing.
+        self._era_began_at = float("inf")
         self._withdrawals = Withdrawals()
         self.configuration: ServingConfiguration | None = None
         self.configuration_spec: Any = None
@@ -100,7 +101,6 @@
         if self.configuration is None and not self._entries:
             return
         now = read_boottime()
-        self._era_began_at = now
         # Servers write their entries again, as after an outage.
         self.outage_ended_at = now
         if self.configuration is not None:
@@ -119,6 +119,14 @@
             self._expiry_s, self._end_withdrawals, era
         )
 
+    def date_era(self, began_at: float) -> None:
+        """Sets when the era began; the store's copy may be outdated for a while then.
+
+        Args:
+            began_at: the latest time at which it can have begun, boot-time clock.
+        """
+        self._era_began_at = began_at
+
     def _carry_over_entries(self) -> None:
         """Makes all entries and removals older than whatever the store has."""
         self._entries = {
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -26,6 +26,7 @@
 from .clock import read_boottime
 from .duties import Duties
 from .engine_notices import ReclaimNoticePoller
+from .era_record import EraRecord
 from .forwarding import Forwarder
 from .http_channel import HttpChannel
 from .leaving_servers import LeavingServers
@@ -99,6 +100,7 @@
             revoke_s=bounds.revoke_s, heartbeat_s=bounds.heartbeat_s
         )
         self.era.add_listener(self.catalogue.begin_era)
+        self.era.add_date_listener(self.catalogue.date_era)
         self.quotas = Quotas(bounds=bounds, find_customer=self._find_customer)
         self.members = Members(
             settings=settings,
@@ -113,6 +115,12 @@
             exclude_work=loop_meter.exclude if loop_meter else lambda _seconds: None,
         )
         self.quotas.bind(self.members)
+        self.era_record = EraRecord(
+            name=settings.name,
+            address=settings.store,
+            era=self.era,
+            members=self.members,
+        )
         self.registration = Registration(
             settings=settings, members=self.members, era=self.era
         )
@@ -240,6 +248,7 @@
             await self._listen({"/metrics": self._answer_metrics}, settings.metrics)
         await self.paths.start()
         await self.members.start()
+        self.era_record.start()
         self.registration.start()
         self.watch.start()
         self.notice_poller.start()
@@ -299,6 +308,7 @@
         await self.front.end_requests(LAST_ANSWERS_S)
         self.watch.stop()
         self.notice_poller.stop()
+        self.era_record.stop()
         self.origins.stop()
         self.quarantine.stop()
         self.limits.stop()
@@ -318,6 +328,7 @@
         """Stops at once without cleaning up, like a killed process."""
         self.watch.stop()
         self.notice_poller.stop()
+        self.era_record.stop()
         self.origins.stop()
         self.quarantine.stop()
         self.limits.stop()
--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -104,6 +104,8 @@
             ),
         )
         era.add_listener(self.lease.begin_era)
+        era.add_date_listener(self.lease.date_era)
+        self._era = era
         self._settings = settings
         self._members = members
         self._remove_lost = remove_lost
@@ -194,6 +196,8 @@
         now = read_boottime()
         if self._members.leaving or not self._members.active:
             return False
+        if not self._era.is_dated:
+            return False  # reports may have been lost with an older copy
         announced = self._announced
         if announced is not None and now < announced.until + HOLD_MARGIN_S:
             return False
--- a/berylpost/edge/duty_lease.py
+++ b/berylpost/edge/duty_lease.py
@@ -141,10 +141,18 @@
         if known == UNKNOWN_ERA:
             return
         self._resume_until = self.held_until
-        self._wait_until = self.reports_since = self._clock() + self._term_s
         self._last_seen = None
         self.abandon()
 
+    def date_era(self, began_at: float) -> None:
+        """Sets when the era began, before which reports may have been lost.
+
+        Args:
+            began_at: the latest time at which it can have begun, of the clock.
+        """
+        if began_at > float("-inf"):
+            self._wait_until = self.reports_since = began_at + self._term_s
+
     async def try_acquire(self, ended: AnnouncedHold | None = None) -> bool:
         """Acquires the lease if it is free or its term has expired.
 
--- a/berylpost/edge/store_era.py
+++ b/berylpost/edge/store_era.py
@@ -2,7 +2,8 @@
 
 All modules that keep something of the store register what carries it over to a new
 era. The first call that is answered with a new era, or the first neighbour that knows
-it, starts that for all of them.
+it, starts that for all of them. When the era began that this daemon found at its start
+is not known until `era_record` dates it.
 """
 
 import logging
@@ -16,6 +17,8 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 UNKNOWN_ERA: Final = -1
+MAX_LOGGED_AGE_S: Final = 1e6
+LONG_AGO: Final = float("-inf")  # before anything that this daemon knows
 
 
 class StoreEra:
@@ -23,18 +26,46 @@
 
     Attributes:
         number: the era; `UNKNOWN_ERA` until the store or a neighbour has named one.
+        is_dated: whether it is known when the era began.
+        began_at: the latest time at which it began, boot-time clock.
     """
 
     def __init__(self) -> None:
         self.number = UNKNOWN_ERA
+        self.is_dated = False
+        self.began_at = LONG_AGO
         self._learnt_at = float("-inf")
         self._listeners: list[Callable[[int], None]] = []
+        self._date_listeners: list[Callable[[float], None]] = []
         self._has_fallen = False
 
     def add_listener(self, listener: Callable[[int], None]) -> None:
         """Registers a function to call with the number of each new era."""
         self._listeners.append(listener)
 
+    def add_date_listener(self, listener: Callable[[float], None]) -> None:
+        """Registers a function to call with the time at which an era began."""
+        self._date_listeners.append(listener)
+
+    def date(self, began_at: float) -> None:
+        """Sets when the era began, unless that is known.
+
+        Args:
+            began_at: the latest time at which it can have begun, boot-time clock.
+        """
+        if self.is_dated:
+            return
+        self.is_dated = True
+        self.began_at = began_at
+        log_event(
+            LOGGER,
+            "era_dated",
+            era=self.number,
+            age_s=min(MAX_LOGGED_AGE_S, read_boottime() - began_at),
+        )
+        for listener in self._date_listeners:
+            listener(began_at)
+
     def note_answer(self, era: int | None, asked_at: float) -> bool:
         """Records the era that an answer of the store names.
 
@@ -77,3 +108,6 @@
         self._learnt_at = read_boottime()
         for listener in self._listeners:
             listener(era)
+        if not is_first:
+            self.is_dated = False
+            self.date(self._learnt_at)
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -146,6 +146,54 @@
       | and the duty holder is killed       |
       | of before they changed hands        |
 
+  # A holder that started after a restore reported windows again, with other counts.
+  Scenario Outline: No window is reported twice when <who> after a report is lost
+    Given 3 entry daemons with duties
+    When a report is lost with the store's copy and <who>
+    Then no duty holder breaks a rule
+    And reports go on within 20 s
+
+    Examples:
+      | who                          |
+      | the duty holder starts again |
+      | all daemons start again      |
+
+  # Daemons that started after a restore took the copy for all that was acknowledged.
+  Scenario Outline: A key that was revoked runs no request after <who> start again, too
+    Given 3 entry daemons and a copy of the store before the key was revoked
+    When the store is restored while <who> start again
+    And the operator revokes the key again 1 s later
+    Then no request with the key has run in 3 s
+
+    Examples:
+      | who              |
+      | all daemons      |
+      | the last daemon  |
+
+  Scenario Outline: After a plain restart of <who> no window is lost and keys run at once
+    Given 3 entry daemons with duties
+    When <who> are killed after a report and start again
+    Then requests with the key run within 1 s
+    And no report is missing and no duty holder breaks a rule
+
+    Examples:
+      | who              |
+      | all daemons      |
+      | the duty holder  |
+
+  Scenario Outline: A record of the era that is <odd> stops no daemon
+    Given 1 entry daemons and a copy of the store before 4 changes of the configuration
+    When another writer stores a record of the era that is <odd>
+    And the last daemon starts again
+    Then within 4 s it is ready, and the record is of the present era
+
+    Examples:
+      | odd                  |
+      | a list               |
+      | text                 |
+      | of a later era       |
+      | from the future      |
+
   Scenario: Daemons are listed in the store again after a restore
     Given 3 entry daemons and a copy of the store before the last daemon was listed
     When the store comes back from the copy at once
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -160,8 +160,7 @@
                 raise
             finally:
                 if not is_lost and self._holder.era != store.era:
-                    self._holder.era = store.era
-                    self._holder.lease.begin_era(store.era)
+                    self._holder.note_restore()
 
         return call_and_learn
 
@@ -189,8 +188,17 @@
             import_counts=lambda _saved: None,
             clock=lambda: self.world.now,
         )
-        # A daemon lists the store when it starts.
+        # A daemon reads the store when it starts.
         self.lease.begin_era(self.era)
+        self.lease.date_era(self.world.read_record())
+
+    def note_restore(self):
+        """Learns of a restore; some daemons end before they record it."""
+        self.era = self.world.store.era
+        self.lease.begin_era(self.era)
+        self.lease.date_era(self.world.now)
+        if int(self.world.now * 20) % 3:
+            self.world.record = (self.era, self.world.now)
 
     def step(self, choice):
         lease = self.lease
@@ -235,6 +243,8 @@
         self.now = 100.0
         self.store = LeaseStore()
         self.checker = DutyCallChecker(lease_s=LEASE_S)
+        # The last era that a daemon has recorded, and when it began.
+        self.record = (self.store.era, float("-inf"))
         self.holders = [Holder(name, self) for name in ("a", "b", "c")]
 
     def play(self, choices):
@@ -250,7 +260,7 @@
                 self.now += (choices.take() % 40) / 10
             elif kind == 4:
                 self.store.apply_delayed_writes()
-            elif kind == 5 and not self.store.era > 1:
+            elif kind == 5:
                 holder.restart()
             elif kind == 8:
                 self.store.take_copy()
@@ -260,6 +270,12 @@
                 self._announce_hold(holder)
             self.now += 0.05
 
+    def read_record(self):
+        """Returns when the present era began, as a daemon that starts finds it."""
+        if self.record[0] != self.store.era:
+            self.record = (self.store.era, self.now)
+        return self.record[1]
+
     def _announce_hold(self, sender):
         sequence, left_s = sender.lease.export_hold()
         for holder in self.holders:
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -1,6 +1,7 @@
 """Steps for a store that comes back from an older copy."""
 
 import asyncio
+import contextlib
 import time
 
 from behave import given, then, when
@@ -233,6 +234,7 @@
 def step_start_revoked(context: Context, n: int) -> None:
     start_world(context, n_daemons=n)
     world = context.world
+    wait_until(lambda: world.store.kinds.get("berylpost-eras"))
     context.copy = world.store.take_copy()
     world.run(world.put_configuration(make_configuration(2, Tenants=[OTHER_CUSTOMER])))
     wait_until(lambda: all(get_number(d) == 2 for d in list_daemons(context)))
@@ -473,6 +475,16 @@
     return next(d for d in list_daemons(context) if d.duties.lease.is_held())
 
 
+async def restore_and_restart(context, daemons):
+    for daemon in daemons:
+        daemon.kill()
+    await restore_at_once(context)
+    await asyncio.sleep(0.5)
+    await asyncio.gather(
+        *(context.world.start_daemon(int(d.settings.name[-1])) for d in daemons)
+    )
+
+
 DUTY_RESTORES = {
     "twice": restore_twice_apart,
     "and the duty holder is killed": restore_and_kill_holder,
@@ -491,6 +503,37 @@
     context.n_reports = len(checker.reports)
 
 
+@when("a report is lost with the store's copy and {who} again")
+def step_lose_report(context: Context, who: str) -> None:
+    world = context.world
+    find_holder(context)
+    checker = world.duty_api.checker
+
+    async def send():
+        while True:
+            for daemon in list(world.daemons.values()):
+                line, attempt = make_request_line("read"), f"id-{time.monotonic()}"
+                with contextlib.suppress(OSError):
+                    await send_request(daemon, line, attempt)
+            await asyncio.sleep(0.05)
+
+    async def restore():
+        sending = asyncio.ensure_future(send())
+        while len(checker.reports) < 2:
+            await asyncio.sleep(0.02)
+        context.copy = world.store.take_copy()
+        n_reports = len(checker.reports)
+        while len(checker.reports) == n_reports:
+            await asyncio.sleep(0.005)
+        daemons = list_daemons(context)
+        lost = daemons if "all" in who else [find_holding(context)]
+        await restore_and_restart(context, lost)
+        return sending
+
+    context.sending = world.run(restore())
+    context.n_reports = len(checker.reports)
+
+
 @then("reports go on within {seconds:g} s")
 def step_check_reports(context: Context, seconds: float) -> None:
     checker = context.world.duty_api.checker
@@ -509,3 +552,113 @@
 def step_check_members(context: Context, seconds: float, n: int) -> None:
     kinds = context.world.store.kinds
     wait_until(lambda: len(kinds["berylpost-members"]) == n, seconds)
+
+
+@when("the store is restored while {who} start again")
+def step_restore_and_start(context: Context, who: str) -> None:
+    daemons = list_daemons(context)
+    restarted = daemons if who == "all daemons" else daemons[-1:]
+
+    async def restore():
+        context.starts = asyncio.ensure_future(restore_and_restart(context, restarted))
+        await asyncio.sleep(0.2)
+
+    context.world.run(restore())
+
+
+@when("the operator revokes the key again {seconds:g} s later")
+def step_revoke_again(context: Context, seconds: float) -> None:
+    world = context.world
+    revoked = make_configuration(2, Tenants=[OTHER_CUSTOMER])
+
+    async def revoke():
+        await asyncio.sleep(seconds)
+        await world.put_configuration(revoked)
+
+    world.loop.call_soon_threadsafe(lambda: asyncio.ensure_future(revoke()))
+
+
+@then("no request with the key has run in {seconds:g} s")
+def step_check_no_run(context: Context, seconds: float) -> None:
+    world = context.world
+
+    async def check():
+        ends_at = time.monotonic() + seconds
+        n_answered = 0
+        while time.monotonic() < ends_at:
+            for daemon in list_daemons(context):
+                line, attempt = make_request_line("read"), f"id-{time.monotonic()}"
+                try:
+                    answer = await send_request(daemon, line, attempt, key=API_KEY)
+                except OSError:
+                    continue  # it has not started
+                n_answered += 1
+                assert answer.status in (401, 503), (daemon.settings.name, answer)
+            await asyncio.sleep(0.05)
+        await context.starts
+        return n_answered
+
+    assert world.run(check()) > 20
+    assert not any(replica.runs for replica in world.replicas)
+
+
+@when("{who} are killed after a report and start again")
+def step_restart_plainly(context: Context, who: str) -> None:
+    world = context.world
+    find_holder(context)
+    checker = world.duty_api.checker
+    wait_until(lambda: checker.reports, 15.0)
+    context.n_reports = len(checker.reports)
+    daemons = list_daemons(context) if "all" in who else [find_holding(context)]
+
+    async def restart():
+        for daemon in daemons:
+            daemon.kill()
+        await asyncio.sleep(0.5)
+        await asyncio.gather(
+            *(world.start_daemon(int(d.settings.name[-1])) for d in daemons)
+        )
+
+    context.restarted_at = time.monotonic()
+    world.run(restart())
+    context.took_s = time.monotonic() - context.restarted_at - 0.5
+
+
+@then("requests with the key run within {seconds:g} s")
+def step_check_prompt(context: Context, seconds: float) -> None:
+    assert context.took_s <= seconds, context.took_s
+    for daemon in list_daemons(context):
+        sent = send_request(daemon, make_request_line("read"), "id-1", key=API_KEY)
+        assert context.world.run(sent).status == 200
+
+
+@then("no report is missing and no duty holder breaks a rule")
+def step_check_all_reports(context: Context) -> None:
+    checker = context.world.duty_api.checker
+    wait_until(lambda: len(checker.reports) > context.n_reports + 1, 20.0)
+    windows = sorted(checker.reports)
+    assert windows == list(range(windows[0], windows[-1] + 1)), windows
+    assert not checker.violations, checker.violations
+
+
+ODD_RECORDS = {
+    "a list": [1, 2],
+    "text": "x",
+    "of a later era": {"era": 99, "began_at": 0.0},
+    "from the future": {"era": 1, "began_at": 4e9},
+}
+
+
+@when("another writer stores a record of the era that is {odd}")
+def step_store_odd_record(context: Context, odd: str) -> None:
+    spec = ODD_RECORDS[odd]
+    context.world.run(context.world.store.put("berylpost-eras", "store", spec))
+
+
+@then("within {seconds:g} s it is ready, and the record is of the present era")
+def step_check_record(context: Context, seconds: float) -> None:
+    (daemon,) = list_daemons(context)
+    objects = context.world.store.kinds["berylpost-eras"]
+    wait_until(
+        lambda: daemon.is_ready and objects["store"]["Spec"].get("era") == 1, seconds
+    )
