Store versions as complete only if the writer knows them all

Seen: "Versions that a restored store has forgotten" failed in a run of entry_versions.feature: a stream of unknown origin went on after all daemons had started from an older copy. Hypotheses: (a) a daemon that started first writes the copy's versions under the new era, and one that reads them later takes them for complete; (b) the daemons had run for longer than the fake streams live, 3 s, since they now trust no key for 2 s after a restore. Change: the stored versions say whether they are complete; a daemon that does not know them all says so until it has run for as long as streams live. The scenario's routes allow longer streams, so that it checks more than before. Conclusion: completeness is passed on, not inferred from who wrote last.

--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -152,6 +152,7 @@
             list_versions=self._list_versions,
             list_streams=self._list_mixed_streams,
             read_memory=lambda: self._memory_s,
+            is_complete=self._is_complete,
             merge=self._merge_stored,
         )
 
@@ -278,7 +279,7 @@
     def _is_complete(self) -> bool:
         """Tells whether this daemon knows all versions that may have live streams."""
         age_s = read_boottime() - self._started_at
-        return self._store.is_complete or age_s > self._memory_s > 0
+        return self._store.was_complete or age_s > self._memory_s > 0
 
     def _is_current(self, inquiry: _Inquiry) -> bool:
         """Tells whether no other version than those known can have begun a stream."""
--- a/berylpost/edge/stream_store.py
+++ b/berylpost/edge/stream_store.py
@@ -47,10 +47,17 @@
 
 
 class _StoredVersions(msgspec.Struct, frozen=True):
-    """The versions of each service; 0, or the Unix time since when it has no server."""
+    """The versions of each service.
+
+    Attributes:
+        era: era of the store.
+        services: 0 for a version that serves, or the Unix time since when it does not.
+        complete: whether all versions that served lately are named.
+    """
 
     era: int
     services: dict[str, dict[str, float]]
+    complete: bool = True
 
 
 class _StoredTable(msgspec.Struct, frozen=True):
@@ -73,11 +80,13 @@
         list_streams: returns this daemon's live streams of services with several
             versions; None if there are no such services.
         read_memory: returns for how long a stream can be taken up, seconds.
+        is_complete: tells whether this daemon knows all versions that served lately.
         merge: receives what is stored: versions with the age at which they lost their
             last server, and the streams of this daemon's own table by hash.
 
     Attributes:
-        is_complete: whether the stored versions include all that served lately.
+        was_complete: whether the stored versions, when they were first read, included
+            all that had served lately.
     """
 
     def __init__(
@@ -90,9 +99,10 @@
         list_versions: Callable[[], Mapping[str, Collection[str]] | None],
         list_streams: Callable[[], Mapping[int, Origin] | None],
         read_memory: Callable[[], float],
+        is_complete: Callable[[], bool],
         merge: Callable[[Versions, Mapping[int, Origin]], None],
     ) -> None:
-        self.is_complete = False
+        self.was_complete = False
         self._tables: list[tuple[Origin, Hashes]] = []
         self._table_name = TABLE_PREFIX + name
         self._name = name
@@ -101,6 +111,7 @@
         self._list_versions = list_versions
         self._list_streams = list_streams
         self._read_memory = read_memory
+        self._is_complete = is_complete
         self._merge = merge
         self._store = ObjectStore(address=address, note_era=era.note_answer)
         self._was_read = asyncio.Event()
@@ -110,7 +121,7 @@
         self._versions: StoredObject | None = None
         self._table: StoredObject | None = None
         # What the objects hold as far as this daemon knows.
-        self._written_versions: Mapping[str, Collection[str]] | None = None
+        self._written_versions: tuple[Mapping[str, Collection[str]], bool] | None = None
         self._written_hashes: Collection[int] | None = frozenset()
         self._written_at = float("-inf")
         era.add_listener(self._begin_era)
@@ -217,7 +228,7 @@
                     stored = msgspec.convert(item.spec, _StoredVersions)
                     versions = _find_ages(stored.services, wall)
                     # A copy from before a restore may lack the newest versions.
-                    is_complete = stored.era == self._era.number
+                    is_complete = stored.complete and stored.era == self._era.number
                     continue
                 table = msgspec.convert(item.spec, _StoredTable)
                 found = list(unpack(table.streams))
@@ -240,7 +251,7 @@
             tables += found
         self._read_at = began_at
         if not self._was_read.is_set():
-            self.is_complete = is_complete
+            self.was_complete = is_complete
             log_event(
                 LOGGER,
                 "streams_read",
@@ -256,7 +267,9 @@
         listed = self._list_versions()
         rank = sum(m.name < self._name for m in self._members.list_alive())
         is_writer = rank < N_VERSION_WRITERS and self._members.active
-        if not is_writer or listed is None or listed == self._written_versions:
+        complete = self._is_complete()
+        written = self._written_versions
+        if not is_writer or listed is None or (listed, complete) == written:
             return
         spec = self._versions.spec if self._versions is not None else None
         before = _decode_versions(spec)
@@ -266,13 +279,15 @@
             now=self._members.estimate_wall_clock(),
             keep_s=2 * self._read_memory() + CLOCK_ERROR_S,
         )
-        after = _StoredVersions(era=self._era.number, services=services)
+        after = _StoredVersions(
+            era=self._era.number, services=services, complete=complete
+        )
         if after != before:
             self._versions = await self._write(VERSIONS_NAME, after, self._versions)
             log_event(
                 LOGGER, "versions_stored", n_services=len(services), era=after.era
             )
-        self._written_versions = listed
+        self._written_versions = (listed, complete)
 
     async def _write_table(self) -> bool:
         """Writes this daemon's streams, or removes its table.
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -19,6 +19,7 @@
 from steps.shared import DETERMINISTIC
 
 from berylpost.edge.stream_origins import MAX_CONFIRMATION_AGE_S
+from berylpost.fakes.entry_world import make_configuration
 from berylpost.fakes.replica import N_EVENTS, Replica
 from berylpost.policy.stream_version import merge_versions
 
@@ -439,7 +440,12 @@
 def step_forget_version(context: Context) -> None:
     async def forget() -> None:
         world = context.world
-        await asyncio.sleep(0.5)
+        # Streams may live for longer than the daemons take to start.
+        configuration = make_configuration(2)
+        for route in configuration["Routes"]:
+            route["TimeoutMs"] = 10_000
+        await world.put_configuration(configuration)
+        await asyncio.sleep(1.5)  # until the daemons have written what they know
         copied = world.store.take_copy()
         await add_version(context, "v2")
         await asyncio.sleep(0.5)
