Send the records of streams to heirs before a second version comes

Cause: records were sent only on the event that the frozen daemon slept through. Change: with one version, new records go to two heirs in batches; heirs send those of a daemon that stays silent after a second version has come to their keepers.

--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -3,8 +3,9 @@
 Each daemon records the streams that it began or took up. While more than one version
 of a service may have live streams, it also sends the records to a few other daemons, so
 that a stream can be taken up after its daemon died. A daemon that does not know a
-stream asks those. What outlasts all daemons is in `stream_store`.
-`policy.stream_version` makes the decisions.
+stream asks those. Before, it sends them to two heirs, in batches: if it is silent when
+the second version comes, they send its records on. What outlasts all daemons is in
+`stream_store`. `policy.stream_version` makes the decisions.
 """
 
 import asyncio
@@ -48,6 +49,13 @@
 # Without an answer, the own list of servers counts as current for this long after its
 # last confirmation.
 MAX_CONFIRMATION_AGE_S: Final = 2.0
+# Daemons that get the records of one that begins streams of a single version.
+N_HEIRS: Final = 2
+BATCH_S: Final = (
+    0.25  # streams of this time are not known when their daemon falls silent
+)
+# Time in which a daemon that is not silent sends a datagram, at least.
+SILENCE_S: Final = 0.5
 STORE_TIMEOUT_S: Final = 0.4  # a read takes a few milliseconds
 # Error of the times in the store; a clock that jumps is off by seconds.
 CLOCK_ERROR_S: Final = 10.0
@@ -125,9 +133,15 @@
         catalogue: Catalogue,
         era: StoreEra,
     ) -> None:
+        self._name = settings.name
         self._members = members
         self._catalogue = catalogue
-        self._origins: OrderedDict[str, tuple[float, Origin]] = OrderedDict()
+        # Time, origin, and the daemon that sent the record, by attempt.
+        self._origins: OrderedDict[str, tuple[float, Origin, Endpoint | None]] = (
+            OrderedDict()
+        )
+        # Streams that the heirs have not been told of.
+        self._batch: list[tuple[str, Origin]] = []
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
         self._memory_s = 0.0
@@ -193,10 +207,16 @@
         if newly_mixed:
             streams = [
                 (attempt, origin)
-                for attempt, (_, origin) in self._origins.items()
-                if origin.service in newly_mixed
+                for attempt, (_, origin, sender) in self._origins.items()
+                if origin.service in newly_mixed and sender is None
             ]
             self._send_records(streams)
+            asyncio.get_running_loop().call_later(
+                max(SILENCE_S, 2 * self._members.round_duration_s()),
+                self._send_for_silent,
+                read_boottime(),
+                newly_mixed,
+            )
             log_event(
                 LOGGER,
                 "versions_mixed",
@@ -211,6 +231,10 @@
         self._keep_own(attempt, origin)
         if self._is_mixed(service):
             self._send_records([(attempt, origin)])
+            return
+        if not self._batch:
+            asyncio.get_running_loop().call_later(BATCH_S, self._send_batch)
+        self._batch.append((attempt, origin))
 
     async def resolve(self, context: RequestContext) -> None:
         """Sets the service and version at which a caller's stream goes on.
@@ -342,18 +366,20 @@
     def _is_mixed(self, service: str) -> bool:
         return len(self._list_possible(service)) > 1
 
-    def _keep(self, attempt: str, origin: Origin) -> None:
+    def _keep(
+        self, attempt: str, origin: Origin, sender: Endpoint | None = None
+    ) -> None:
         now = read_boottime()
         self._origins.pop(attempt, None)
-        self._origins[attempt] = (now, origin)
+        self._origins[attempt] = (now, origin, sender)
         self._drop_expired(self._origins)
 
     def _keep_own(self, attempt: str, origin: Origin) -> None:
         self._own[hash_attempt(attempt)] = (read_boottime(), origin)
         self._drop_expired(self._own)
 
-    def _drop_expired(self, records: OrderedDict[Any, tuple[float, Origin]]) -> None:
-        """Drops the records that are too old, or too many."""
+    def _drop_expired(self, records: OrderedDict[Any, Any]) -> None:
+        """Drops records, which begin with their time, if too old or too many."""
         now = read_boottime()
         while records:
             oldest = next(iter(records))
@@ -373,9 +399,42 @@
             for member in self._rank_members(attempt)[:N_KEEPERS]:
                 by_keeper.setdefault(member.address, []).append((attempt, *origin))
         for address, records in by_keeper.items():
-            for start in range(0, len(records), MAX_RECORDS_PER_DATAGRAM):
-                part = records[start : start + MAX_RECORDS_PER_DATAGRAM]
-                self._channel.send(address, _Records(tuple(part)))
+            self._send_parts(address, records)
+
+    def _send_parts(
+        self, address: Endpoint, records: list[tuple[str, str, str]]
+    ) -> None:
+        for start in range(0, len(records), MAX_RECORDS_PER_DATAGRAM):
+            part = records[start : start + MAX_RECORDS_PER_DATAGRAM]
+            self._channel.send(address, _Records(tuple(part)))
+
+    def _send_batch(self) -> None:
+        """Sends new streams to the heirs of this daemon."""
+        records = [(attempt, *origin) for attempt, origin in self._batch]
+        self._batch = []
+        for member in self._rank_members(self._name)[:N_HEIRS]:
+            self._send_parts(member.address, records)
+
+    def _send_for_silent(self, since: float, services: set[str]) -> None:
+        """Sends the records of daemons that have not been heard to their keepers.
+
+        Args:
+            since: boot-time clock at which the services got a second version.
+            services: names of the services.
+        """
+        heard = {
+            member.address
+            for member in self._members.members.values()
+            if max(member.last_received_at, member.heard_at) >= since
+        }
+        streams = [
+            (attempt, origin)
+            for attempt, (_, origin, sender) in self._origins.items()
+            if origin.service in services and sender is not None and sender not in heard
+        ]
+        if streams:
+            log_event(LOGGER, "streams_of_silent_daemons", n_streams=len(streams))
+            self._send_records(streams)
 
     async def _ask(self, attempt: str, service: str) -> _Inquiry:
         """Asks the daemons that may know a stream."""
@@ -402,7 +461,7 @@
         match message:
             case _Records(streams):
                 for attempt, service, version in streams:
-                    self._keep(attempt, Origin(service, version))
+                    self._keep(attempt, Origin(service, version), address)
             case _Query(number, attempt, service):
                 known = self._origins.get(attempt)
                 answer = _Answer(
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -89,3 +89,14 @@
 
   Scenario: A stream of a version that has left is not confused for as long as it may live
     Then for 200 drawn releases no stored version is dropped before its time
+
+  # A daemon sent its records only when it saw a second version, which it slept through.
+  Scenario Outline: Streams of one of <n> daemons that is silent when a version comes
+    Given <n> entry daemons and servers of the versions v1,v1
+    When 12 callers lose their streams at a daemon that falls silent before v2 comes
+    Then the streams are whole and ran at version v1 only
+
+    Examples:
+      | n |
+      | 3 |
+      | 9 |
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -495,3 +495,18 @@
             served_at.update(dict.fromkeys(versions, now))
 
     check()
+
+
+@when("{n:d} callers lose their streams at a daemon that falls silent before v2 comes")
+def step_fall_silent(context: Context, n: int) -> None:
+    async def lose_and_take_up() -> None:
+        await lose_streams(context, n)
+        await asyncio.sleep(0.5)
+        silent, *others = list_daemons(context)
+        silent.members.stop()
+        await asyncio.sleep(0.5)
+        await add_version(context, "v2")
+        await asyncio.sleep(1.5)
+        await take_up_streams(context, others[-1])
+
+    context.world.run(lose_and_take_up())
