Bound the answers of engines, and what a length promises

Cause: found on reading the change again. Reports of engines might take 16 MiB each, and all engines are asked at once while the store is away; in our own interface a Content-Length of 10 GB was read in one call, of which the bound took notice only afterwards. Change: 256 KiB for an engine's report or move; a read asks for no more than the bound leaves.

--- a/berylpost/edge/engine_notices.py
+++ b/berylpost/edge/engine_notices.py
@@ -14,7 +14,7 @@
 from ..logs import log_event
 from ..platform.engine_calls import read_notice
 from .backend_table import BackendRecord, BackendTable
-from .http_channel import HttpChannel
+from .http_channel import MAX_ENGINE_ANSWER_BYTES, HttpChannel
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -65,6 +65,7 @@
             address=record.backend.address,
             connect_timeout_s=QUERY_TIMEOUT_S,
             open_path=record.pool.open_path,
+            max_bytes=MAX_ENGINE_ANSWER_BYTES,
         )
         try:
             notice = await read_notice(channel, timeout_s=QUERY_TIMEOUT_S)
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -18,6 +18,8 @@
 from .open_paths import NotConnectedError, OpenPath
 
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
+# An engine's report takes 50 bytes a run; many engines are called at once.
+MAX_ENGINE_ANSWER_BYTES: Final = 256 << 10
 
 
 class HttpAnswer(NamedTuple):
@@ -31,7 +33,8 @@
 class _AnswerProtocol(asyncio.Protocol):
     """Parses one answer at a time from its own connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self._max_bytes = max_bytes
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[HttpAnswer] | None = None
         self.keep_alive = True
@@ -100,8 +103,8 @@
         """Appends a piece of the body."""
         self._framing.add_body()
         self._body += body
-        if len(self._body) > MAX_ANSWER_BYTES:
-            self._fail("answer too large")
+        if len(self._body) > self._max_bytes:
+            self._fail(f"answer of more than {self._max_bytes} bytes")
             self.abort()
 
     def on_message_complete(self) -> None:
@@ -154,6 +157,7 @@
         address: address of the service.
         connect_timeout_s: how long to wait for a connection.
         open_path: opens a connection in another way than directly to the address.
+        max_bytes: largest body of an answer.
     """
 
     def __init__(
@@ -162,8 +166,10 @@
         address: Endpoint,
         connect_timeout_s: float,
         open_path: Callable[[], Awaitable[OpenPath]] | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._address = address
+        self._max_bytes = max_bytes
         self._open_path = open_path
         self._connect_timeout_s = connect_timeout_s
         self._protocol: _AnswerProtocol | None = None
@@ -224,7 +230,7 @@
         if self._protocol is not None and self._protocol.transport is not None:
             return self._protocol
         loop = asyncio.get_running_loop()
-        protocol = _AnswerProtocol()
+        protocol = _AnswerProtocol(max_bytes=self._max_bytes)
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 if self._open_path is not None:
--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -51,9 +51,8 @@
 MAX_CONFIRMATION_AGE_S: Final = 2.0
 # Daemons that get the records of one that begins streams of a single version.
 N_HEIRS: Final = 2
-BATCH_S: Final = (
-    0.25  # streams of this time are not known when their daemon falls silent
-)
+# Streams of this time are not known when their daemon falls silent.
+BATCH_S: Final = 0.25
 # Time in which a daemon that is not silent sends a datagram, at least.
 SILENCE_S: Final = 0.5
 STORE_TIMEOUT_S: Final = 0.4  # a read takes a few milliseconds
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -15,7 +15,7 @@
 from .backend_table import BackendRecord, BackendTable
 from .callers import CallerConnection
 from .clock import read_boottime
-from .http_channel import HttpChannel
+from .http_channel import MAX_ENGINE_ANSWER_BYTES, HttpChannel
 from .server_limits import ServerLimits
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
 from .work import MIN_LEFT_S, RequestContext, RunMoved, render_parts
@@ -196,6 +196,7 @@
             address=record.backend.address,
             connect_timeout_s=MOVE_TIMEOUT_S,
             open_path=record.pool.open_path,
+            max_bytes=MAX_ENGINE_ANSWER_BYTES,
         )
         try:
             moved = await move_run(
--- a/berylpost/http_pools.py
+++ b/berylpost/http_pools.py
@@ -75,8 +75,10 @@
         Raises:
             OversizedPartError: the answer exceeds the bound.
         """
-        left = MAX_ANSWER_BYTES - self._n_bytes
-        data = self.file.read(left + 1 if n_bytes is None or n_bytes < 0 else n_bytes)
+        most = MAX_ANSWER_BYTES - self._n_bytes + 1
+        # The file allocates as much as is asked for, whatever a length promises.
+        is_whole = n_bytes is None or n_bytes < 0
+        data = self.file.read(most if is_whole else min(n_bytes, most))
         self._count(len(data))
         return bytes(data)
 
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -55,6 +55,9 @@
   Scenario: No part of a message without end is kept
     Then for 60 drawn messages without end no parser keeps more than 2 MB
 
+  Scenario: A length is not believed
+    Then an answer of 10 GB by its length takes at most 40 MB in the own interface
+
   # Each of many bodies is within its bound, all together exceeded the memory.
   Scenario Outline: Bodies of <n> <kind> at once take no more than their share of memory
     Given 1 entry daemons and 2 servers
--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import http.client
+import io
+import itertools
 import tracemalloc
 
 from behave import given, then, when
@@ -14,6 +17,7 @@
 from steps.entry_steps import make_request_line, send_request
 from steps.shared import DETERMINISTIC
 
+from berylpost import http_pools
 from berylpost.edge.callers import CallerConnection, CallerServer
 from berylpost.edge.http_channel import _AnswerProtocol
 from berylpost.edge.upstream import Connection, Exchange
@@ -96,7 +100,37 @@
     return connection
 
 
+class _Pieces(io.RawIOBase):
+    """The pieces as a file."""
+
+    def __init__(self, pieces):
+        self.pieces = pieces
+        self.rest = b""
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        self.rest = self.rest or next(self.pieces, b"")
+        data, self.rest = self.rest[: len(buffer)], self.rest[len(buffer) :]
+        buffer[: len(data)] = data
+        return len(data)
+
+
+def feed_pool(pieces):
+    class _Socket:
+        def makefile(self, _mode):
+            return io.BufferedReader(_Pieces(pieces))
+
+    response = http_pools._WholeHeadResponse(_Socket())
+    with contextlib.suppress(http.client.HTTPException):
+        response.begin()
+        response.read()
+    return response
+
+
 PARSERS = {
+    feed_pool: b"HTTP/1.1 200 OK\r\n",
     feed_connection: b"HTTP/1.1 200 OK\r\n",
     feed_channel: b"HTTP/1.1 200 OK\r\n",
     feed_upstream: b"HTTP/1.1 200 OK\r\n",
@@ -137,6 +171,21 @@
     check()
 
 
+@then(
+    "an answer of {n:d} GB by its length takes at most {most:d} MB in the own interface"
+)
+def step_check_length(context: Context, n: int, most: int) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (n << 30)
+    pieces = itertools.chain([head], itertools.repeat(b"x" * 65_536))
+    tracemalloc.start()
+    try:
+        feed_pool(pieces)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes <= most * MB, peak_bytes
+
+
 @given("the daemon may hold {n:d} MB of bodies")
 def step_set_budget(context: Context, n: int) -> None:
     (daemon,) = list_daemons(context)
