Keep stored versions complete and possible for as long as their streams live

Cause: found on reading the change again. A daemon that does not know all versions overwrote the statement of one that does, which would refuse streams in vain after a start of all; ages of stored versions were compared with how long streams live before the configuration, which tells that, was known, so a version that had just lost its servers did not count as possible; versions named by tables only were not possible either; tables were taken for outdated before that time was known. Change: what another daemon has stated in this era stays; ages become times, which are compared when they are used; tables name versions, too. The messages of stream_origins have a module of their own. Conclusion: what is stored errs towards refusing, and only for as long as streams live.

--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -15,8 +15,6 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-import msgspec
-
 from ..errors import ErrorKind
 from ..logs import log_event
 from ..policy.stream_version import (
@@ -34,6 +32,7 @@
 from .members import Members
 from .model import EdgeSettings, Endpoint, ServingConfiguration
 from .store_era import StoreEra
+from .stream_messages import Answer, Inquiry, Query, Records
 from .stream_store import StreamStore, Versions
 from .stream_tables import Origin, hash_attempt
 from .work import RequestContext, make_refusal
@@ -62,58 +61,6 @@
 UNKNOWN_RETRY_S: Final = 0.5
 
 
-class _Records(msgspec.Struct, frozen=True, array_like=True, tag="records"):
-    """Streams that the sender began: attempt, service, version."""
-
-    streams: tuple[tuple[str, str, str], ...]
-
-
-class _Query(msgspec.Struct, frozen=True, array_like=True, tag="query"):
-    """Asks which version began a stream."""
-
-    number: int
-    attempt: str
-    service: str
-
-
-class _Answer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
-    """Answers a query.
-
-    Attributes:
-        origin: service and version; None if the stream is not known.
-        possible: versions of the service that may have live streams.
-        is_complete: whether these include all versions of before the daemon's start;
-            daemons of earlier builds do not say.
-    """
-
-    number: int
-    origin: tuple[str, str] | None
-    possible: tuple[str, ...]
-    is_complete: bool = True
-
-
-class _Inquiry:
-    """The answers to one query; done when one knows or all have answered."""
-
-    def __init__(self, *, n_asked: int) -> None:
-        self.done = asyncio.Event()
-        self.origin: Origin | None = None
-        self.possible: set[str] = set()
-        self.n_answers = 0
-        self.is_complete = False
-        self._n_asked = n_asked
-
-    def add(self, answer: _Answer) -> None:
-        """Adds one answer."""
-        self.n_answers += 1
-        self.is_complete = self.is_complete or answer.is_complete
-        self.possible.update(answer.possible)
-        if answer.origin is not None:
-            self.origin = Origin(*answer.origin)
-        if self.origin is not None or self.n_answers >= self._n_asked:
-            self.done.set()
-
-
 class StreamOrigins:
     """The versions of the streams that callers may take up.
 
@@ -150,11 +97,11 @@
         self._own: OrderedDict[int, tuple[float, Origin]] = OrderedDict()
         self._started_at = read_boottime()
         self._numbers = itertools.count(1)
-        self._inquiries: dict[int, _Inquiry] = {}
-        self._channel: DatagramChannel[_Records | _Query | _Answer] = DatagramChannel(
+        self._inquiries: dict[int, Inquiry] = {}
+        self._channel: DatagramChannel[Records | Query | Answer] = DatagramChannel(
             members=members,
             mark=MESSAGE_MARK,
-            message_type=_Records | _Query | _Answer,
+            message_type=Records | Query | Answer,
             handle=self._handle,
         )
         self._store = StreamStore(
@@ -243,7 +190,7 @@
         """
         attempt = context.head.resumed_id
         known = self._origins.get(attempt)
-        inquiry = _Inquiry(n_asked=0)
+        inquiry = Inquiry(n_asked=0)
         if known is None:
             inquiry = await self._ask(attempt, context.service)
         origin = known[1] if known is not None else inquiry.origin
@@ -288,7 +235,7 @@
             self._keep_own(attempt, origin)
 
     async def _find_stored(
-        self, attempt: str, service: str, inquiry: _Inquiry
+        self, attempt: str, service: str, inquiry: Inquiry
     ) -> Origin | None:
         """Looks a stream up in the store, unless one version only can have begun it."""
         digest = hash_attempt(attempt)
@@ -304,7 +251,7 @@
         age_s = read_boottime() - self._started_at
         return self._store.was_complete or age_s > self._memory_s > 0
 
-    def _is_current(self, inquiry: _Inquiry) -> bool:
+    def _is_current(self, inquiry: Inquiry) -> bool:
         """Tells whether no other version than those known can have begun a stream."""
         if inquiry.is_complete:
             return True
@@ -340,8 +287,7 @@
         for service, ages in versions.items():
             last_listed = self._last_listed.setdefault(service, {})
             for version, age_s in ages.items():
-                if age_s <= self._memory_s + CLOCK_ERROR_S:
-                    last_listed.setdefault(version, now)
+                last_listed.setdefault(version, now - max(0.0, age_s - CLOCK_ERROR_S))
         for digest, origin in own.items():
             # This daemon's table is about to be replaced.
             self._own.setdefault(digest, (now, origin))
@@ -405,7 +351,7 @@
     ) -> None:
         for start in range(0, len(records), MAX_RECORDS_PER_DATAGRAM):
             part = records[start : start + MAX_RECORDS_PER_DATAGRAM]
-            self._channel.send(address, _Records(tuple(part)))
+            self._channel.send(address, Records(tuple(part)))
 
     def _send_batch(self) -> None:
         """Sends new streams to the heirs of this daemon."""
@@ -435,15 +381,15 @@
             log_event(LOGGER, "streams_of_silent_daemons", n_streams=len(streams))
             self._send_records(streams)
 
-    async def _ask(self, attempt: str, service: str) -> _Inquiry:
+    async def _ask(self, attempt: str, service: str) -> Inquiry:
         """Asks the daemons that may know a stream."""
         asked = self._rank_members(attempt)[:N_ASKED]
-        inquiry = _Inquiry(n_asked=len(asked))
+        inquiry = Inquiry(n_asked=len(asked))
         if not asked:
             return inquiry
         number = next(self._numbers)
         self._inquiries[number] = inquiry
-        query = _Query(number, attempt, service)
+        query = Query(number, attempt, service)
         for member in asked:
             self._channel.send(member.address, query)
         try:
@@ -455,22 +401,22 @@
             del self._inquiries[number]
         return inquiry
 
-    def _handle(self, message: _Records | _Query | _Answer, address: Endpoint) -> None:
+    def _handle(self, message: Records | Query | Answer, address: Endpoint) -> None:
         """Handles a message of another daemon."""
         match message:
-            case _Records(streams):
+            case Records(streams):
                 for attempt, service, version in streams:
                     self._keep(attempt, Origin(service, version), address)
-            case _Query(number, attempt, service):
+            case Query(number, attempt, service):
                 known = self._origins.get(attempt)
-                answer = _Answer(
+                answer = Answer(
                     number,
                     known[1] if known is not None else None,
                     tuple(sorted(self._list_possible(service))),
                     self._is_complete(),
                 )
                 self._channel.send(address, answer)
-            case _Answer(number):
+            case Answer(number):
                 inquiry = self._inquiries.get(number)
                 if inquiry is not None:
                     inquiry.add(message)
--- a/berylpost/edge/stream_store.py
+++ b/berylpost/edge/stream_store.py
@@ -2,8 +2,8 @@
 
 One object names the software versions that each service has, or had until lately. It
 changes with a release. While a service has several versions, each daemon also keeps a
-table of the streams that it began, as short hashes of their attempt ids, and rewrites
-it at a bounded rate, never for a request. Daemons read all of it at their start, and
+table of the streams that it began, as hashes of their attempt ids, and rewrites it at a
+bounded rate, never for a request. Daemons read all of it at their start, and
 again for a stream that no daemon knows. A stream begun since the last write is unknown
 if all daemons that had its record are lost.
 """
@@ -61,7 +61,12 @@
 
 
 class _StoredTable(msgspec.Struct, frozen=True):
-    """Hashes of a daemon's streams by service and version, packed as base 85."""
+    """Streams of one daemon.
+
+    Attributes:
+        at: when the table was written, Unix seconds.
+        streams: hashes by service and version, see `stream_tables`.
+    """
 
     at: float
     streams: dict[str, dict[str, str]]
@@ -217,7 +222,7 @@
         began_at = self._now()
         listing = await self._store.list_objects(names.KIND_STREAMS)
         wall = self._members.estimate_wall_clock()
-        versions: Versions = {}
+        versions: dict[str, dict[str, float]] = {}
         tables: list[tuple[Origin, Hashes]] = []
         own: dict[int, Origin] = {}
         is_complete = True
@@ -245,10 +250,12 @@
             if item.name == self._table_name:
                 self._table = item
                 own = {digest: o for o, hashes in found for digest in hashes}
-            elif abs(wall - table.at) > 2 * self._read_memory() + CLOCK_ERROR_S:
+            elif self._is_outdated(wall - table.at):
                 await self._store.delete(names.KIND_STREAMS, item.name)
                 continue
             tables += found
+        for service, version in (origin for origin, _ in tables):
+            versions.setdefault(service, {}).setdefault(version, 0.0)
         self._read_at = began_at
         if not self._was_read.is_set():
             self.was_complete = is_complete
@@ -262,17 +269,26 @@
         self._tables = tables
         self._merge(versions, own)
 
+    def _is_outdated(self, age_s: float) -> bool:
+        """Tells whether no stream of a table can be taken up any more."""
+        memory_s = self._read_memory()
+        return memory_s > 0 and abs(age_s) > 2 * memory_s + CLOCK_ERROR_S
+
     async def _write_versions(self) -> None:
         """Writes the versions if they have changed and this daemon is to write them."""
         listed = self._list_versions()
         rank = sum(m.name < self._name for m in self._members.list_alive())
         is_writer = rank < N_VERSION_WRITERS and self._members.active
-        complete = self._is_complete()
+        is_complete = self._is_complete()
         written = self._written_versions
-        if not is_writer or listed is None or (listed, complete) == written:
+        if not is_writer or listed is None or (listed, is_complete) == written:
             return
         spec = self._versions.spec if self._versions is not None else None
         before = _decode_versions(spec)
+        # Another daemon, which knows them all, may have written them in this era.
+        was_complete = (
+            before is not None and before.complete and before.era == self._era.number
+        )
         services = merge_versions(
             before.services if before is not None else {},
             listed,
@@ -280,14 +296,16 @@
             keep_s=2 * self._read_memory() + CLOCK_ERROR_S,
         )
         after = _StoredVersions(
-            era=self._era.number, services=services, complete=complete
+            era=self._era.number,
+            services=services,
+            complete=is_complete or was_complete,
         )
         if after != before:
             self._versions = await self._write(VERSIONS_NAME, after, self._versions)
             log_event(
                 LOGGER, "versions_stored", n_services=len(services), era=after.era
             )
-        self._written_versions = (listed, complete)
+        self._written_versions = (listed, is_complete)
 
     async def _write_table(self) -> bool:
         """Writes this daemon's streams, or removes its table.
