Take no chunk's head for the last one when reads end behind chunk heads

Seen: on reading the change again. A read that ends behind the size of a chunk, followed by one that brings that chunk and the size of the next one, was taken for the begin of the trailers, so that a part of an answer counted as complete. Cause: AnswerFraming compared whether a chunk was awaited before and after a read, not whether it was the same chunk; a discarded answer also left its last chunk behind. Change: a new chunk, and a new message, begin the comparison anew. Evidence: "An answer in chunks is complete with its last chunk only" draws 400 answers, cut at line ends and elsewhere, some behind an earlier answer: on the code before, an answer was complete 18 bytes before its end; passes now. A first form of the draw, with cuts at any place, did not find it.

--- a/berylpost/answer_framing.py
+++ b/berylpost/answer_framing.py
@@ -37,13 +37,14 @@
         self._n_fields = 0
         self._n_chunk_head_bytes = 0
         self._has_body = False
-        # A chunk was announced of which nothing has arrived, now and before this read.
+        # A chunk was announced of which nothing has arrived; the same before this read.
         self._awaits_chunk = False
         self._awaited_chunk = False
 
     def begin_message(self) -> None:
         """Notes that another message, for example an interim answer, begins."""
         self._n_fields = 0
+        self._awaits_chunk = self._awaited_chunk = False
 
     def end_head(self) -> None:
         """Notes that the head has ended."""
@@ -66,6 +67,7 @@
     def begin_chunk(self) -> None:
         """Notes that the size of a chunk has arrived."""
         self._awaits_chunk = True
+        self._awaited_chunk = False
         self._has_body = True
 
     def add_body(self) -> None:
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -55,6 +55,9 @@
   Scenario: No part of a message without end is kept
     Then for 60 drawn messages without end no parser keeps more than 2 MB
 
+  Scenario: An answer in chunks is complete with its last chunk only, however it is cut
+    Then for 400 drawn answers in chunks no parser takes a part for the whole
+
   Scenario: A length is not believed
     Then an answer of 10 GB by its length takes at most 40 MB in the own interface
 
--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -5,6 +5,7 @@
 import http.client
 import io
 import itertools
+import re
 import tracemalloc
 
 from behave import given, then, when
@@ -186,6 +187,83 @@
     assert peak_bytes <= most * MB, peak_bytes
 
 
+CHUNKS = st.tuples(
+    st.lists(st.binary(min_size=1, max_size=9), max_size=6),
+    st.sampled_from([b"", b";x=1"]),
+    st.sampled_from([b"", b"a: b\r\n"]),
+    st.lists(st.integers(0, 200), max_size=12),
+    st.booleans(),
+)
+
+
+def render_chunks(chunks, extension, trailers):
+    """Renders an answer; returns it and the length up to its last chunk's line."""
+    head = b"HTTP/1.1 200 OK\r\n" + CHUNKED
+    body = b"".join(
+        b"%x%s\r\n%s\r\n" % (len(chunk), extension, chunk) for chunk in chunks
+    )
+    whole = head + body + b"0" + extension + b"\r\n"
+    return whole + trailers + b"\r\n", len(whole)
+
+
+@then("for {n:d} drawn answers in chunks no parser takes a part for the whole")
+def step_check_chunks(context: Context, n: int) -> None:
+    @settings(DETERMINISTIC, max_examples=n)
+    @draw(CHUNKS)
+    def check(drawn):
+        chunks, extension, trailers, cuts, has_stale = drawn
+        data, n_needed = render_chunks(chunks, extension, trailers)
+        if has_stale:
+            # An answer to an earlier request, in chunks, too.
+            stale, _ = render_chunks([b"old"], b"", trailers)
+            stale = stale.replace(b"OK\r\n", b"OK\r\nX-Berylpost-Attempt-Id: old\r\n")
+            data, n_needed = stale + data, len(stale) + n_needed
+            data = data.replace(
+                b"OK\r\nTransfer", b"OK\r\nX-Berylpost-Attempt-Id: own\r\nTransfer"
+            )
+            n_needed += len(b"X-Berylpost-Attempt-Id: own\r\n")
+        # Half of the reads end where a line does.
+        ends = [match.end() for match in re.finditer(b"\r\n", data)]
+        places = {k % len(data) if k % 2 else ends[k // 2 % len(ends)] for k in cuts}
+        places = sorted({0, len(data), *places})
+        pieces = [data[a:b] for a, b in itertools.pairwise(places)]
+        asyncio.run(check_connection(pieces, b"".join(chunks), n_needed, has_stale))
+        if not has_stale:
+            asyncio.run(check_channel(pieces, b"".join(chunks), n_needed))
+
+    check()
+
+
+async def check_connection(pieces, body, n_needed, has_stale):
+    connection = Connection(backend_id="r", on_closed=lambda _connection: None)
+    connection.connection_made(_Flow())
+    attempt = b"own" if has_stale else b""
+    exchange = Exchange(attempt_id=attempt, has_body=True)
+    connection.send(b"request", exchange)
+    n_fed = 0
+    for piece in pieces:
+        if exchange.end.done():
+            break
+        connection.data_received(piece)
+        n_fed += len(piece)
+        assert n_fed >= n_needed or not exchange.end.done(), (n_fed, n_needed)
+    assert exchange.end.exception() is None and bytes(exchange.body) == body
+
+
+async def check_channel(pieces, body, n_needed):
+    protocol = _AnswerProtocol()
+    protocol.connection_made(_Flow())
+    protocol.answer = asyncio.get_running_loop().create_future()
+    n_fed = 0
+    for piece in pieces:
+        if protocol.answer.done():
+            break
+        protocol.data_received(piece)
+        n_fed += len(piece)
+        assert n_fed >= n_needed or not protocol.answer.done(), (n_fed, n_needed)
+    assert protocol.answer.result().body == body
+
+
 @given("the daemon may hold {n:d} MB of bodies")
 def step_set_budget(context: Context, n: int) -> None:
     (daemon,) = list_daemons(context)
