Judge cut daemons while a peer is free to pass connections on

Change: a request at a cut daemon counts if, from 3 s before it to its end, at least one other daemon was neither stopped nor disturbed. All else is as before.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -234,6 +234,7 @@
 
     def _check_cut(self, period: CutPeriod) -> None:
         """Checks that daemons which reach no server serve callers as the others do."""
+        others = {daemon.name for daemon in self.world.daemons} - period.daemons
         served: Counter[bool] = Counter()
         sent: Counter[bool] = Counter()
         for record in self.records:
@@ -244,10 +245,16 @@
                 or record.kind not in REQUEST_KINDS
                 or record.key in self.world.revoked
                 or self.world.was_disturbed(since, record.ended_at, target="all")
-                or self._was_otherwise_disturbed(record, since)
+                or self._was_otherwise_disturbed(record.daemon, since, record.ended_at)
             ):
                 continue
             is_cut = record.daemon in period.daemons
+            # Nobody can pass connections on while all others are being stopped.
+            if is_cut and all(
+                self._was_otherwise_disturbed(other, since, record.ended_at)
+                for other in others
+            ):
+                continue
             sent[is_cut] += 1
             served[is_cut] += record.complete and record.status == 200
         n_failed = sent[True] - served[True]
@@ -261,13 +268,13 @@
                 f"others {served[False]} of {sent[False]}",
             )
 
-    def _was_otherwise_disturbed(self, record: RequestRecord, since: float) -> bool:
+    def _was_otherwise_disturbed(self, daemon: str, since: float, until: float) -> bool:
         # The rule leaves out daemons that are being stopped.
         lasts_s = {"stop": GRACE_S}
         return any(
-            d.target == record.daemon
+            d.target == daemon
             and d.kind != "backend_cut"
-            and d.started_at <= record.ended_at
+            and d.started_at <= until
             and d.ended_at + lasts_s.get(d.kind, 0.0) >= since
             for d in self.world.disturbances
         )
