Contact who is silent as a standby; ask the serving set first

Cause: a stale introducer named daemons that stand by as active, so that 60 daemons that start sent 500 to 1,250 needless datagrams in the first seconds. Standby daemons asked daemons at random that may stand by themselves since.

--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -324,7 +324,11 @@
         member = self.members.get(name)
         if member is None or not self.active or self._n_contacted >= MAX_CONTACTED:
             return
-        if not member.active or not _is_current(member, now):
+        # Whoever stands by is heard of in each of its intervals.
+        silent_s = now - member.last_received_at
+        if not (
+            member.active or silent_s < 1.5 * STANDBY_INTERVAL_S
+        ) or not _is_current(member, now):
             self._n_contacted += 1
             self._send_to([member])
 
@@ -403,7 +407,9 @@
         """Returns the daemons that a standby daemon asks: an active one if it can."""
         alive = self.list_alive()
         if alive:
-            return [random.choice(alive)]
+            # The others may stand by since they were last heard from.
+            in_set = [m for m in alive if m.name in self.role.serving]
+            return [random.choice(in_set or alive)]
         known = list(self.members.values())
         return random.sample(known, min(N_ASKED_WITHOUT_ACTIVE, len(known)))
 
