--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -56,6 +56,8 @@
 # Introduced daemons contacted in one tick: a lost one that others still introduce adds
 # little traffic.
 MAX_CONTACTED: Final = 4
+# A standby daemon is heard of in each of its intervals, at most a round later.
+STANDBY_NEWS_S: Final = 1.5 * STANDBY_INTERVAL_S
 # A standby daemon is passed on in one round, since it asks again soon, and what it used
 # in two, so one datagram may be lost. Rounds vary by a tenth.
 STANDBY_ROUNDS: Final = 1.1
@@ -324,11 +326,10 @@
         member = self.members.get(name)
         if member is None or not self.active or self._n_contacted >= MAX_CONTACTED:
             return
-        # Whoever stands by is heard of in each of its intervals.
+        is_exchanging = member.active and _is_current(member, now)
         silent_s = now - member.last_received_at
-        if not (
-            member.active or silent_s < 1.5 * STANDBY_INTERVAL_S
-        ) or not _is_current(member, now):
+        stands_by = not member.active and silent_s < STANDBY_NEWS_S
+        if not is_exchanging and not stands_by:
             self._n_contacted += 1
             self._send_to([member])
 
