Serve connections that are accepted while a listener closes

Cause: asyncio makes the transport of a connection one round of the loop after it accepted it. If the listener closes in between, that fails silently and the socket stays open and unread. Also, a daemon that left kept listening until after the wait for the last answers, with nothing left to serve a new caller.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -16,6 +16,7 @@
 import httptools
 
 from ..errors import BerylpostError, ErrorKind, render_problem
+from ..listeners import close_listener
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header
@@ -116,7 +117,7 @@
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones continue."""
         if self._server is not None:
-            self._server.close()
+            close_listener(self._server)
 
     async def end_requests(self, timeout_s: float) -> None:
         """Ends the requests in progress and waits until their handlers have answered.
@@ -134,7 +135,8 @@
 
     def close(self) -> None:
         """Stops listening and closes all connections, busy ones after their request."""
-        self.stop_listening()
+        if self._server is not None:
+            self._server.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
         for connection in list(self.connections):
@@ -142,7 +144,8 @@
 
     def kill(self) -> None:
         """Stops listening and aborts all connections, like the end of the process."""
-        self.stop_listening()
+        if self._server is not None:
+            self._server.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
         for connection in list(self.connections):
--- a/features/steps/entry_planned_stop_steps.py
+++ b/features/steps/entry_planned_stop_steps.py
@@ -78,3 +78,53 @@
     for attempt, answer in context.answers.items():
         if answer.status in (408, 421, 429, 503):
             assert not runs[attempt], (attempt, answer)
+
+
+@when("the daemon stops listening in the moment in which it accepts a connection")
+def step_stop_listening(context: Context) -> None:
+    async def connect_and_stop():
+        loop = asyncio.get_running_loop()
+        daemon = context.world.daemons["entry-0"]
+        make_transport = loop._accept_connection2
+
+        async def stop_first(*args, **options):
+            loop._accept_connection2 = make_transport
+            daemon.front.stop_listening()
+            await make_transport(*args, **options)
+
+        loop._accept_connection2 = stop_first
+        context.caller = await connect(daemon)
+
+    context.world.run(connect_and_stop())
+
+
+@then("a request on that connection is answered")
+def step_check_served(context: Context) -> None:
+    async def send():
+        context.caller.send(make_request_line("read"), "stop-accepted")
+        return await asyncio.wait_for(context.caller.read(), timeout=3.0)
+
+    answer = context.world.run(send())
+    assert answer.status == 200 and answer.complete, answer
+
+
+@when("the daemon is stopped, and a caller connects when it awaits the last answers")
+def step_connect_late(context: Context) -> None:
+    daemon = context.world.daemons["entry-0"]
+    end_requests = daemon.front.end_requests
+    context.was_refused = False
+
+    async def connect_first(timeout_s):
+        try:
+            await connect(daemon)
+        except ConnectionError:
+            context.was_refused = True
+        await end_requests(timeout_s)
+
+    daemon.front.end_requests = connect_first
+    context.world.run(daemon.leave())
+
+
+@then("that connection is refused")
+def step_check_refused(context: Context) -> None:
+    assert context.was_refused
