--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -234,19 +234,24 @@
     check()
 
 
+def feed(protocol, end, pieces, n_needed):
+    """Feeds pieces until the answer ends, which must not be before `n_needed` bytes."""
+    n_fed = 0
+    for piece in pieces:
+        if end.done():
+            break
+        protocol.data_received(piece)
+        n_fed += len(piece)
+        assert n_fed >= n_needed or not end.done(), (n_fed, n_needed)
+
+
 async def check_connection(pieces, body, n_needed, has_stale):
     connection = Connection(backend_id="r", on_closed=lambda _connection: None)
     connection.connection_made(_Flow())
     attempt = b"own" if has_stale else b""
     exchange = Exchange(attempt_id=attempt, has_body=True)
     connection.send(b"request", exchange)
-    n_fed = 0
-    for piece in pieces:
-        if exchange.end.done():
-            break
-        connection.data_received(piece)
-        n_fed += len(piece)
-        assert n_fed >= n_needed or not exchange.end.done(), (n_fed, n_needed)
+    feed(connection, exchange.end, pieces, n_needed)
     assert exchange.end.exception() is None and bytes(exchange.body) == body
 
 
@@ -254,13 +259,7 @@
     protocol = _AnswerProtocol()
     protocol.connection_made(_Flow())
     protocol.answer = asyncio.get_running_loop().create_future()
-    n_fed = 0
-    for piece in pieces:
-        if protocol.answer.done():
-            break
-        protocol.data_received(piece)
-        n_fed += len(piece)
-        assert n_fed >= n_needed or not protocol.answer.done(), (n_fed, n_needed)
+    feed(protocol, protocol.answer, pieces, n_needed)
     assert protocol.answer.result().body == body
 
 
