Lose 24 streams in the scenario of a version without servers

It failed once in a run of all checks: all of its 8 streams had begun at v1, and it asks for both versions. Which of two idle servers begins a stream is drawn: in 16 runs 2 to 6 of 8 began at v1, so one run in 128 has only one version. With 24 the check is as strict and on more streams.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -40,7 +40,7 @@
 
   Scenario: A stream whose version has no server left is refused
     Given 2 entry daemons and servers of the versions v1,v2
-    When 8 callers lose their streams and the servers of version v1 leave before they take them up
+    When 24 callers lose their streams and the servers of version v1 leave before they take them up
     Then the streams of version v1 are refused as not run and the others are whole
 
   Scenario Outline: A stream of unknown origin is <outcome> while <versions> serve
