--- a/features/entry_planned_stop.feature
+++ b/features/entry_planned_stop.feature
@@ -22,7 +22,7 @@
     Then a request on that connection is answered
 
   # Guards against requests that arrive when nothing is left to serve them.
-  Scenario: New connections are refused when the daemon last waits for answers
+  Scenario: New connections are refused before the last answers are awaited
     Given 1 entry daemons and 2 servers
-    When the daemon is stopped, and a caller connects whenever it waits for last answers
-    Then the last of these connections is refused
+    When the daemon is stopped, and a caller connects when it awaits the last answers
+    Then that connection is refused
--- a/features/steps/entry_planned_stop_steps.py
+++ b/features/steps/entry_planned_stop_steps.py
@@ -108,15 +108,15 @@
     assert answer.status == 200 and answer.complete, answer
 
 
-@when("the daemon is stopped, and a caller connects whenever it waits for last answers")
+@when("the daemon is stopped, and a caller connects when it awaits the last answers")
 def step_connect_late(context: Context) -> None:
     daemon = context.world.daemons["entry-0"]
     end_requests = daemon.front.end_requests
+    context.was_refused = False
 
     async def connect_first(timeout_s):
         try:
             await connect(daemon)
-            context.was_refused = False
         except ConnectionError:
             context.was_refused = True
         await end_requests(timeout_s)
@@ -125,6 +125,6 @@
     context.world.run(daemon.leave())
 
 
-@then("the last of these connections is refused")
+@then("that connection is refused")
 def step_check_refused(context: Context) -> None:
     assert context.was_refused
