--- a/soak/judge.py
+++ b/soak/judge.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from datetime import datetime
 from typing import Final
 
 from berylpost.fakes.duty_api import DutyCallChecker
@@ -339,8 +340,13 @@
             return
         if record.reused and not n_runs:
             return  # sent while the daemon closed the idle connection
+        sent_at = time.time() - (time.monotonic() - record.sent_at)
         self._add_violation(
-            "cut", record.id, f"{record.kind} at {record.daemon} had no complete answer"
+            "cut",
+            record.id,
+            f"{record.kind} at {record.daemon} had no complete answer, sent at "
+            f"{datetime.fromtimestamp(sent_at).time()}, ended "
+            f"{record.ended_at - record.sent_at:.3f} s later",
         )
 
     def _check_configuration_order(self) -> None:
