--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -734,31 +734,17 @@
     return head + b"%x\r\n" % len(body) + body + b"\r\n"
 
 
-async def _send_endless_trailers(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
-) -> bool:
-    """Sends a complete body and then trailer fields without end."""
-    _record_run(replica, incoming)
-    head = _render_chunked(replica, incoming) + b"0\r\n"
-    return await _send_endlessly(writer, head, b"a:b\r\n" * 13_000)
-
-
-async def _send_endless_trailer(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
-) -> bool:
-    """Sends a complete body and then a trailer field whose value has no end."""
-    _record_run(replica, incoming)
-    head = _render_chunked(replica, incoming) + b"0\r\nX-Long: "
-    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+def _send_endlessly_after_chunks(end: bytes, rest: bytes) -> Fault:
+    """Makes a fault: a body in chunks, then `end`, then `rest` again and again."""
 
+    async def answer(
+        replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        _record_run(replica, incoming)
+        head = _render_chunked(replica, incoming) + end
+        return await _send_endlessly(writer, head, rest)
 
-async def _send_endless_extension(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
-) -> bool:
-    """Sends a part of the body and then a chunk extension without end."""
-    _record_run(replica, incoming)
-    head = _render_chunked(replica, incoming) + b"5;x="
-    return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
+    return answer
 
 
 async def _send_endless_interim_answers(
@@ -804,9 +790,13 @@
     "endless status": _send_endless_status,
     "endless header": _send_endless_header,
     "endless headers": _send_endless_headers,
-    "endless trailers": _send_endless_trailers,
-    "endless trailer": _send_endless_trailer,
-    "endless chunk extension": _send_endless_extension,
+    "endless trailers": _send_endlessly_after_chunks(b"0\r\n", b"a:b\r\n" * 13_000),
+    "endless trailer": _send_endlessly_after_chunks(
+        b"0\r\nX-Long: ", b"x" * ENDLESS_BYTES
+    ),
+    "endless chunk extension": _send_endlessly_after_chunks(
+        b"5;x=", b"x" * ENDLESS_BYTES
+    ),
     "endless interim answers": _send_endless_interim_answers,
     "endless body": _send_endless_body,
     "mute": _stay_silent,
