Take a later era without a record for a restore

What callers saw in the test: a key that was taken away ran (200 within 0.4 s) when the store had come back from a copy without a record of the era, as daemons of earlier builds leave it, and all daemons then started.

Cause: without a record, the era counted as the first one. The number of the era says otherwise: it rises by one with each restore.

Change: without a record, an era after the first one begins at the start, as a record of an earlier era already says. Costs the trust of keys for two seconds, and reports on windows of before, once, when this build first meets a store that was restored earlier.

--- a/berylpost/edge/era_record.py
+++ b/berylpost/edge/era_record.py
@@ -1,9 +1,9 @@
 """Keeps in the store when its present era began, for daemons that start later.
 
 A daemon that starts cannot see whether the store came back from an older copy just
-before. It reads this record: a record of an earlier era shows a restore that no daemon
-has noticed, so the era counts as beginning now. Without a record there was no restore
-since the first daemon of this system started.
+before. It reads this record: a record of an earlier era, or none although the era is
+not the first, shows a restore that no daemon has noticed, so the era counts as beginning
+now.
 """
 
 import asyncio
@@ -26,6 +26,7 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 RECORD_NAME: Final = "store"
+FIRST_ERA: Final = 1
 RETRY_DELAY_RANGE_S: Final = (0.3, 0.8)
 # Time between the first writes of two daemons, so that one writes in general.
 RANK_DELAY_S: Final = 0.5
@@ -111,8 +112,9 @@
             self._era.date(self._find_begin(record))
             return 0.0
         if not self._era.is_dated:
-            # The store has been restored if it has a record of an earlier era.
-            self._era.date(LONG_AGO if stored is None else read_boottime())
+            # Daemons of earlier builds have written no record.
+            was_restored = stored is not None or self._era.number > FIRST_ERA
+            self._era.date(read_boottime() if was_restored else LONG_AGO)
             return FIRST_WRITE_DELAY_S if stored is None else 0.0
         if self._era.number != UNKNOWN_ERA:
             await self._write(stored)
--- a/features/entry_restore.feature
+++ b/features/entry_restore.feature
@@ -170,6 +170,14 @@
       | all daemons      |
       | the last daemon  |
 
+  # Without a record, daemons that started took a restored store for one never restored.
+  Scenario: A key that was revoked runs no request if an earlier build wrote the copy
+    Given 3 entry daemons and a copy of the store before the key was revoked
+    And the copy has no record of the era
+    When the store is restored while all daemons start again
+    And the operator revokes the key again 1 s later
+    Then no request with the key has run in 3 s
+
   Scenario Outline: After a plain restart of <who> no window is lost and keys run at once
     Given 3 entry daemons with duties
     When <who> are killed after a report and start again
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -240,6 +240,11 @@
     wait_until(lambda: all(get_number(d) == 2 for d in list_daemons(context)))
 
 
+@given("the copy has no record of the era")
+def step_drop_record(context: Context) -> None:
+    del context.copy.kinds["berylpost-eras"]
+
+
 @then("for {seconds:g} s no daemon accepts the key")
 def step_check_revoked(context: Context, seconds: float) -> None:
     async def check():
