--- a/berylpost/edge/era_record.py
+++ b/berylpost/edge/era_record.py
@@ -2,8 +2,8 @@
 
 A daemon that starts cannot see whether the store came back from an older copy just
 before. It reads this record: a record of an earlier era, or none although the era is
-not the first, shows a restore that no daemon has noticed, so the era counts as beginning
-now.
+not the first, shows a restore that no daemon has noticed. The era then counts as
+beginning now.
 """
 
 import asyncio
