Take an answer for broken whose server's process has ended

Callers saw streams that ended as complete before their last event (ORDER).

Cause: the kernel closes the connections of a killed process in an orderly way, which marks the end of such an answer. Only an end inside an event was taken for broken.

Change: the connection that replaces the one that ended shows whether the server's address still accepts, and keeps, a connection for 0.25 s.

Conclusion: the users' cases may be these; that is suspected, as they have no logs.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -64,6 +64,9 @@
 STREAM_HEAD_TIMEOUT_SHARE: Final = 1.5
 # Retry delay told to callers; a full server has capacity after about one request.
 OVERLOADED_RETRY_S: Final = 0.3
+# Wait for the end of a server whose answer without a length has ended. Callers wait as
+# long for it; such an answer is short, so that few are cut by a process that ends.
+ANSWER_CLOSING_S: Final = 0.05
 # Failures of an attempt after which the server may have ended.
 BREAKS: Final = frozenset({Failure.RESET, Failure.CUT})
 
@@ -361,6 +364,8 @@
                     self._quarantine.note_answered(context.suspects)
                 return
             await self._await_body(context, exchange)
+            if not head.framed and not await record.pool.is_serving(ANSWER_CLOSING_S):
+                raise UpstreamError(Failure.CUT, "closed as its server ended")
             complete = True
             self._handle_complete_answer(
                 context, caller, record, head, bytes(exchange.body), answer_s
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from ..errors import BerylpostError, ErrorKind, LostAnswerError, PlatformError
@@ -112,7 +113,8 @@
             if not exchange.end.done():
                 raise TimeoutError
             exchange.end.result()
-            _check_complete(context, head, splitter.n_events > n_events_before)
+            has_events = splitter.n_events > n_events_before
+            await _check_complete(context, record, head, has_events)
         except (UpstreamError, TimeoutError) as error:
             exchange.sink = None
             _log_end(context, record, head, error)
@@ -234,27 +236,30 @@
         )
 
 
-def _check_complete(
-    context: RequestContext, head: AnswerHead, has_events: bool
+async def _check_complete(
+    context: RequestContext, record: BackendRecord, head: AnswerHead, has_events: bool
 ) -> None:
     """Checks a stream that ended without an error.
 
     Args:
         context: the request.
+        record: the server.
         head: head of the server's answer.
         has_events: whether that answer brought any event.
 
     Raises:
         UpstreamError: the server broke it off.
     """
-    missing = find_missing_end(
-        EndedStream(
-            framed=head.framed,
-            inside_event=context.splitter.is_inside_event,
-            has_events=has_events,
-            may_be_stopped=context.may_be_stopped,
-        )
+    ended = EndedStream(
+        framed=head.framed,
+        inside_event=context.splitter.is_inside_event,
+        has_events=has_events,
+        may_be_stopped=context.may_be_stopped,
     )
+    missing = find_missing_end(ended)
+    if not missing and not head.framed:
+        is_serving = await record.pool.is_serving()
+        missing = find_missing_end(replace(ended, server_ended=not is_serving))
     if missing:
         raise UpstreamError(Failure.CUT, missing)
 
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -36,6 +36,11 @@
 IDLE_MARGIN_S: Final = 1.0
 # Maximum size of the body of an answer that is buffered until it is complete.
 MAX_BUFFERED_BYTES: Final = 4 << 20
+# Time limit for a connection that shows whether a server still runs.
+SERVING_TIMEOUT_S: Final = 0.5
+# The kernel closes the sockets of a process one after the other, its newest connections
+# first and the listening one last; the process of a busy server takes some 30 ms.
+CLOSING_S: Final = 0.25
 
 
 class Failure(StrEnum):
@@ -465,6 +470,31 @@
         path.attach(connection)
         return connection
 
+    async def is_serving(self, closing_s: float = CLOSING_S) -> bool:
+        """Tells whether the process of the server still runs.
+
+        When it has ended, its address soon refuses connections and resets those that it
+        has not accepted. Other connections tell little, since those of slow callers are
+        not read.
+
+        Args:
+            closing_s: time in which the connections of a process that ends are closed.
+        """
+        if self._n_open >= self.n_max:
+            await asyncio.sleep(closing_s)
+            return self._n_open > 0
+        try:
+            async with asyncio.timeout(SERVING_TIMEOUT_S):
+                connection = await self._open()
+        except (UpstreamError, TimeoutError) as error:
+            log_event(LOGGER, "server_refuses", backend=self._backend.id, cause=error)
+            return False
+        await asyncio.sleep(closing_s)
+        is_serving = connection.is_open
+        # It takes the place of the connection that has ended.
+        self.release(connection)
+        return is_serving
+
     async def open_path(self) -> OpenPath:
         """Opens a connection that does not belong to the pool.
 
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -1,7 +1,8 @@
 """Fake of a backend server on the platform's protocol, with faults at byte level.
 
-`Replica.fault` is a key of `FAULTS` and decides how the next requests are handled. Runs
-are counted by attempt id, so that a test can tell "not run" from "run twice".
+`Replica.fault` is a key of `FAULTS` or `SCENARIO_FAULTS` and decides how the next
+requests are handled. Runs are counted by attempt id, so that a test can tell "not run"
+from "run twice".
 """
 
 import asyncio
@@ -69,7 +70,7 @@
         crashing_bodies: bodies of requests that crash the server when it begins to run
             one of them.
         lingers_s: time for which its address accepts connections after a crash.
-        fault: key of `FAULTS` for the next requests.
+        fault: key of `FAULTS` or `SCENARIO_FAULTS` for the next requests.
         limit: value of the header that names the requests a second that the server
             takes; empty for none.
         leaving: value of the header that says whether the server leaves; empty for
@@ -83,6 +84,7 @@
         born: start of the server, Unix milliseconds; 0 to leave it out of its entry.
         received_at: when requests were received, monotonic seconds.
         work_s: time to run a request that is not a stream.
+        first_event_s: time from a request to the first event of its stream.
         answer_bytes: size that its answer is padded to.
         unframed_moves: whether the answer to a move has no length.
         loses_moves: whether to stop the run on a move without answering the call.
@@ -133,6 +135,7 @@
         self.born = 0
         self.received_at: list[float] = []
         self.work_s = 0.0
+        self.first_event_s = 0.0
         self.answer_bytes = 0
         self.loses_moves = False
         self.unframed_moves = False
@@ -182,6 +185,13 @@
         await self.stop()
         self.on_crash(self)
 
+    def end_process(self) -> None:
+        """Ends as a process that is killed, whose kernel closes its connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
     def _abort_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
@@ -237,7 +247,7 @@
         if self.n_running >= self.room:
             return await self._turn_away(incoming, writer)
         self.n_running += 1
-        handle = FAULTS[self.fault]
+        handle = FAULTS.get(self.fault) or SCENARIO_FAULTS[self.fault]
         if not self.crashing_parts.isdisjoint(list_shared_parts(incoming)):
             handle = _crash
         elif incoming.body in self.crashing_bodies:
@@ -351,6 +361,7 @@
     WHOLE = "whole"
     CLOSED = "closed"
     RESET = "reset"
+    KILLED = "killed"
 
 
 async def _stream_events(
@@ -385,6 +396,7 @@
     if chunked:
         head.append("Transfer-Encoding: chunked")
     writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+    await asyncio.sleep(replica.first_event_s)
     first = int(incoming.headers.get("last-event-id", "0") or 0) + 1
     for number in range(first, n_events + 1):
         event = b"id: %d\ndata: w%d%s\n\n" % (number, number, replica.event_mark)
@@ -404,6 +416,8 @@
     await writer.drain()
     if end is StreamEnd.RESET:
         return _reset_connection(writer)
+    if end is StreamEnd.KILLED:
+        replica.end_process()
     writer.close()
     return False
 
@@ -434,6 +448,17 @@
     return False
 
 
+async def _cut_unnumbered(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Breaks a stream off after an event without an id."""
+    _record_run(replica, incoming)
+    rest = b"data: more\n\n"
+    return await _stream_events(
+        replica, incoming, writer, n_events=3, end=StreamEnd.RESET, rest=rest
+    )
+
+
 async def _refuse(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -597,6 +622,24 @@
     return await _close_stream(replica, incoming, writer, n_events=3, chunked=False)
 
 
+async def _die_unframed(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Ends the process amid an answer without a length, of a stream between events."""
+    _record_run(replica, incoming)
+    if _is_stream(incoming):
+        end = StreamEnd.KILLED
+        return await _stream_events(
+            replica, incoming, writer, n_events=3, end=end, chunked=False
+        )
+    lines = ["HTTP/1.1 200 OK"]
+    lines += [f"{n}: {v}" for n, v in _make_headers(replica, incoming).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\necho:")
+    await writer.drain()
+    replica.end_process()
+    return False
+
+
 async def _close_empty_stream(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -801,3 +844,10 @@
     "endless body": _send_endless_body,
     "mute": _stay_silent,
 }
+
+# Faults that the soak does not draw: its proxies accept connections for a server that
+# has ended, and its callers count events instead of reading their ids.
+SCENARIO_FAULTS: Final[dict[str, Fault]] = {
+    "cut unnumbered": _cut_unnumbered,
+    "unframed killed": _die_unframed,
+}
--- a/berylpost/policy/stream_end.py
+++ b/berylpost/policy/stream_end.py
@@ -2,7 +2,8 @@
 
 An answer may come with neither a length nor chunks and end with its connection. A
 server that fails in the middle of such an answer closes the connection in the same
-way, so the framing alone does not tell whether the stream is complete.
+way, and so does the kernel for a process that is killed, so the framing alone does not
+tell whether the stream is complete.
 """
 
 from dataclasses import dataclass
@@ -19,12 +20,14 @@
             brought does not count, since that one was broken off.
         may_be_stopped: whether its server stopped the run, or may have done so, in
             order to move it.
+        server_ended: whether the process of its server no longer runs.
     """
 
     framed: bool
     inside_event: bool
     has_events: bool
     may_be_stopped: bool
+    server_ended: bool = False
 
 
 def find_missing_end(stream: EndedStream) -> str:
@@ -41,4 +44,6 @@
         return "closed after its run was stopped"
     if not stream.has_events:
         return "closed before its first event"
+    if stream.server_ended:
+        return "closed as its server ended"
     return ""
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -27,6 +27,7 @@
       | read        | late extra     | 200 whole       | 1    |
       | read        | unframed       | 200 whole       | 1    |
       | read        | unframed reset | 502             | 2    |
+      | read        | unframed killed | 502            | 2    |
       | read        | unsigned       | 502             | 2    |
       | read        | mute           | 504             | 2    |
       | book        | none           | 200 whole       | 1    |
@@ -39,6 +40,7 @@
       | book        | late extra     | 200 whole       | 1    |
       | book        | unframed       | 200 whole       | 1    |
       | book        | unframed reset | 502             | 1    |
+      | book        | unframed killed | 502            | 1    |
       | book        | unsigned       | 502             | 1    |
       | book        | mute           | 504             | 1    |
       | stream      | none           | 200 events 1-8  | 1    |
@@ -78,6 +80,8 @@
       | stream      | unframed cut   | 200 cut | 2    |
       | stream/once | unframed empty | 502     | 1    |
       | stream      | unframed empty | 502     | 2    |
+      | stream/once | unframed killed | 200 cut | 1   |
+      | stream      | unframed killed | 200 cut | 2   |
       | stream/once | chunked cut    | 200 cut | 1    |
       | stream      | chunked cut    | 200 cut | 2    |
 
@@ -87,10 +91,11 @@
     Then every answer has the events 1 to 8 once each and is complete
 
     Examples:
-      | fault          |
-      | unframed cut   |
-      | unframed empty |
-      | chunked cut    |
+      | fault           |
+      | unframed cut    |
+      | unframed empty  |
+      | unframed killed |
+      | chunked cut     |
 
   Scenario: A stream that no server brings to its end never looks complete
     Given one server's fault is "unframed cut" and the other's is "unframed empty"
--- a/features/entry_policy.feature
+++ b/features/entry_policy.feature
@@ -57,6 +57,7 @@
       | unframed | before its first event  | closed before its first event           |
       | framed   | after its run may stop  | complete                                |
       | unframed | after its run may stop  | closed after its run was stopped        |
+      | unframed | as its server ends      | closed as its server ended              |
 
   Scenario: A log that is not read is bounded and never blocks
     When 20000 lines are logged to a pipe that is not read
--- a/features/steps/entry_policy_steps.py
+++ b/features/steps/entry_policy_steps.py
@@ -526,6 +526,7 @@
         inside_event=place == "inside an event",
         has_events=place != "before its first event",
         may_be_stopped=place == "after its run may stop",
+        server_ended=place == "as its server ends",
     )
     assert (find_missing_end(ended) or "complete") == verdict, find_missing_end(ended)
 
--- a/soak/stream_server.py
+++ b/soak/stream_server.py
@@ -1,4 +1,4 @@
-"""Process of a backend server that streams: `python -m soak.stream_server ID IP PORT V`.
+"""Process of a server that streams: `python -m soak.stream_server ID IP PORT VERSION`.
 
 What a stream consists of is a function of its path, so that the rig knows it without
 asking; see `StreamPlan`. The server writes as real ones do: events in pieces or several
@@ -13,6 +13,7 @@
 import socket
 import struct
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -228,7 +229,7 @@
 
 
 def _write(
-    writer: asyncio.StreamWriter, status: int, body: bytes, headers: list[str] = []
+    writer: asyncio.StreamWriter, status: int, body: bytes, headers: Sequence[str] = ()
 ) -> None:
     lines = [f"HTTP/1.1 {status} Status", *headers, f"Content-Length: {len(body)}"]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -217,9 +217,7 @@
         daemon.n_starts += 1
         daemon.stopping = daemon.paused = False
 
-    async def start_server(
-        self, version: str, *, id: str = "", ip: str = ""
-    ) -> Server:
+    async def start_server(self, version: str, *, id: str = "", ip: str = "") -> Server:
         """Starts a server and stores its entry, as the server itself does."""
         self._n_started += 1
         id = id or f"r-{self._n_started}"
@@ -332,7 +330,7 @@
                 break
             await self._try(answer, kind, attempt, first_attempt, left_s, is_slow)
             stream.statuses.append(answer.status)
-            if after and (answer.n_events or answer.ended and answer.status == 200):
+            if after and (answer.n_events or (answer.ended and answer.status == 200)):
                 stream.n_gone_on += 1
             if answer.ended and answer.status == 200:
                 break
@@ -475,15 +473,14 @@
 async def _freeze_daemons(rig: StreamRig) -> None:
     up = [d for d in rig.world.daemons if d.is_up]
     frozen = rig.random.sample(up, rig.random.randint(1, max(1, len(up) // 3)))
-    for daemon in frozen:
-        daemon.paused = True
-        assert daemon.process is not None
-        daemon.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(rig.random.uniform(0.2, 4.0))
-    for daemon in frozen:
-        daemon.paused = False
-        with contextlib.suppress(ProcessLookupError):
-            daemon.process.send_signal(signal.SIGCONT)
+    for number, is_paused in ((signal.SIGSTOP, True), (signal.SIGCONT, False)):
+        for daemon in frozen:
+            assert daemon.process is not None
+            daemon.paused = is_paused
+            with contextlib.suppress(ProcessLookupError):
+                daemon.process.send_signal(number)
+        if is_paused:
+            await asyncio.sleep(rig.random.uniform(0.2, 4.0))
 
 
 async def _restore_store(rig: StreamRig) -> None:
