Send no stream on to a server that may be back at another version

Cause: the version of a server was that of its entry, however old.

Change: a stream that has begun is not sent to a server that refused a connection within 3 s, and the version that counts is that of the entry when the first bytes arrive. Two scenarios of entry_versions.feature failed before.

Conclusion: a window of milliseconds stays at a daemon that did not notice the end.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -53,6 +53,8 @@
 # A server that is still listed as ready this long after its announced shutdown is
 # taken to have restarted.
 RESTART_AFTER_S: Final = 5.0
+# A server whose process has ended has another entry by then, or none.
+RESTART_NOTICE_S: Final = 3.0
 # Weight of one answer in the exponential moving average of the answer time.
 ANSWER_TIME_WEIGHT: Final = 0.1
 
@@ -238,16 +240,34 @@
         Args:
             service: name of the service.
             tried: ids of servers to leave out.
-            version: software version that the servers must have; None for any.
+            version: software version that the servers must have; None for any. A
+                server that has refused connections may come back at another version
+                before its entry says so, and is then left out.
         """
         avoided = set(tried)
-        return [
+        servers = self._by_service.get(service, ())
+        usable = [
             record
-            for record in self._by_service.get(service, ())
+            for record in servers
             if record.shutdown_at is None
             and record.backend.id not in avoided
             and version in (None, record.backend.software_version)
         ]
+        if version is None:
+            return usable
+        refused_before = read_boottime() - RESTART_NOTICE_S
+        sure = [record for record in usable if record.pool.refused_at < refused_before]
+        is_mixed = len({record.backend.software_version for record in servers}) > 1
+        return sure if sure or is_mixed else usable
+
+    def find_version(self, record: BackendRecord) -> str:
+        """Returns the version of a server that answers now.
+
+        Args:
+            record: the server when the request was sent. The connections of a process
+                end with it, so it is the new process that answers after a restart.
+        """
+        return self.records.get(record.backend.id, record).backend.software_version
 
     def is_usable(self, record: BackendRecord) -> bool:
         """Tells whether a server may be sent a request at this moment."""
--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -76,6 +76,10 @@
         """
         splitter = context.splitter
         splitter.discard_partial()
+        version = self._table.find_version(record)
+        if context.stream_version not in (None, version):
+            detail = f"the server has restarted at version {version}"
+            raise UpstreamError(Failure.BAD_ANSWER, detail)
         context.may_be_stopped = False
         n_events_before = splitter.n_events
         last_data_at = read_boottime()
@@ -134,7 +138,7 @@
 
     def _note_begin(self, context: RequestContext, record: BackendRecord) -> None:
         """Fixes the software version at which the stream may go on."""
-        context.stream_version = record.backend.software_version
+        context.stream_version = self._table.find_version(record)
         if context.route.can_resume and not context.head.last_event_id:
             self._record_origin(
                 context.head.id, context.service, context.stream_version
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -405,6 +405,7 @@
         n_opened: connections that were tried.
         n_timed_out: those that were not established in time.
         n_refused: those that were refused or reset.
+        refused_at: clock at which the server last refused a connection.
     """
 
     def __init__(
@@ -420,6 +421,7 @@
         self.n_opened = 0
         self.n_timed_out = 0
         self.n_refused = 0
+        self.refused_at = float("-inf")
         self._backend = backend
         self._clock = clock
         self._idle: list[Connection] = []
@@ -455,7 +457,7 @@
         self.n_opened += 1
         opened = False
         try:
-            path = await self._paths.open(self._backend)
+            path = await self.open_path()
             opened = True
         except NotConnectedError as error:
             self.n_refused += error.refused
@@ -501,7 +503,12 @@
         Raises:
             NotConnectedError: no path led to the server.
         """
-        return await self._paths.open(self._backend)
+        try:
+            return await self._paths.open(self._backend)
+        except NotConnectedError as error:
+            if error.refused:
+                self.refused_at = self._clock()
+            raise
 
     def note_broken(self, connection: Connection) -> None:
         """Records that an exchange broke or got no answer in time."""
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -33,6 +33,19 @@
       | another daemon                     |
       | another daemon, the first one dead |
 
+  # Its entry names the earlier version until the new process has written its own.
+  Scenario: A stream does not go on at a server that came back at another version
+    Given 1 entry daemons and servers of the versions v1,v2
+    When a stream's server is killed and comes back as v3, but its entry says v1
+    And the caller takes the stream up while the entry says v1
+    Then no stream of the caller ran at two versions
+
+  Scenario: A stream that begins at such a server is one of the new version
+    Given 1 entry daemons and servers of the versions v1,v1
+    When a stream is sent to a server that came back as v3, before its entry says so
+    And the caller takes the stream up after the entry says so
+    Then the stream is whole and ran at version v3 only
+
   Scenario: A stream of before a second version is taken up at its version
     Given 3 entry daemons and servers of the versions v1,v1
     When 12 callers lose their streams and a server of version v2 starts before the first daemon dies
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -510,3 +510,86 @@
         await take_up_streams(context, others[-1])
 
     context.world.run(lose_and_take_up())
+
+
+async def restart_server(replica, version):
+    """Starts a killed server at its address under its id; its entry stays."""
+    replica.version = version
+    replica.fault = "none"
+    await replica.start()
+
+
+async def send_to(replica, daemon):
+    """Sends streams until a server runs one; returns its caller and attempt."""
+    for number in range(20):
+        caller = await connect(daemon)
+        caller.send(STREAM, f"first-{number}")
+        await asyncio.sleep(0.1)
+        if replica.runs[f"first-{number}"]:
+            return caller, f"first-{number}"
+        caller.close()
+    raise AssertionError(f"no stream ran at {replica.id}")
+
+
+async def take_up_stream(context):
+    n_events = context.received.count(b"\n\n")
+    headers = [f"Last-Event-Id: {n_events}", f"Resumes: {context.attempt}"]
+    context.answer = await send_request(
+        list_daemons(context)[0], STREAM, "second-0", extra_headers=headers
+    )
+
+
+@when("a stream's server is killed and comes back as v3, but its entry says v1")
+def step_kill_server(context: Context) -> None:
+    async def lose() -> None:
+        replica = context.world.replicas[0]
+        caller, context.attempt = await send_to(replica, list_daemons(context)[0])
+        replica.end_process()
+        answer = await caller.read()
+        context.received = answer.body
+        assert answer.status == 200 and not answer.complete, answer
+        await asyncio.sleep(0.1)
+        await restart_server(replica, "v3")
+
+    context.world.run(lose())
+
+
+@when("the caller takes the stream up while the entry says v1")
+def step_take_up_early(context: Context) -> None:
+    context.world.run(take_up_stream(context))
+
+
+@then("no stream of the caller ran at two versions")
+def step_check_one_version(context: Context) -> None:
+    assert not list_versions(context, "second-0"), context.answer
+    assert context.answer.status == 503, context.answer
+
+
+@when("a stream is sent to a server that came back as v3, before its entry says so")
+def step_begin_early(context: Context) -> None:
+    async def begin() -> None:
+        replica = context.world.replicas[0]
+        replica.end_process()
+        await restart_server(replica, "v3")
+        replica.first_event_s = 0.6
+        caller, context.attempt = await send_to(replica, list_daemons(context)[0])
+        replica.born = 2
+        await context.world.put_replica(replica, Seq=2)
+        while caller.answers[0].body.count(b"\n\n") < 2:
+            caller.parser.feed_data(await caller.reader.read(65_536))
+        context.received = caller.answers[0].body
+        context.received = context.received[: context.received.rindex(b"\n\n") + 2]
+        caller.close()
+
+    context.world.run(begin())
+
+
+@when("the caller takes the stream up after the entry says so")
+def step_take_up_late(context: Context) -> None:
+    context.world.run(take_up_stream(context))
+
+
+@then("the stream is whole and ran at version v3 only")
+def step_check_new_version(context: Context) -> None:
+    assert list_versions(context, context.attempt, "second-0") == ["v3"]
+    assert is_continued(context.received, context.answer), context.answer
