Continue no stream after an event that has no id

Such a stream is cut where it broke.

A row of entry.feature ("cut unnumbered") failed before: the daemon went on with the stream at another server.

--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -125,6 +125,7 @@
             splitter.discard_partial()
             if context.kv_source:
                 raise RunMoved from error
+            may_resume = may_resume and splitter.ends_with_id
             if may_resume and context.left_s > MIN_LEFT_S and head.length is None:
                 raise
             context.may_have_run = True
--- a/berylpost/event_stream.py
+++ b/berylpost/event_stream.py
@@ -6,6 +6,7 @@
 EVENT_ENDS: Final = (b"\n\n", b"\n\r\n")
 CONTENT_TYPE: Final = "text/event-stream"
 ID_FIELD: Final = b"id:"
+DATA_FIELD: Final = b"data:"
 # Limits the memory that a stream without event boundaries can use.
 MAX_EVENT_BYTES: Final = 1 << 20
 
@@ -26,11 +27,14 @@
     Attributes:
         last_id: id of the last complete event that had one.
         n_events: number of complete events returned.
+        ends_with_id: whether a server can tell from `last_id` all that was returned;
+            not so after an event with data and without an id.
     """
 
     def __init__(self) -> None:
         self.last_id = ""
         self.n_events = 0
+        self.ends_with_id = True
         self._partial = b""
 
     @property
@@ -71,9 +75,21 @@
         return partial
 
     def _read_last_id(self, complete: bytes) -> None:
-        start = complete.rfind(ID_FIELD)
-        while start > 0 and complete[start - 1 : start] != b"\n":
-            start = complete.rfind(ID_FIELD, 0, start)
+        start = _find_last_line(complete, ID_FIELD)
         if start >= 0:
             line = complete[start + len(ID_FIELD) : complete.index(b"\n", start)]
             self.last_id = line.strip().decode("latin-1")
+        data_start = _find_last_line(complete, DATA_FIELD)
+        if data_start >= 0:
+            # An id may stand before or after the data of its event.
+            first = min(start, data_start)
+            between = complete[first : max(start, data_start)]
+            self.ends_with_id = start >= 0 and not find_event_end(between)
+
+
+def _find_last_line(data: bytes, field: bytes) -> int:
+    """Returns the offset of the last line that begins with a field; -1 for none."""
+    start = data.rfind(field)
+    while start > 0 and data[start - 1 : start] != b"\n":
+        start = data.rfind(field, 0, start)
+    return start
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -82,6 +82,7 @@
       | stream      | unframed empty | 502     | 2    |
       | stream/once | unframed killed | 200 cut | 1   |
       | stream      | unframed killed | 200 cut | 2   |
+      | stream      | cut unnumbered | 200 cut | 1    |
       | stream/once | chunked cut    | 200 cut | 1    |
       | stream      | chunked cut    | 200 cut | 2    |
 
