--- a/soak/streams.py
+++ b/soak/streams.py
@@ -41,6 +41,8 @@
 HEARTBEAT_S: Final = 1.2
 LEAVES_S: Final = 1.5  # from a server's notice to its end
 SETTLE_S: Final = 3.0
+# Of each server; the daemons share them, and one may have all streams of a case.
+MAX_CONNECTIONS: Final = 5_000
 
 
 @dataclass(slots=True, kw_only=True)
@@ -80,10 +82,22 @@
     faults: list[str] = field(default_factory=list)
 
 
-class _Answer:
-    """Callbacks of the httptools parser; checks each event of one try."""
+class Answer:
+    """Callbacks of the httptools parser; checks each event of one try.
 
-    def __init__(self, stream: Stream, after: int) -> None:
+    Args:
+        stream: the stream.
+        after: id of the last event that the caller says it has; 0 for none.
+        on_event: called before each event.
+    """
+
+    def __init__(
+        self,
+        stream: Stream,
+        after: int,
+        on_event: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.on_event = on_event
         self.parser = httptools.HttpResponseParser(self)
         self.stream = stream
         self.after = after
@@ -94,13 +108,16 @@
         self._buffer = b""
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Notes when the caller may try again."""
         if name.lower() == b"retry-after":
             self.retry_after_s = float(value)
 
     def on_headers_complete(self) -> None:
+        """Stores the status."""
         self.status = self.parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
+        """Checks the events that are complete."""
         if self.status != 200:
             return
         *events, self._buffer = (self._buffer + body).split(EVENT_END)
@@ -108,6 +125,7 @@
             self._check(event.decode())
 
     def on_message_complete(self) -> None:
+        """Checks that the last event was there."""
         self.ended = True
         if self.status != 200:
             return
@@ -120,6 +138,7 @@
             self.stream.faults.append(f"complete after {last} of {expected[-1]}")
 
     def _check(self, event: str) -> None:
+        self.on_event()
         stream = self.stream
         fields = dict(line.split(": ", 1) for line in event.split("\n"))
         name, _, version = fields["data"].split(" ", 3)[:3]
@@ -252,7 +271,7 @@
             "Address": f"{server.ip}:{PORT}",
             "Zone": "a",
             "Version": server.version,
-            "Slots": 64,
+            "Slots": 512,
             "State": "ready",
             "ColdLeftMs": 0,
             "Seq": 1,
@@ -278,7 +297,8 @@
         await asyncio.gather(*callers)
 
     async def _put_configuration(self) -> None:
-        document = make_configuration(2)
+        service = {"Name": "app", "HealthPath": "/health", "MaxConns": MAX_CONNECTIONS}
+        document = make_configuration(2, Services=[service])
         document["Routes"] = [
             make_route(
                 name,
@@ -324,11 +344,14 @@
                 back = self.random.choice((1, 1, 1, 2, 3))
                 after = stream.ids[-min(back, len(stream.ids))]
                 stream.n_taken_up += 1
-            answer = _Answer(stream, after)
+            answer = Answer(stream, after)
             left_s = ends_at - time.monotonic()
             if left_s < 0.1:
                 break
-            await self._try(answer, kind, attempt, first_attempt, left_s, is_slow)
+            daemon = self.random.choice(self.world.daemons)
+            await try_stream(
+                answer, daemon, kind, attempt, first_attempt, left_s, is_slow
+            )
             stream.statuses.append(answer.status)
             if after and (answer.n_events or (answer.ended and answer.status == 200)):
                 stream.n_gone_on += 1
@@ -341,41 +364,52 @@
             first_attempt = first_attempt or attempt
         self.counts[f"{kind} {'whole' if stream.complete else 'cut'}"] += 1
 
-    async def _try(
-        self,
-        answer: _Answer,
-        kind: str,
-        attempt: str,
-        first_attempt: str,
-        left_s: float,
-        is_slow: bool,
-    ) -> None:
-        daemon = self.random.choice(self.world.daemons)
-        head = (
-            f"POST /{kind}/{answer.stream.plan.render()} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Berylpost-Attempt-Id: {attempt}\r\n"
-            f"X-Berylpost-Deadline-Ms: {int(left_s * 1_000)}\r\n"
-            "Authorization: Bearer key-one\r\n"
-        )
-        if answer.after:
-            head += f"Last-Event-Id: {answer.after}\r\nResumes: {first_attempt}\r\n"
-        writer = None
-        with contextlib.suppress(OSError, TimeoutError, httptools.HttpParserError):
-            async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection(
-                    daemon.ip, PORT, limit=SLOW_BUFFER_BYTES if is_slow else 1 << 16
-                )
-            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-            while not answer.ended:
-                async with asyncio.timeout(GAP_S):
-                    data = await reader.read(SLOW_BUFFER_BYTES)
-                if not data:
-                    break
-                answer.parser.feed_data(data)
-                if is_slow:
-                    await asyncio.sleep(SLOW_PAUSE_S)
-        if writer is not None:
-            writer.transport.abort()
+
+async def try_stream(
+    answer: Answer,
+    daemon: Daemon,
+    kind: str,
+    attempt: str,
+    first_attempt: str,
+    left_s: float,
+    is_slow: bool = False,
+) -> None:
+    """Sends one request for a stream, or its rest, and reads the answer.
+
+    Args:
+        answer: receives the answer.
+        daemon: daemon to ask.
+        kind: name of the route.
+        attempt: id of this try.
+        first_attempt: id of the try that brought the first event.
+        left_s: the caller's deadline, seconds.
+        is_slow: whether the caller reads slowly.
+    """
+    head = (
+        f"POST /{kind}/{answer.stream.plan.render()} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Berylpost-Attempt-Id: {attempt}\r\n"
+        f"X-Berylpost-Deadline-Ms: {int(left_s * 1_000)}\r\n"
+        "Authorization: Bearer key-one\r\n"
+    )
+    if answer.after:
+        head += f"Last-Event-Id: {answer.after}\r\nResumes: {first_attempt}\r\n"
+    writer = None
+    with contextlib.suppress(OSError, TimeoutError, httptools.HttpParserError):
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(
+                daemon.ip, PORT, limit=SLOW_BUFFER_BYTES if is_slow else 1 << 16
+            )
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+        while not answer.ended:
+            async with asyncio.timeout(GAP_S):
+                data = await reader.read(SLOW_BUFFER_BYTES)
+            if not data:
+                break
+            answer.parser.feed_data(data)
+            if is_slow:
+                await asyncio.sleep(SLOW_PAUSE_S)
+    if writer is not None:
+        writer.transport.abort()
 
 
 async def _drain(pipe: asyncio.StreamReader) -> None:
