Take unknown streams of silent daemons for ones of the earlier version

Cause: each stream needed a record, although what is not known is only whether the silent daemon has learnt of the second version.

Change: a daemon writes its table of streams to the store before it begins one at a version that came beside another; a stream that nobody knows goes on at the earlier version if every daemon with a table is heard from. Three of four new scenarios failed before; the fourth guards ORDER.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -138,6 +138,10 @@
             context = self.admission.admit(request, head)
             if context.route.can_resume and head.last_event_id:
                 await self._origins.resolve(context)
+            elif context.route.can_resume:
+                context.first_version = self._origins.choose_first_version(
+                    context.service
+                )
             await self._run_attempts(context, caller)
         except BerylpostError as error:
             outcome = error.kind.value
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -137,7 +137,12 @@
                 f"no backend server{detail} is ready",
                 NO_BACKEND_RETRY_S,
             )
-        records = self._leave_out_full(context, records)
+        first = [
+            record
+            for record in records
+            if record.backend.software_version == context.first_version
+        ]
+        records = self._leave_out_full(context, first or records)
         records = self._prefer_open(context, records)
         loads = self._table.view_loads(records, min(N_URGENCIES - 1, context.urgency))
         parts = context.head.parts
--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -5,7 +5,9 @@
 that a stream can be taken up after its daemon died. A daemon that does not know a
 stream asks those. Before, it sends them to two heirs, in batches: if it is silent when
 the second version comes, they send its records on. What outlasts all daemons is in
-`stream_store`. `policy.stream_version` makes the decisions.
+`stream_store`: a daemon begins no stream at a version that comes beside another one
+until the store has a table of its streams, so that those of a silent daemon without a
+table are of the earlier version. `policy.stream_version` makes the decisions.
 """
 
 import asyncio
@@ -90,6 +92,8 @@
         self._batch: list[tuple[str, Origin]] = []
         self._last_listed: dict[str, dict[str, float]] = {}
         self._listed: dict[str, set[str]] = {}
+        # The only version that each service had before it got several.
+        self._earlier: dict[str, str] = {}
         self._memory_s = 0.0
         # Services with streams that callers may take up.
         self._services: frozenset[str] = frozenset()
@@ -143,13 +147,18 @@
         listed: dict[str, set[str]] = {}
         for backend in self._catalogue.backends.values():
             listed.setdefault(backend.service, set()).add(backend.software_version)
-        mixed_before = {name for name in listed if self._is_mixed(name)}
+        before = {name: self._list_possible(name) for name in listed}
+        mixed_before = {name for name in listed if len(before[name]) > 1}
         self._note_listed()
         if listed != self._listed:
             self._store.notify()
         self._listed = listed
         self._note_listed()
         newly_mixed = {n for n in listed if self._is_mixed(n)} - mixed_before
+        for name in newly_mixed:
+            self._earlier.pop(name, None)
+            if len(before[name]) == 1:
+                (self._earlier[name],) = before[name]
         if newly_mixed:
             streams = [
                 (attempt, origin)
@@ -195,14 +204,18 @@
             inquiry = await self._ask(attempt, context.service)
         origin = known[1] if known is not None else inquiry.origin
         stored = None
+        are_tables_read = False
         if origin is None and attempt:
-            stored = await self._find_stored(attempt, context.service, inquiry)
+            stored, are_tables_read = await self._find_stored(
+                attempt, context.service, inquiry
+            )
             origin = stored
         possible = self._list_possible(context.service) | inquiry.possible
         version = choose_stream_version(
             origin.version if origin is not None else None,
             possible,
             is_current=self._is_current(inquiry),
+            earlier=self._find_earlier(context.service) if are_tables_read else None,
         )
         if origin is not None and origin.service in (
             share.service for share in context.route.shares
@@ -236,15 +249,37 @@
 
     async def _find_stored(
         self, attempt: str, service: str, inquiry: Inquiry
-    ) -> Origin | None:
-        """Looks a stream up in the store, unless one version only can have begun it."""
+    ) -> tuple[Origin | None, bool]:
+        """Looks a stream up in the store, unless one version only can have begun it.
+
+        Returns:
+            The origin, and whether the store's tables are known as of now.
+        """
         digest = hash_attempt(attempt)
         found = self._store.find(digest)
+        is_read = False
         versions = self._list_possible(service) | inquiry.possible
         if found is None and (len(versions) != 1 or not self._is_current(inquiry)):
-            await self._store.refresh(STORE_TIMEOUT_S)
+            is_read = await self._store.refresh(STORE_TIMEOUT_S)
             found = self._store.find(digest)
-        return found
+        return found, is_read
+
+    def choose_first_version(self, service: str) -> str | None:
+        """Returns the version at which a new stream should begin; None for any.
+
+        Until the store has this daemon's table, others take its streams for ones of the
+        earlier version if it falls silent.
+        """
+        if self._store.has_table or not self._is_mixed(service):
+            return None
+        return self._earlier.get(service)
+
+    def _find_earlier(self, service: str) -> str | None:
+        """Returns the version of unknown streams of daemons that are silent."""
+        heard = {member.name for member in self._members.list_reachable()}
+        if self._store.tabled - heard - {self._name}:
+            return None
+        return self._earlier.get(service)
 
     def _is_complete(self) -> bool:
         """Tells whether this daemon knows all versions that may have live streams."""
--- a/berylpost/edge/stream_store.py
+++ b/berylpost/edge/stream_store.py
@@ -6,6 +6,9 @@
 bounded rate, never for a request. Daemons read all of it at their start, and
 again for a stream that no daemon knows. A stream begun since the last write is unknown
 if all daemons that had its record are lost.
+
+A daemon without a table has begun no stream at a version that came beside another one,
+since it writes its table first.
 """
 
 import asyncio
@@ -108,6 +111,7 @@
         merge: Callable[[Versions, Mapping[int, Origin]], None],
     ) -> None:
         self.was_complete = False
+        self.tabled: frozenset[str] = frozenset()
         self._tables: list[tuple[Origin, Hashes]] = []
         self._table_name = TABLE_PREFIX + name
         self._name = name
@@ -150,25 +154,35 @@
         """Returns the origin of a stream as of the last reading; None if unknown."""
         return find_origin(self._tables, digest)
 
-    async def refresh(self, timeout_s: float) -> None:
+    @property
+    def has_table(self) -> bool:
+        """Whether the store holds a table of this daemon."""
+        return self._table is not None and self._written_hashes is not None
+
+    async def refresh(self, timeout_s: float) -> bool:
         """Reads what is stored, unless that was done just before.
 
         Args:
             timeout_s: how long to wait at most.
+
+        Returns:
+            Whether what is known now is as recent.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 if not self._was_read.is_set():
                     await self._was_read.wait()
-                    return
+                    return True
                 asked_at = self._now()
                 async with self._lock:
                     if self._read_at < asked_at - self._find_interval():
                         await self._read()
+                return True
         except TimeoutError:
             log_event(LOGGER, "stream_store_slow", timeout_s=timeout_s)
         except PlatformError as error:
             log_event(LOGGER, "stream_store_failed", logging.WARNING, error=error)
+        return False
 
     def _begin_era(self, era: int) -> None:
         """Writes everything again, since the store came back from an older copy."""
@@ -225,6 +239,7 @@
         versions: dict[str, dict[str, float]] = {}
         tables: list[tuple[Origin, Hashes]] = []
         own: dict[int, Origin] = {}
+        tabled: set[str] = set()
         is_complete = True
         for item in listing.items:
             try:
@@ -246,6 +261,7 @@
                     error=error,
                 )
                 is_complete = is_complete and item.name != VERSIONS_NAME
+                tabled.add(item.name.removeprefix(TABLE_PREFIX))
                 continue
             if item.name == self._table_name:
                 self._table = item
@@ -254,6 +270,7 @@
                 await self._store.delete(names.KIND_STREAMS, item.name)
                 continue
             tables += found
+            tabled.add(item.name.removeprefix(TABLE_PREFIX))
         for service, version in (origin for origin, _ in tables):
             versions.setdefault(service, {}).setdefault(version, 0.0)
         self._read_at = began_at
@@ -267,6 +284,7 @@
                 complete=is_complete,
             )
         self._tables = tables
+        self.tabled = frozenset(tabled)
         self._merge(versions, own)
 
     def _is_outdated(self, age_s: float) -> bool:
@@ -321,8 +339,13 @@
             self._written_hashes = frozenset()
             return False
         now = self._now()
-        is_due = now - self._written_at >= self._find_interval()
-        if is_due and streams.keys() != self._written_hashes:
+        age_s = now - self._written_at
+        # Other daemons remove a table that has not been written for longer.
+        is_old = self._table is None or age_s > max(
+            MIN_TABLE_INTERVAL_S, self._read_memory()
+        )
+        is_due = self._table is None or age_s >= self._find_interval()
+        if is_due and (is_old or streams.keys() != self._written_hashes):
             table = _StoredTable(
                 at=self._members.estimate_wall_clock(), streams=pack(streams)
             )
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -33,6 +33,8 @@
         head_sent: whether the head of the answer was sent to the caller.
         stream_version: software version at which the stream must go on; None while any
             will do.
+        first_version: software version at which a new stream begins if a server of it
+            can be used; None for any.
         backend_id: backend server of the last attempt.
         kv_source: location of the KV cache of the stopped run; empty for none.
         may_be_stopped: whether the server of the last attempt stopped the run, or may
@@ -66,6 +68,7 @@
     is_trial: bool = False
     n_moves: int = 0
     stream_version: str | None = None
+    first_version: str | None = None
     backend_id: str = ""
     first_byte_s: float = -1.0
     predicted_wait_s: float = 0.0
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -45,10 +45,12 @@
         calls: number of calls by operation.
         revision: revision of the last change.
         era: value of the header that names the era; empty for none.
+        refused_kinds: kinds of which no object can be written.
     """
 
     def __init__(self, *, endpoint: str) -> None:
         self.era = "1"
+        self.refused_kinds: set[str] = set()
         self.kinds: dict[str, dict[str, Document]] = {}
         self.calls: Counter[str] = Counter()
         self.revision = 1
@@ -132,6 +134,8 @@
         )
 
     async def _write(self, kind: str, name: str, request: Request) -> Reply:
+        if kind in self.refused_kinds:
+            return reply_json({"Error": "unavailable"}, 503)
         if len(request.body) > MAX_VALUE_BYTES:
             return reply_json({"Error": "value over 1 MB"}, 413)
         document: Document = request.decode() or {}
--- a/berylpost/policy/stream_version.py
+++ b/berylpost/policy/stream_version.py
@@ -42,7 +42,11 @@
 
 
 def choose_stream_version(
-    recorded: str | None, possible: Iterable[str], *, is_current: bool
+    recorded: str | None,
+    possible: Iterable[str],
+    *,
+    is_current: bool,
+    earlier: str | None = None,
 ) -> str | None:
     """Returns the version at which a stream may go on; None if it is not known.
 
@@ -50,11 +54,17 @@
         recorded: the version that a daemon has recorded for the stream; None for none.
         possible: versions that may have begun it, as far as the daemons asked know.
         is_current: whether `possible` is recent enough to contain every version.
+        earlier: the only version before there were several, if no daemon that is silent
+            has said that it knows of others; None otherwise.
     """
     if recorded is not None:
         return recorded
     versions = set(possible)
-    return versions.pop() if is_current and len(versions) == 1 else None
+    if not is_current:
+        return None
+    if len(versions) == 1:
+        return versions.pop()
+    return earlier if earlier in versions else None
 
 
 def merge_versions(
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -113,3 +113,26 @@
       | n |
       | 3 |
       | 9 |
+
+  # Neither their records nor their heirs are there.
+  Scenario Outline: Streams of <which> of 3 daemons that fall silent at once
+    Given 3 entry daemons and servers of the versions v1,v1
+    When 12 callers lose their streams at <which> that fall silent at once before v2 comes
+    Then the streams are whole and ran at version v1 only
+
+    Examples:
+      | which         |
+      | one           |
+      | all but one   |
+
+  # A daemon that the others do not hear may go on and begin streams at the new version.
+  Scenario: Streams that a daemon cut off from the others began at a new version
+    Given 3 entry daemons and servers of the versions v1,v1
+    When a daemon falls silent, v2 comes and it begins 12 streams that callers lose
+    Then no stream of 12 ran at two versions
+
+  Scenario: A daemon without access to the store begins streams at the version before
+    Given 2 entry daemons and servers of the versions v1,v1
+    When a daemon learns of v2 while the store takes no writes
+    Then 12 streams that it begins run at version v1
+    And they run at both versions after the store takes writes again
--- a/features/steps/entry_version_steps.py
+++ b/features/steps/entry_version_steps.py
@@ -21,6 +21,7 @@
 from berylpost.edge.stream_origins import MAX_CONFIRMATION_AGE_S
 from berylpost.fakes.entry_world import make_configuration
 from berylpost.fakes.replica import N_EVENTS, Replica
+from berylpost.platform import names
 from berylpost.policy.stream_version import merge_versions
 
 # A refusal that needs no other daemon's answer, and one that waits for it in vain.
@@ -361,13 +362,13 @@
         context.copy = world.store.take_copy()
         await lose_streams(context, n)
         await asyncio.sleep(1.5)  # until the daemons have written their tables
-        names = list(world.daemons)
+        daemons = list(world.daemons)
         if killed == "each of":
-            for name in names:
+            for name in daemons:
                 await kill_daemons(context, [name])
                 await restart_daemons(context, [name])
-            names = []
-        context.killed = names[: 2 if killed == "2" else len(names)]
+            daemons = []
+        context.killed = daemons[: 2 if killed == "2" else len(daemons)]
         await kill_daemons(context, context.killed)
 
     context.world.run(lose_and_kill())
@@ -449,11 +450,11 @@
         copied = world.store.take_copy()
         await add_version(context, "v2")
         await asyncio.sleep(0.5)
-        names = list(world.daemons)
-        await kill_daemons(context, names)
+        daemons = list(world.daemons)
+        await kill_daemons(context, daemons)
         await remove_servers(context, "v2")
         await world.store.restore(copied)
-        await restart_daemons(context, names)
+        await restart_daemons(context, daemons)
 
     context.world.run(forget())
 
@@ -593,3 +594,97 @@
 def step_check_new_version(context: Context) -> None:
     assert list_versions(context, context.attempt, "second-0") == ["v3"]
     assert is_continued(context.received, context.answer), context.answer
+
+
+@when(
+    "{n:d} callers lose their streams at {which} that fall silent at once before v2 "
+    "comes"
+)
+def step_fall_silent_at_once(context: Context, n: int, which: str) -> None:
+    async def lose_and_take_up() -> None:
+        *silent, left = list_daemons(context)
+        if which == "one":
+            silent = silent[:1]
+        received = await asyncio.gather(
+            *(
+                lose_stream(silent[number % len(silent)], f"first-{number}")
+                for number in range(n)
+            )
+        )
+        context.lost = list(received)
+        for daemon in silent:
+            daemon.members.stop()
+            daemon.watch.stop()
+        await asyncio.sleep(0.5)
+        await add_version(context, "v2")
+        await asyncio.sleep(1.5)
+        await take_up_streams(context, left)
+
+    context.world.run(lose_and_take_up())
+
+
+@when("a daemon falls silent, v2 comes and it begins {n:d} streams that callers lose")
+def step_begin_silently(context: Context, n: int) -> None:
+    async def lose_and_take_up() -> None:
+        silent, *others = list_daemons(context)
+        await lose_streams(context, 2)  # each daemon has begun streams before
+        silent.members.stop()
+        await asyncio.sleep(0.5)
+        await add_version(context, "v2")
+        await asyncio.sleep(1.5)
+        await lose_streams(context, n)
+        await take_up_streams(context, others[-1])
+
+    context.world.run(lose_and_take_up())
+
+
+@then("no stream of {n:d} ran at two versions")
+def step_check_silent(context: Context, n: int) -> None:
+    began = set()
+    for number in range(n):
+        (first,) = list_versions(context, f"first-{number}")
+        began.add(first)
+        versions = list_versions(context, f"first-{number}", f"second-{number}")
+        assert versions == [first], (number, versions)
+    assert "v2" in began, began
+
+
+@when("a daemon learns of v2 while the store takes no writes")
+def step_refuse_writes(context: Context) -> None:
+    async def learn() -> None:
+        world = context.world
+        world.store.refused_kinds.add(names.KIND_STREAMS)
+        replica = await add_version(context, "v2")
+        daemon = list_daemons(context)[0]
+        async with asyncio.timeout(5.0):
+            while replica.id not in daemon.table.records:
+                await asyncio.sleep(0.02)
+
+    context.world.run(learn())
+
+
+async def list_begun(context, n, prefix):
+    daemon = list_daemons(context)[0]
+    ids = [f"{prefix}-{number}" for number in range(n)]
+    answers = await asyncio.gather(
+        *(send_request(daemon, STREAM, attempt) for attempt in ids)
+    )
+    assert all(answer.complete for answer in answers), answers
+    return list_versions(context, *ids)
+
+
+@then("{n:d} streams that it begins run at version v1")
+def step_check_earlier(context: Context, n: int) -> None:
+    versions = context.world.run(list_begun(context, n, "early"))
+    assert versions == ["v1"], versions
+
+
+@then("they run at both versions after the store takes writes again")
+def step_check_both(context: Context) -> None:
+    async def begin() -> list[str]:
+        context.world.store.refused_kinds.clear()
+        await asyncio.sleep(2.0)
+        return await list_begun(context, 24, "late")
+
+    versions = context.world.run(begin())
+    assert versions == ["v1", "v2"], versions
--- a/soak/silence.py
+++ b/soak/silence.py
@@ -198,12 +198,13 @@
     refused = [item for item in taken_up if not item.goes_on]
     n_batch = sum(silent_at - i.began_at < MAX_BATCH_AGE_S for i in refused)
     n_begun = sum(bool(item.stream.ids) for item in played.new)
+    n_lost_begun = sum(bool(item.stream.ids) for item in played.lost)
     share = 1 - len(refused) / max(1, len(taken_up))
     faults = [item for item in played.lost if item.stream.faults]
     lost = len(taken_up) >= 12 and share < n_begun / len(played.new) / 2
     print(
         f"{arguments.daemons} daemons, {trouble}, {group}, {listing}: begun "
-        f"{sum(bool(i.stream.ids) for i in played.lost)} of {len(played.lost)}, taken up "
+        f"{n_lost_begun} of {len(played.lost)}, taken up "
         f"{len(taken_up)}, go on {len(taken_up) - len(refused)} ({share:.2f}); refused "
         f"{len(refused)}, of the last {MAX_BATCH_AGE_S} s {n_batch}; new begin "
         f"{n_begun} of {len(played.new)}; out of order {len(faults)}"
