--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -25,6 +25,8 @@
 EVENT_PAUSE_S: Final = 0.03
 ENDLESS_BYTES: Final = 16_384
 MAX_ENDLESS_BYTES: Final = 256 << 20  # ends a test that would not end otherwise
+SLOW_PAUSE_S: Final = 0.5  # between two parts of an answer that comes slowly
+GREETING: Final = "endless greeting"  # fault: bytes before any request
 REPEAT_DELAY_S: Final = 0.004  # from a request to a refusal that is written again
 CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 
@@ -205,6 +207,8 @@
             return
         self._writers.add(writer)
         try:
+            if self.fault == GREETING:
+                await _send_endlessly(writer, b"", b"x" * ENDLESS_BYTES)
             while await self._serve_one(reader, writer):
                 pass
         except (ConnectionError, httptools.HttpParserError, asyncio.CancelledError):
@@ -777,7 +781,9 @@
     return head + b"%x\r\n" % len(body) + body + b"\r\n"
 
 
-def _send_endlessly_after_chunks(end: bytes, rest: bytes) -> Fault:
+def _send_endlessly_after_chunks(
+    end: bytes, rest: bytes, *, pause_s: float = 0.0
+) -> Fault:
     """Makes a fault: a body in chunks, then `end`, then `rest` again and again."""
 
     async def answer(
@@ -785,11 +791,32 @@
     ) -> bool:
         _record_run(replica, incoming)
         head = _render_chunked(replica, incoming) + end
-        return await _send_endlessly(writer, head, rest)
+        return await _send_endlessly(writer, head, rest, pause_s)
 
     return answer
 
 
+def _send_slowly(head: bytes, rest: bytes) -> Fault:
+    """Makes a fault: `head`, then `rest` again and again, with pauses."""
+
+    async def answer(
+        replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        _record_run(replica, incoming)
+        return await _send_endlessly(writer, head, rest, SLOW_PAUSE_S)
+
+    return answer
+
+
+async def _send_endlessly_after_answer(
+    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Sends a complete answer with a length, then bytes that belong to no request."""
+    _record_run(replica, incoming)
+    _write(writer, 200, _make_headers(replica, incoming), b"echo:" + incoming.body)
+    return await _send_endlessly(writer, b"", b"x" * ENDLESS_BYTES)
+
+
 async def _send_endless_interim_answers(
     replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
@@ -800,13 +827,14 @@
 
 
 async def _send_endlessly(
-    writer: asyncio.StreamWriter, head: bytes, rest: bytes
+    writer: asyncio.StreamWriter, head: bytes, rest: bytes, pause_s: float = 0.0
 ) -> bool:
     """Sends bytes until the caller closes, bounded by `MAX_ENDLESS_BYTES`."""
     writer.write(head)
     for _ in range(MAX_ENDLESS_BYTES // len(rest)):
         writer.write(rest)
         await writer.drain()
+        await asyncio.sleep(pause_s)
     return False
 
 
@@ -850,4 +878,14 @@
 SCENARIO_FAULTS: Final[dict[str, Fault]] = {
     "cut unnumbered": _cut_unnumbered,
     "unframed killed": _die_unframed,
+    "endless extra": _send_endlessly_after_answer,
+    GREETING: _answer,
+    "slow headers": _send_slowly(b"HTTP/1.1 200 OK\r\n", b"X-More: and-more\r\n"),
+    "slow interim answers": _send_slowly(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "slow trailers": _send_endlessly_after_chunks(
+        b"0\r\n", b"a:b\r\n", pause_s=SLOW_PAUSE_S
+    ),
+    "slow chunk extension": _send_endlessly_after_chunks(
+        b"5;x=", b"x", pause_s=SLOW_PAUSE_S
+    ),
 }
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -219,7 +219,7 @@
         """Ends all processes."""
         self._stopping = True
         for server in self.servers:
-            await _end(server.process)
+            await end_process(server.process)
         await self.world.stop()
 
     async def start_daemon(self, daemon: Daemon) -> None:
@@ -417,7 +417,8 @@
         pass
 
 
-async def _end(process: asyncio.subprocess.Process) -> None:
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Kills a process, unless it has ended."""
     with contextlib.suppress(ProcessLookupError):
         process.kill()
     await process.wait()
@@ -430,7 +431,7 @@
         return
     server = rig.random.choice(serving)
     server.leaving = True
-    await _end(server.process)
+    await end_process(server.process)
     if not same:
         await asyncio.sleep(HEARTBEAT_S)
     fields = {name: getattr(server, name) for name in same}
@@ -480,7 +481,7 @@
         server, State="draining", Spot=True, leaves_ms=LEAVES_S * 1_000
     )
     await asyncio.sleep(LEAVES_S)
-    await _end(server.process)
+    await end_process(server.process)
     await rig.world.store.remove("servers", server.id)
     await rig.start_server(server.version)
 
@@ -499,7 +500,7 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(10.0):
             await daemon.process.wait()
-    await _end(daemon.process)
+    await end_process(daemon.process)
     await asyncio.sleep(0.5)
     await rig.start_daemon(daemon)
 
