Let every daemon with a table deny an unknown stream before it goes on

soak.silence, 9 daemons, all but one killed 1 s after v2 came: 18 of 200 streams went on at the wrong version (ORDER), since daemons that had just been killed still counted as heard from, and a reading of the tables could be a second old.

Change: the daemons that have a table are asked, and all must answer that they do not know the stream; in fleets of up to 25 daemons the tables are read after the request came, at most ten times a second. Larger ones refuse, as before.

--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -201,21 +201,25 @@
         known = self._origins.get(attempt)
         inquiry = Inquiry(n_asked=0)
         if known is None:
-            inquiry = await self._ask(attempt, context.service)
+            inquiry = await self._ask(
+                attempt, context.service, self._rank_members(attempt)[:N_ASKED]
+            )
         origin = known[1] if known is not None else inquiry.origin
         stored = None
-        are_tables_read = False
+        earlier = None
         if origin is None and attempt:
-            stored, are_tables_read = await self._find_stored(
+            stored, are_tables_known = await self._find_stored(
                 attempt, context.service, inquiry
             )
             origin = stored
+            if origin is None and are_tables_known:
+                origin, earlier = await self._find_earlier(attempt, context.service)
         possible = self._list_possible(context.service) | inquiry.possible
         version = choose_stream_version(
             origin.version if origin is not None else None,
             possible,
             is_current=self._is_current(inquiry),
-            earlier=self._find_earlier(context.service) if are_tables_read else None,
+            earlier=earlier,
         )
         if origin is not None and origin.service in (
             share.service for share in context.route.shares
@@ -253,16 +257,16 @@
         """Looks a stream up in the store, unless one version only can have begun it.
 
         Returns:
-            The origin, and whether the store's tables are known as of now.
+            The origin, and whether all tables that the store has are known.
         """
         digest = hash_attempt(attempt)
         found = self._store.find(digest)
-        is_read = False
+        is_known = False
         versions = self._list_possible(service) | inquiry.possible
         if found is None and (len(versions) != 1 or not self._is_current(inquiry)):
-            is_read = await self._store.refresh(STORE_TIMEOUT_S)
+            is_known = await self._store.refresh(STORE_TIMEOUT_S)
             found = self._store.find(digest)
-        return found, is_read
+        return found, is_known
 
     def choose_first_version(self, service: str) -> str | None:
         """Returns the version at which a new stream should begin; None for any.
@@ -274,12 +278,24 @@
             return None
         return self._earlier.get(service)
 
-    def _find_earlier(self, service: str) -> str | None:
-        """Returns the version of unknown streams of daemons that are silent."""
-        heard = {member.name for member in self._members.list_reachable()}
-        if self._store.tabled - heard - {self._name}:
-            return None
-        return self._earlier.get(service)
+    async def _find_earlier(
+        self, attempt: str, service: str
+    ) -> tuple[Origin | None, str | None]:
+        """Asks all daemons that may have begun a stream at another version.
+
+        Returns:
+            The origin if one of them knows the stream; the earlier version if all of
+            them have answered and none does.
+        """
+        earlier = self._earlier.get(service)
+        tabled = self._store.tabled - {self._name}
+        members = {member.name: member for member in self._members.list_reachable()}
+        if earlier is None or tabled - members.keys():
+            return None, None
+        asked = [members[name] for name in tabled]
+        inquiry = await self._ask(attempt, service, asked)
+        has_all = inquiry.n_answers == len(asked) and inquiry.origin is None
+        return inquiry.origin, earlier if has_all else None
 
     def _is_complete(self) -> bool:
         """Tells whether this daemon knows all versions that may have live streams."""
@@ -416,9 +432,8 @@
             log_event(LOGGER, "streams_of_silent_daemons", n_streams=len(streams))
             self._send_records(streams)
 
-    async def _ask(self, attempt: str, service: str) -> Inquiry:
-        """Asks the daemons that may know a stream."""
-        asked = self._rank_members(attempt)[:N_ASKED]
+    async def _ask(self, attempt: str, service: str, asked: list[Member]) -> Inquiry:
+        """Asks daemons whether they know a stream."""
         inquiry = Inquiry(n_asked=len(asked))
         if not asked:
             return inquiry
--- a/berylpost/edge/stream_store.py
+++ b/berylpost/edge/stream_store.py
@@ -39,6 +39,9 @@
 # Tables of all daemons together, a tenth of what the platform lets them write.
 TABLE_WRITES_PER_S: Final = 40.0
 MIN_TABLE_INTERVAL_S: Final = 1.0
+# In fleets of at most this size each unknown stream may cause a reading.
+MAX_REREAD_MEMBERS: Final = 25
+REREAD_INTERVAL_S: Final = 0.1
 IDLE_INTERVAL_S: Final = 5.0  # between two checks that nothing is left to write
 RETRY_DELAY_RANGE_S: Final = (0.3, 0.8)
 CONFLICT_DELAY_RANGE_S: Final = (0.02, 0.1)
@@ -166,23 +169,27 @@
             timeout_s: how long to wait at most.
 
         Returns:
-            Whether what is known now is as recent.
+            Whether all is known that was stored before the call. In large fleets an
+            older reading has to do.
         """
+        asked_at = self._now()
+        is_small = self._members.count_members() <= MAX_REREAD_MEMBERS
+        spacing_s = REREAD_INTERVAL_S if is_small else self._find_interval()
+        oldest = asked_at if is_small else asked_at - spacing_s
         try:
             async with asyncio.timeout(timeout_s):
                 if not self._was_read.is_set():
                     await self._was_read.wait()
-                    return True
-                asked_at = self._now()
+                    return False
                 async with self._lock:
-                    if self._read_at < asked_at - self._find_interval():
+                    if self._read_at < oldest:
+                        await asyncio.sleep(self._read_at + spacing_s - self._now())
                         await self._read()
-                return True
         except TimeoutError:
             log_event(LOGGER, "stream_store_slow", timeout_s=timeout_s)
         except PlatformError as error:
             log_event(LOGGER, "stream_store_failed", logging.WARNING, error=error)
-        return False
+        return self._read_at >= asked_at
 
     def _begin_era(self, era: int) -> None:
         """Writes everything again, since the store came back from an older copy."""
