Bound the time of the lines of an answer in our own interface

A faulty service that sent a line or a byte within each read's timeout held a thread of our own interface for 256 lines, or 64 KiB of bytes. Lines in a row without a body now end 3 s after their first byte: trailers complete the answer, a head fails.

--- a/berylpost/http_pools.py
+++ b/berylpost/http_pools.py
@@ -12,6 +12,7 @@
 """
 
 import http.client
+import time
 from typing import Any, Final
 
 import urllib3
@@ -24,6 +25,9 @@
 MAX_ANSWER_BYTES: Final = 16 << 20  # well above a page of the store, which is 1 MB
 MAX_LINE_BYTES: Final = 64 << 10  # as the standard library allows in a head
 MAX_LINES: Final = 256  # fields of a head, or of the trailers
+# From the first byte of a head, or of the trailers, to its end. A timeout of the socket
+# bounds only the time between two reads.
+MAX_LINES_S: Final = 3.0
 
 
 class BrokenHeadError(http.client.HTTPException):
@@ -46,13 +50,14 @@
         self.last_line = b""
         self._n_lines = 0  # since the last piece of the body
         self._n_bytes = 0
+        self._lines_began_at: float | None = None
 
     def readline(self, limit: int = -1) -> bytes:
         """Reads a line.
 
         Raises:
-            OversizedPartError: the line, or the number of lines without a body, exceeds
-                the bound.
+            OversizedPartError: the line, or the number or time of the lines without a
+                body, exceeds the bound.
         """
         is_in_trailers = self._is_last_chunk_read()
         self._n_lines += 1
@@ -60,13 +65,33 @@
             if is_in_trailers:
                 return b""  # the body is complete
             raise OversizedPartError(f"more than {MAX_LINES} lines without a body")
-        line = self.file.readline(limit if 0 <= limit else MAX_LINE_BYTES + 1)
+        line = self._read_line(limit if 0 <= limit else MAX_LINE_BYTES + 1)
+        if line is None:
+            if is_in_trailers:
+                return b""
+            raise OversizedPartError(f"lines without a body for over {MAX_LINES_S} s")
         if len(line) > MAX_LINE_BYTES and limit < 0:
             if is_in_trailers:
                 return b""
             raise OversizedPartError(f"line of more than {MAX_LINE_BYTES} bytes")
         if not is_in_trailers:
             self.last_line = line
+        return line
+
+    def _read_line(self, limit: int) -> bytes | None:
+        """Reads a line of at most `limit` bytes; None if it does not come in time."""
+        line = bytearray()
+        while len(line) < limit and not line.endswith(b"\n"):
+            ahead = self.file.peek(1)
+            now = time.monotonic()
+            if self._lines_began_at is None:
+                self._lines_began_at = now
+            if now - self._lines_began_at > MAX_LINES_S:
+                return None
+            if not ahead:
+                break
+            end = ahead.find(b"\n") + 1 or len(ahead)
+            line += self.file.read(min(end, limit - len(line)))
         return bytes(line)
 
     def read(self, n_bytes: int = -1) -> bytes:
@@ -99,6 +124,7 @@
 
     def _count(self, n_bytes: int) -> None:
         self._n_lines = 0
+        self._lines_began_at = None
         self._n_bytes += n_bytes
         if self._n_bytes > MAX_ANSWER_BYTES:
             raise OversizedPartError(f"answer of more than {MAX_ANSWER_BYTES} bytes")
