Bound heads, interim answers and trailer fields of many servers at once

Change: a head takes 64 KiB in place of 512, a reason phrase 256 bytes; parsing ends after 256 trailer fields (the answer is whole then) or 64 interim answers. Two rows of "An answer with ..." failed before.

--- a/berylpost/answer_framing.py
+++ b/berylpost/answer_framing.py
@@ -7,10 +7,14 @@
 
 from typing import Final
 
-# Servers send heads of a few hundred bytes; one read may bring more than the head.
-MAX_HEAD_BYTES: Final = 512 << 10
+# Servers send heads of a few hundred bytes; many may send more at the same time.
+MAX_HEAD_BYTES: Final = 64 << 10
+MAX_REASON_BYTES: Final = 256  # of a reason phrase; the rest of it is dropped
 # A field costs about 150 bytes besides its text, so bytes alone do not bound memory.
 MAX_HEAD_FIELDS: Final = 256
+# To parse fields takes most of the time of an answer; trailers have a few.
+MAX_TRAILER_FIELDS: Final = 256
+MAX_INTERIM_ANSWERS: Final = 64
 # Chunk sizes and chunk extensions between two pieces of the body.
 MAX_CHUNK_HEAD_BYTES: Final = 64 << 10
 
@@ -35,6 +39,8 @@
         self._in_head = True
         self._n_head_bytes = 0
         self._n_fields = 0
+        self._n_trailer_fields = 0
+        self._n_messages = 0
         self._n_chunk_head_bytes = 0
         self._has_body = False
         # A chunk was announced of which nothing has arrived; the same before this read.
@@ -42,7 +48,14 @@
         self._awaited_chunk = False
 
     def begin_message(self) -> None:
-        """Notes that another message, for example an interim answer, begins."""
+        """Notes that another message, for example an interim answer, begins.
+
+        Raises:
+            OversizedAnswerError: too many interim answers have come.
+        """
+        self._n_messages += 1
+        if self._n_messages > MAX_INTERIM_ANSWERS:
+            raise OversizedAnswerError(f"more than {MAX_INTERIM_ANSWERS} answers")
         self._n_fields = 0
         self._awaits_chunk = self._awaited_chunk = False
 
@@ -54,10 +67,15 @@
         """Counts a field; returns whether it belongs to the head.
 
         Raises:
-            OversizedAnswerError: the head has too many fields.
+            OversizedAnswerError: the head has too many fields, or the trailers do.
         """
         if not self._in_head:
             self.in_trailers = True
+            self._n_trailer_fields += 1
+            if self._n_trailer_fields > MAX_TRAILER_FIELDS:
+                raise OversizedAnswerError(
+                    f"more than {MAX_TRAILER_FIELDS} trailer fields"
+                )
             return False
         self._n_fields += 1
         if self._n_fields > MAX_HEAD_FIELDS:
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -14,7 +14,11 @@
 
 import httptools
 
-from ..answer_framing import AnswerFraming, OversizedAnswerError
+from ..answer_framing import (
+    MAX_REASON_BYTES,
+    AnswerFraming,
+    OversizedAnswerError,
+)
 from ..event_stream import CONTENT_TYPE
 from ..logs import log_event
 from ..platform import names
@@ -303,7 +307,8 @@
 
     def on_status(self, status: bytes) -> None:
         """Appends a piece of the reason phrase."""
-        self._reason += status
+        if len(self._reason) < MAX_REASON_BYTES:
+            self._reason = (self._reason + status)[:MAX_REASON_BYTES]
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; ignores a trailer field."""
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -55,6 +55,30 @@
   Scenario: No part of a message without end is kept
     Then for 60 drawn messages without end no parser keeps more than 2 MB
 
+  # Each line came within the timeout of a read, so that a call had no end.
+  Scenario Outline: Slow <part> without end hold no thread
+    When a service sends <part> without end, a piece each 0.2 s
+    Then the call <ends> within 6 s
+
+    Examples:
+      | part                  | ends  |
+      | fields of a head      | fails |
+      | bytes of a field      | fails |
+      | trailer fields        | ends  |
+      | bytes of a trailer    | ends  |
+      | chunk extensions      | fails |
+
+  # The time to parse them kept the daemon from all other requests.
+  Scenario Outline: An answer with <n> <parts> is <verdict>
+    Then a connection takes an answer with <n> <parts> as "<verdict>"
+
+    Examples:
+      | n    | parts           | verdict  |
+      | 60   | interim answers | whole    |
+      | 5000 | interim answers | broken   |
+      | 200  | trailer fields  | whole    |
+      | 5000 | trailer fields  | whole    |
+
   Scenario: An answer in chunks is complete with its last chunk only, however it is cut
     Then for 400 drawn answers in chunks no parser takes a part for the whole
 
--- a/features/steps/entry_faulty_server_steps.py
+++ b/features/steps/entry_faulty_server_steps.py
@@ -3,7 +3,11 @@
 import asyncio
 import itertools
 import re
+import socket
+import threading
+import time
 
+import urllib3
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as draw
@@ -13,7 +17,9 @@
 from steps.entry_steps import make_request_line, send_request
 from steps.shared import DETERMINISTIC
 
+from berylpost.answer_framing import MAX_INTERIM_ANSWERS, MAX_TRAILER_FIELDS
 from berylpost.edge.upstream import Connection, Exchange, UpstreamError
+from berylpost.http_pools import make_pool
 
 NOT_RUN = {408, 421, 429, 503}
 _numbers = itertools.count()
@@ -204,3 +210,93 @@
     assert refused == (kind == "refused"), (number, kind)
     if exchange.end.done() and exchange.end.exception() is None and not refused:
         assert bytes(exchange.body) == b"body-%d" % number
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+# What comes first, and the piece that follows again and again.
+SLOW_PARTS = {
+    "fields of a head": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+    "bytes of a field": (b"HTTP/1.1 200 OK\r\na: ", b"b"),
+    "trailer fields": (HEAD + b"\r\n2\r\nok\r\n0\r\n", b"a: b\r\n"),
+    "bytes of a trailer": (HEAD + b"\r\n2\r\nok\r\n0\r\na: ", b"b"),
+    "chunk extensions": (HEAD + b"\r\n2\r\nok\r\n2;a=", b"b"),
+}
+MAX_PIECES = 200
+
+
+@when("a service sends {part} without end, a piece each 0.2 s")
+def step_send_slowly(context: Context, part: str) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    first, piece = SLOW_PARTS[part]
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            try:
+                connection.sendall(first)
+                for _ in range(MAX_PIECES):
+                    time.sleep(0.2)
+                    connection.sendall(piece)
+            except OSError:
+                return  # closed by the caller
+
+    threading.Thread(target=serve, daemon=True).start()
+    host, port = listener.getsockname()
+    began_at = time.monotonic()
+    try:
+        answer = make_pool(retries=False, timeout=10.0).request(
+            "GET", f"http://{host}:{port}/"
+        )
+        context.ended = "ends" if answer.data == b"ok" else answer.data
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        context.ended, context.error = "fails", error
+    context.took_s = time.monotonic() - began_at
+
+
+@then("the call {ends} within {seconds:g} s")
+def step_check_slow(context: Context, ends: str, seconds: float) -> None:
+    assert context.ended == ends, (context.ended, context)
+    assert context.took_s < seconds, context.took_s
+
+
+PARTS = {
+    "interim answers": lambda n: (
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * n + HEAD + b"\r\n2\r\nok\r\n0\r\n\r\n"
+    ),
+    "trailer fields": lambda n: (
+        HEAD + b"\r\n2\r\nok\r\n0\r\n" + b"a: b\r\n" * n + b"\r\n"
+    ),
+}
+
+
+@then('a connection takes an answer with {n:d} {parts} as "{verdict}"')
+def step_check_parts(context: Context, n: int, parts: str, verdict: str) -> None:
+    n_parsed = 0
+
+    class Counted(Connection):
+        def on_message_begin(self):
+            nonlocal n_parsed
+            n_parsed += 1
+            super().on_message_begin()
+
+        def on_header(self, name, value):
+            nonlocal n_parsed
+            n_parsed += 1
+            super().on_header(name, value)
+
+    async def receive():
+        connection = Counted(backend_id="r", on_closed=lambda _connection: None)
+        connection.connection_made(_Transport())
+        exchange = Exchange(attempt_id=b"", has_body=True)
+        connection.send(b"request", exchange)
+        connection.data_received(PARTS[parts](n))
+        return exchange
+
+    exchange = asyncio.run(receive())
+    is_whole = exchange.end.done() and exchange.end.exception() is None
+    assert ("whole" if is_whole else "broken") == verdict, exchange.end
+    if is_whole:
+        assert bytes(exchange.body) == b"ok", exchange.body
+    # What is beyond the bound is not even parsed.
+    assert n_parsed <= MAX_INTERIM_ANSWERS + MAX_TRAILER_FIELDS + 10, n_parsed
