--- a/features/entry_builds.feature
+++ b/features/entry_builds.feature
@@ -1,8 +1,8 @@
 Feature: Daemons of an earlier build and of the present one serve side by side
-  Processes of the build of 885855a, from the history, beside those of this one.
+  Processes of the build of 91f7f4c, from the history, beside those of this one.
 
   Scenario Outline: <what> at daemons of both builds
-    Given 2 daemons of the build 885855a and 2 of the present one
+    Given 2 daemons of the build 91f7f4c and 2 of the present one
     When <what> at all of them
     Then all of it is done, at most once, and every daemon knows the three others
 
@@ -21,11 +21,11 @@
 
     Examples:
       | how       | before  | after   |
-      | by newer  | 885855a | present |
-      | by older  | present | 885855a |
+      | by newer  | 91f7f4c | present |
+      | by older  | present | 91f7f4c |
 
   Scenario: A restore of the store while both builds run
-    Given 2 daemons of the build 885855a and 2 of the present one
+    Given 2 daemons of the build 91f7f4c and 2 of the present one
     When the store comes back from an older copy and a daemon of each build starts again
     Then all serve within 12 s, and a revoked key runs nowhere
     And usage is reported on without a broken rule
