--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -73,6 +73,8 @@
         """Fails the call that is in progress."""
         self.transport = None
         self._fail(f"connection lost: {exc}")
+        # It holds what it has not passed on, in a reference cycle with this protocol.
+        del self._parser
 
     def on_message_begin(self) -> None:
         """Clears the parser state for a new answer."""
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -287,6 +287,8 @@
         kind = Failure.CUT if exc is None else Failure.RESET
         self._fail(kind, str(exc or "closed"))
         self._on_closed(self)
+        # It holds what it has not passed on, in a reference cycle with this connection.
+        del self._parser
 
     def _finish_in_trailers(self) -> None:
         """Completes an exchange whose body is complete; trailers may have no end."""
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -68,6 +68,10 @@
       | bytes of a trailer    | ends  |
       | chunk extensions      | fails |
 
+  # Garbage is collected by the number of objects, however large they are.
+  Scenario: A closed connection keeps nothing of an answer without end
+    Then a connection that is closed amid a field is freed at once
+
   # The time to parse them kept the daemon from all other requests.
   Scenario Outline: An answer with <n> <parts> is <verdict>
     Then a connection takes an answer with <n> <parts> as "<verdict>"
--- a/features/steps/entry_faulty_server_steps.py
+++ b/features/steps/entry_faulty_server_steps.py
@@ -1,11 +1,13 @@
 """Steps for servers whose answers are repeated, cut or of the wrong kind."""
 
 import asyncio
+import gc
 import itertools
 import re
 import socket
 import threading
 import time
+import weakref
 
 import urllib3
 from behave import given, then, when
@@ -300,3 +302,21 @@
         assert bytes(exchange.body) == b"ok", exchange.body
     # What is beyond the bound is not even parsed.
     assert n_parsed <= MAX_INTERIM_ANSWERS + MAX_TRAILER_FIELDS + 10, n_parsed
+
+
+@then("a connection that is closed amid a field is freed at once")
+def step_check_freed(context: Context) -> None:
+    async def receive():
+        connection = Connection(backend_id="r", on_closed=lambda _connection: None)
+        connection.connection_made(_Transport())
+        connection.send(b"request", Exchange(attempt_id=b"", has_body=True))
+        connection.data_received(b"HTTP/1.1 200 OK\r\na: " + b"b" * 10_000)
+        connection.connection_lost(None)
+        return weakref.ref(connection)
+
+    gc.disable()
+    try:
+        freed = asyncio.run(receive())() is None
+    finally:
+        gc.enable()
+    assert freed
