--- a/soak/streams.py
+++ b/soak/streams.py
@@ -488,7 +488,8 @@
 
 async def _stop_daemon(rig: StreamRig, number: signal.Signals, n: int = 1) -> None:
     up = [d for d in rig.world.daemons if d.is_up]
-    for daemon in rig.random.sample(up, min(n, len(up) - (n == 1))):
+    n_stopped = max(0, min(n, len(up) - (n == 1)))
+    for daemon in rig.random.sample(up, n_stopped):
         daemon.stopping = True
         assert daemon.process is not None
         daemon.process.send_signal(number)
