Count a run that moved with its memory once in the soak

Servers now report stops, and which runs go on from a stopped one's memory; each stop allows one such run. A run without a stop, or a second one, counts as before.

--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -64,6 +64,7 @@
         on_run: called with the headers of each request that begins to run.
         on_crash: called when the server has crashed.
         on_fall: called when a brittle server has fallen over.
+        on_stop: called with the attempt id of a run that is stopped to be moved.
 
     Attributes:
         cut_at: share of an answer's head after which the fault "head cut" stops.
@@ -108,8 +109,10 @@
         on_run: Callable[[Mapping[str, str]], None] = lambda _headers: None,
         on_crash: Callable[["Replica"], None] = lambda _replica: None,
         on_fall: Callable[[], None] = lambda: None,
+        on_stop: Callable[[str], None] = lambda _attempt: None,
     ) -> None:
         self.on_fall = on_fall
+        self.on_stop = on_stop
         self.on_run = on_run
         self.on_crash = on_crash
         self.crashing_parts: frozenset[str] = frozenset()
@@ -231,6 +234,7 @@
         if incoming.target == b"/v1/kv-move":
             move_request = json.loads(incoming.body)
             self.stopped.add(move_request["Id"])
+            self.on_stop(move_request["Id"])
             if self.loses_moves:
                 return _reset_connection(writer)
             body = json.dumps({"Handle": "h1", "CreateRevision": 0}).encode()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -125,7 +125,9 @@
         """Runs the checks that need all observations; called once, at the end."""
         for record in self.records:
             n_runs = len(self.runs.get(record.id, ()))
-            if record.kind in AT_MOST_ONCE_KINDS and n_runs > 1:
+            # Each stopped run goes on as the same run, once.
+            n_same = min(self.world.n_stopped[record.id], self.world.n_moved[record.id])
+            if record.kind in AT_MOST_ONCE_KINDS and n_runs - n_same > 1:
                 self._add_violation(
                     "twice", record.id, f"{record.kind} ran {n_runs} times"
                 )
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -1,12 +1,14 @@
 """Process of one backend server: `python -m soak.replica ID IP PORT VERSION`.
 
 It writes a line `ATTEMPT_ID CUSTOMER` to standard output for each run, before the run
-has an effect. From standard input it reads the fault to inject, one name a line,
-`crash NAME` for a prompt part, or a whole body, that ends the process when it begins to
-answer it, `limit RATE` for the request rate to name in answers, `limit` for none,
-`leaving` to say in all answers that it leaves, `brittle N` to have little room and to
-say how many refusals it bears, `fragile` to fall over beyond that, and `brittle` to be
-sound again. It writes the line `fell` when it falls over.
+has an effect, followed by `moved` if it goes on from the memory of a run that was
+stopped, and a line `stopped ATTEMPT_ID` when it stops one. From standard input it reads
+the fault to inject, one name a line, `crash NAME` for a prompt part, or a whole body,
+that ends the process when it begins to answer it, `limit RATE` for the request rate to
+name in answers, `limit` for none, `leaving` to say in all answers that it leaves,
+`brittle N` to have little room and to say how many refusals it bears, `fragile` to fall
+over beyond that, and `brittle` to be sound again. It writes the line `fell` when it
+falls over.
 """
 
 import asyncio
@@ -23,8 +25,15 @@
     """Writes a line for a request that starts to run."""
     attempt = headers.get("x-berylpost-attempt-id", "-")
     customer = headers.get("x-berylpost-tenant", "-")
+    mark = " moved" if headers.get("kv-from") else ""
     # One write, so that a killed process does not leave half a line.
-    sys.stdout.write(f"{attempt} {customer}\n")
+    sys.stdout.write(f"{attempt} {customer}{mark}\n")
+    sys.stdout.flush()
+
+
+def print_stop(attempt: str) -> None:
+    """Writes a line for a run that is stopped to be moved."""
+    sys.stdout.write(f"stopped {attempt}\n")
     sys.stdout.flush()
 
 
@@ -43,6 +52,7 @@
         on_run=print_run,
         on_crash=lambda _replica: os._exit(1),
         on_fall=print_fall,
+        on_stop=print_stop,
     )
     unlimited = replica.room
     replica.work_s = 0.02
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,9 +21,10 @@
 ROOT: Final = Path(__file__).parent.parent
 PORT: Final = 8_221  # the same for all processes, since each has its own IP address
 N_PORTS: Final = 4  # front, readiness, directory, peer
-# Heartbeat interval of backend servers; their entry ends after three missed ones.
 FALL_MARK: Final = "fell"  # first word of a server's line about its own fall
+STOP_MARK: Final = "stopped"  # first word of its line about a run that is moved
 VERSIONS: Final = ("v1", "v2")  # of the backend servers, in turn
+# Heartbeat interval of backend servers; their entry ends after three missed ones.
 HEARTBEAT_S: Final = 1.2
 GRACE_S: Final = 8.0  # from SIGTERM to SIGKILL
 DRAIN_S: Final = 2.0  # for how long a draining backend server still serves
@@ -172,6 +174,8 @@
         limit_periods: When backend servers named a request rate.
         cut_periods: When daemons were cut off from all backend servers.
         brittle_periods: When backend servers were brittle.
+        n_stopped: How often servers stopped a run to move it, by attempt id.
+        n_moved: How often a run went on from the memory of a stopped one, likewise.
         bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
     """
 
@@ -199,6 +203,8 @@
         self.bad_requests: set[str] = set()
         self.crashes: dict[str, list[float]] = {}
         self.bad_part_ended_at: dict[str, float] = {}
+        self.n_stopped: Counter[str] = Counter()
+        self.n_moved: Counter[str] = Counter()
         self.limit_periods: list[LimitPeriod] = []
         self.cut_periods: list[CutPeriod] = []
         self.brittle_periods: list[BrittlePeriod] = []
@@ -617,11 +623,14 @@
     async def _read_runs(self, backend: Backend) -> None:
         assert backend.process.stdout is not None
         while line := await backend.process.stdout.readline():
-            attempt, _, customer = line.decode().strip().partition(" ")
-            if attempt == FALL_MARK:
-                self._note_fall(backend)
-                continue
-            self.on_run(attempt, customer, backend)
+            match line.decode().split():
+                case [mark] if mark == FALL_MARK:
+                    self._note_fall(backend)
+                case [mark, attempt] if mark == STOP_MARK:
+                    self.n_stopped[attempt] += 1
+                case [attempt, customer, *moved]:
+                    self.n_moved[attempt] += bool(moved)
+                    self.on_run(attempt, customer, backend)
 
     def _note_fall(self, backend: Backend) -> None:
         self.record_disturbance("backend_fall", "all", lasts_s=2.0)
