Take a service's answer for broken whose process has ended, in our own interface

The fault of streams of killed servers on a related path: an answer without a length counted as whole when the kernel closed the connection of a killed process. The address must accept a connection, and keep it for 0.05 s, after such an answer.

"An answer without a length of a service that is killed is broken" failed before; the row beside it holds that of a service that serves on.

--- a/berylpost/http_pools.py
+++ b/berylpost/http_pools.py
@@ -12,6 +12,7 @@
 """
 
 import http.client
+import socket
 import time
 from typing import Any, Final
 
@@ -28,6 +29,10 @@
 # From the first byte of a head, or of the trailers, to its end. A timeout of the socket
 # bounds only the time between two reads.
 MAX_LINES_S: Final = 3.0
+# Time limit for a connection that shows whether a server still runs.
+SERVING_TIMEOUT_S: Final = 0.5
+# Time in which the connections of a process that ends are closed.
+CLOSING_S: Final = 0.05
 
 
 class BrokenHeadError(http.client.HTTPException):
@@ -38,15 +43,26 @@
     """A part of the answer is larger than the bound given in the message."""
 
 
+class BrokenBodyError(http.client.HTTPException):
+    """The server's process ended amid an answer that ends with its connection."""
+
+
 class _BoundedFile:
     """What a server sends, with bounds on lines and on the whole.
 
+    Args:
+        file: the connection.
+        address: address of the server.
+
     Attributes:
         last_line: the last line that was read.
+        ends_with_connection: whether nothing else marks the end of the body.
     """
 
-    def __init__(self, file: Any) -> None:
+    def __init__(self, file: Any, address: Any) -> None:
         self.file = file
+        self.ends_with_connection = False
+        self._address = address
         self.last_line = b""
         self._n_lines = 0  # since the last piece of the body
         self._n_bytes = 0
@@ -99,12 +115,15 @@
 
         Raises:
             OversizedPartError: the answer exceeds the bound.
+            BrokenBodyError: the server's process has ended before the body did.
         """
         most = MAX_ANSWER_BYTES - self._n_bytes + 1
         # The file allocates as much as is asked for, whatever a length promises.
         is_whole = n_bytes is None or n_bytes < 0
         data = self.file.read(most if is_whole else min(n_bytes, most))
         self._count(len(data))
+        if is_whole or (n_bytes and not data):
+            self._check_end()
         return bytes(data)
 
     def readinto(self, buffer: Any) -> int:
@@ -112,11 +131,19 @@
 
         Raises:
             OversizedPartError: the answer exceeds the bound.
+            BrokenBodyError: the server's process has ended before the body did.
         """
         n_bytes = int(self.file.readinto(buffer))
         self._count(n_bytes)
+        if not n_bytes:
+            self._check_end()
         return n_bytes
 
+    def _check_end(self) -> None:
+        """Checks a body that its connection has ended."""
+        if self.ends_with_connection and not _is_serving(self._address):
+            raise BrokenBodyError("connection closed as the server ended")
+
     def _is_last_chunk_read(self) -> bool:
         """Tells whether the last line that was read is the head of an empty chunk."""
         size = self.last_line.partition(b";")[0].strip()
@@ -133,20 +160,45 @@
         return getattr(self.file, name)
 
 
+def _is_serving(address: Any) -> bool:
+    """Tells whether a server's address accepts a connection and keeps it.
+
+    The kernel closes the connections of a process that is killed in an orderly way, as
+    a server does at the end of an answer.
+    """
+    try:
+        connection = socket.create_connection(address[:2], SERVING_TIMEOUT_S)
+    except OSError:
+        return False
+    with connection:
+        connection.settimeout(CLOSING_S)
+        try:
+            return bool(connection.recv(1))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+
+
 class _WholeHeadResponse(http.client.HTTPResponse):
     """A response whose head must have arrived whole."""
 
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+        super().__init__(sock, *args, **options)
+        self._address = sock.getpeername()
+
     def begin(self) -> None:
         """Reads the head.
 
         Raises:
             BrokenHeadError: the connection was closed before the head ended.
         """
-        bounded = _BoundedFile(self.fp)
+        bounded = _BoundedFile(self.fp, self._address)
         self.fp = bounded  # type: ignore[assignment]
         super().begin()
         if bounded.last_line not in _HEAD_ENDS:
             raise BrokenHeadError("connection closed inside the head of the answer")
+        bounded.ends_with_connection = self.length is None and not self.chunked
 
 
 class _Connection(HTTPConnection):
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -68,6 +68,16 @@
       | bytes of a trailer    | ends  |
       | chunk extensions      | fails |
 
+  # The kernel closes the connections of a process that is killed in an orderly way.
+  Scenario Outline: An answer without a length of a service that <then> is <verdict>
+    When a service sends an answer without a length and <then>
+    Then the call <ends> within 6 s
+
+    Examples:
+      | then      | ends  | verdict |
+      | serves on | ends  | whole   |
+      | is killed | fails | broken  |
+
   # Garbage is collected by the number of objects, however large they are.
   Scenario: A closed connection keeps nothing of an answer without end
     Then a connection that is closed amid a field is freed at once
--- a/features/steps/entry_faulty_server_steps.py
+++ b/features/steps/entry_faulty_server_steps.py
@@ -244,6 +244,29 @@
                 return  # closed by the caller
 
     threading.Thread(target=serve, daemon=True).start()
+    call_service(context, listener)
+
+
+@when("a service sends an answer without a length and {then}")
+def step_send_unframed(context: Context, then: str) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+
+    def serve():
+        connection, _ = listener.accept()
+        connection.recv(65_536)  # unread bytes would make the close a reset
+        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nok")
+        if then == "is killed":
+            # An open listener would be the one of a process that runs.
+            listener.close()
+        connection.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    call_service(context, listener)
+
+
+def call_service(context, listener):
+    """Calls a service as our own interface does; stores how the call ended."""
     host, port = listener.getsockname()
     began_at = time.monotonic()
     try:
