Return the probing connection to the pool when its caller leaves

A request that is cancelled during the check whether its server runs left a connection that counted against the pool's bound for good. Found on reading; no run showed it. The rig's servers parse requests with the fakes' parser.

--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -498,11 +498,12 @@
         except (UpstreamError, TimeoutError) as error:
             log_event(LOGGER, "server_refuses", backend=self._backend.id, cause=error)
             return False
-        await asyncio.sleep(closing_s)
-        is_serving = connection.is_open
-        # It takes the place of the connection that has ended.
-        self.release(connection)
-        return is_serving
+        try:
+            await asyncio.sleep(closing_s)
+            return connection.is_open
+        finally:
+            # It takes the place of the connection that has ended.
+            self.release(connection)
 
     async def open_path(self) -> OpenPath:
         """Opens a connection that does not belong to the pool.
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -31,7 +31,7 @@
 CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 
 
-class _IncomingRequest:
+class IncomingRequest:
     """One request, filled in by the callbacks of httptools."""
 
     def __init__(self) -> None:
@@ -41,15 +41,19 @@
         self.complete = False
 
     def on_url(self, url: bytes) -> None:
+        """Appends a piece of the target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header."""
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
+        """Appends a piece of the body."""
         self.body += body
 
     def on_message_complete(self) -> None:
+        """Notes that the request is complete."""
         self.complete = True
 
 
@@ -145,7 +149,7 @@
         self.loses_moves = False
         self.unframed_moves = False
         self.runs: Counter[str] = Counter()
-        self.received: list[_IncomingRequest] = []
+        self.received: list[IncomingRequest] = []
         self.methods: list[str] = []
         self.stopped: set[str] = set()
         self.n_running = 0
@@ -224,7 +228,7 @@
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        incoming = _IncomingRequest()
+        incoming = IncomingRequest()
         parser = httptools.HttpRequestParser(incoming)
         while not incoming.complete:
             data = await reader.read(READ_BYTES)
@@ -274,7 +278,7 @@
                 await disconnect
 
     async def _turn_away(
-        self, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+        self, incoming: IncomingRequest, writer: asyncio.StreamWriter
     ) -> bool:
         """Refuses a request for want of room; falls over after too many."""
         now = time.monotonic()
@@ -293,7 +297,7 @@
         return await _refuse(self, incoming, writer)
 
 
-def list_shared_parts(incoming: _IncomingRequest) -> list[str]:
+def list_shared_parts(incoming: IncomingRequest) -> list[str]:
     """Lists the ids of the parts of a prompt that other requests may share."""
     value = incoming.headers.get("x-berylpost-prompt-prefix", "")
     return [entry.partition(":")[0] for entry in value.split(",")[:-1]]
@@ -307,7 +311,7 @@
     return False
 
 
-Fault = Callable[[Replica, _IncomingRequest, asyncio.StreamWriter], Awaitable[bool]]
+Fault = Callable[[Replica, IncomingRequest, asyncio.StreamWriter], Awaitable[bool]]
 
 
 def _write(
@@ -319,7 +323,7 @@
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
-def _make_headers(replica: Replica, incoming: _IncomingRequest) -> dict[str, str]:
+def _make_headers(replica: Replica, incoming: IncomingRequest) -> dict[str, str]:
     headers = {
         "X-Berylpost-Attempt-Id": incoming.headers.get("x-berylpost-attempt-id", ""),
         "X-Berylpost-Replica-Signature": SIGNATURE,
@@ -334,17 +338,17 @@
     return headers
 
 
-def _record_run(replica: Replica, incoming: _IncomingRequest) -> None:
+def _record_run(replica: Replica, incoming: IncomingRequest) -> None:
     replica.on_run(incoming.headers)
     replica.runs[incoming.headers.get("x-berylpost-attempt-id", "")] += 1
 
 
-def _is_stream(incoming: _IncomingRequest) -> bool:
+def _is_stream(incoming: IncomingRequest) -> bool:
     return incoming.target.startswith(b"/stream/")
 
 
 async def _answer(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and sends a complete response."""
     _record_run(replica, incoming)
@@ -352,7 +356,7 @@
 
 
 async def _send_answer(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends the complete response to a request that runs."""
     if _is_stream(incoming):
@@ -374,7 +378,7 @@
 
 async def _stream_events(
     replica: Replica,
-    incoming: _IncomingRequest,
+    incoming: IncomingRequest,
     writer: asyncio.StreamWriter,
     *,
     n_events: int,
@@ -431,7 +435,7 @@
 
 
 async def _run_and_reset(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and resets the connection."""
     _record_run(replica, incoming)
@@ -439,7 +443,7 @@
 
 
 async def _cut_response(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and breaks off in the middle of the response."""
     _record_run(replica, incoming)
@@ -457,7 +461,7 @@
 
 
 async def _cut_unnumbered(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Breaks a stream off after an event without an id."""
     _record_run(replica, incoming)
@@ -468,7 +472,7 @@
 
 
 async def _refuse(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Refuses the request as if full, marked as not executed."""
     headers = {**_make_headers(replica, incoming), "X-Berylpost-Not-Executed": "1"}
@@ -477,7 +481,7 @@
 
 
 def _make_refusal(
-    replica: Replica, incoming: _IncomingRequest, *, has_id: bool
+    replica: Replica, incoming: IncomingRequest, *, has_id: bool
 ) -> bytes:
     headers = {**_make_headers(replica, incoming), "X-Berylpost-Not-Executed": "1"}
     if not has_id:
@@ -488,7 +492,7 @@
 
 async def _repeat_refusal(
     replica: Replica,
-    incoming: _IncomingRequest,
+    incoming: IncomingRequest,
     writer: asyncio.StreamWriter,
     *,
     has_id: bool = True,
@@ -510,14 +514,14 @@
 
 
 async def _repeat_refusal_without_id(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """As `_repeat_refusal`, but the repeated refusal names no attempt."""
     return await _repeat_refusal(replica, incoming, writer, has_id=False)
 
 
 async def _refuse_twice(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Refuses every other request of a connection by two answers in one write."""
     if replica.refusals.pop(writer, None) is not None:
@@ -528,7 +532,7 @@
 
 
 async def _cut_head(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request, stops inside the answer's head and closes gracefully."""
     _record_run(replica, incoming)
@@ -544,7 +548,7 @@
 
 
 async def _fail_as_stream(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and fails by an event stream with status 500."""
     _record_run(replica, incoming)
@@ -555,7 +559,7 @@
 
 
 async def _fail(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and responds with status 500."""
     _record_run(replica, incoming)
@@ -564,7 +568,7 @@
 
 
 async def _send_garbage(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and sends bytes that are not an HTTP response."""
     _record_run(replica, incoming)
@@ -574,7 +578,7 @@
 
 
 async def _send_extra(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a complete response and then a second one with another attempt id."""
     _record_run(replica, incoming)
@@ -585,7 +589,7 @@
 
 
 async def _send_misdirected_first(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a response with another attempt id before the right one."""
     headers = {**_make_headers(replica, incoming), "X-Berylpost-Attempt-Id": "0ther"}
@@ -594,7 +598,7 @@
 
 
 async def _send_unframed(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a response without a length and closes the connection gracefully."""
     _record_run(replica, incoming)
@@ -611,7 +615,7 @@
 
 
 async def _send_unframed_and_reset(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends part of a response without a length and resets the connection."""
     _record_run(replica, incoming)
@@ -624,14 +628,14 @@
 
 
 async def _cut_unframed_stream(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Closes a stream without a length gracefully in the middle of an event."""
     return await _close_stream(replica, incoming, writer, n_events=3, chunked=False)
 
 
 async def _die_unframed(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Ends the process amid an answer without a length, of a stream between events."""
     _record_run(replica, incoming)
@@ -649,7 +653,7 @@
 
 
 async def _close_empty_stream(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Closes a stream without a length gracefully before its first event."""
     return await _close_stream(
@@ -658,7 +662,7 @@
 
 
 async def _end_chunks_in_event(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends the last chunk of a stream in the middle of an event."""
     return await _close_stream(replica, incoming, writer, n_events=3, chunked=True)
@@ -666,7 +670,7 @@
 
 async def _close_stream(
     replica: Replica,
-    incoming: _IncomingRequest,
+    incoming: IncomingRequest,
     writer: asyncio.StreamWriter,
     *,
     n_events: int,
@@ -688,7 +692,7 @@
 
 
 async def _send_unsigned(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a successful response without the server's signature."""
     _record_run(replica, incoming)
@@ -699,7 +703,7 @@
 
 
 async def _crash(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Begins to answer and then ends the whole server."""
     _record_run(replica, incoming)
@@ -714,7 +718,7 @@
 
 
 async def _crash_silently(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and ends the whole server before it answers."""
     _record_run(replica, incoming)
@@ -724,7 +728,7 @@
 
 
 async def _stay_silent(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Runs the request and sends nothing."""
     _record_run(replica, incoming)
@@ -733,7 +737,7 @@
 
 
 async def _send_endless_status(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a reason phrase without end."""
     _record_run(replica, incoming)
@@ -741,7 +745,7 @@
 
 
 async def _send_endless_header(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a header whose value has no end."""
     _record_run(replica, incoming)
@@ -750,7 +754,7 @@
 
 
 async def _send_endless_headers(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends headers without end."""
     _record_run(replica, incoming)
@@ -759,7 +763,7 @@
 
 
 async def _send_endless_body(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a body without a length and without end; a stream has no event in it."""
     _record_run(replica, incoming)
@@ -771,7 +775,7 @@
     return await _send_endlessly(writer, head, b"x" * ENDLESS_BYTES)
 
 
-def _render_chunked(replica: Replica, incoming: _IncomingRequest) -> bytes:
+def _render_chunked(replica: Replica, incoming: IncomingRequest) -> bytes:
     """Renders an answer in chunks, up to and without the line of the last one."""
     lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
     body = b"echo:" + incoming.body
@@ -791,7 +795,7 @@
     """Makes a fault: a body in chunks, then `end`, then `rest` again and again."""
 
     async def answer(
-        replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+        replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
     ) -> bool:
         _record_run(replica, incoming)
         head = _render_chunked(replica, incoming) + end
@@ -804,7 +808,7 @@
     """Makes a fault: `head`, then `rest` again and again, with pauses."""
 
     async def answer(
-        replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+        replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
     ) -> bool:
         _record_run(replica, incoming)
         return await _send_endlessly(writer, head, rest, SLOW_PAUSE_S)
@@ -813,7 +817,7 @@
 
 
 async def _send_endlessly_after_answer(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends a complete answer with a length, then bytes that belong to no request."""
     _record_run(replica, incoming)
@@ -822,7 +826,7 @@
 
 
 async def _send_endless_interim_answers(
-    replica: Replica, incoming: _IncomingRequest, writer: asyncio.StreamWriter
+    replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Sends interim answers without end in place of an answer."""
     _record_run(replica, incoming)
--- a/soak/stream_server.py
+++ b/soak/stream_server.py
@@ -19,6 +19,8 @@
 
 import httptools
 
+from berylpost.fakes.replica import IncomingRequest
+
 READ_BYTES: Final = 65_536
 MAX_ID_STEP: Final = 7
 PIECE_PAUSE_S: Final = 0.004
@@ -87,28 +89,6 @@
     return f"{head}id: {event_id}\ndata: {text}{'x' * plan.size}\n\n".encode()
 
 
-class _Request:
-    """Callbacks of the httptools parser."""
-
-    def __init__(self) -> None:
-        self.target = ""
-        self.headers: dict[str, str] = {}
-        self.body = b""
-        self.complete = False
-
-    def on_url(self, url: bytes) -> None:
-        self.target += url.decode()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-
-    def on_message_complete(self) -> None:
-        self.complete = True
-
-
 class StreamServer:
     """A backend server that streams.
 
@@ -140,19 +120,19 @@
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        request = _Request()
+        request = IncomingRequest()
         parser = httptools.HttpRequestParser(request)
         while not request.complete:
             data = await reader.read(READ_BYTES)
             if not data:
                 return False
             parser.feed_data(data)
-        if request.target == "/v1/kv-move":
+        if request.target == b"/v1/kv-move":
             return self._move(request, writer)
         if request.headers.get("x-berylpost-expect-replica") != self._id:
             _write(writer, 421, b"")
             return True
-        if not request.target.startswith("/stream"):
+        if not request.target.startswith(b"/stream"):
             _write(writer, 200, b"ok", _echo(request))
             return True
         work = asyncio.ensure_future(self._stream(request, writer))
@@ -166,7 +146,7 @@
             with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await gone
 
-    def _move(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+    def _move(self, request: IncomingRequest, writer: asyncio.StreamWriter) -> bool:
         """Stops a run; the copy of its memory always arrives."""
         call = json.loads(request.body)
         attempt = call["Id"]
@@ -179,8 +159,10 @@
         _write(writer, 200, json.dumps(answer).encode())
         return True
 
-    async def _stream(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
-        plan = parse_plan(request.target)
+    async def _stream(
+        self, request: IncomingRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        plan = parse_plan(request.target.decode())
         attempt = request.headers.get("x-berylpost-attempt-id", "")
         after = int(request.headers.get("last-event-id") or 0)
         print(f"run {attempt} {after}", flush=True)
@@ -220,7 +202,7 @@
         return chunked
 
 
-def _echo(request: _Request) -> list[str]:
+def _echo(request: IncomingRequest) -> list[str]:
     attempt = request.headers.get("x-berylpost-attempt-id", "")
     return [
         f"X-Berylpost-Attempt-Id: {attempt}",
