Apply a removal only to the registration that it concerns

Cause: after an outage in which the entries of all servers expired, daemons learn the new registrations from neighbours before the late answer of their own watch arrives.

Change: a removal counts if the known entry is not newer than what was removed, or than the list that lacks it.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -20,6 +20,7 @@
 from ..platform import names
 from ..platform.entries import InvalidEntryError, decode_backend, decode_configuration
 from ..platform.object_wire import Changes, Listing
+from ..policy.registrations import is_gone
 from .clock import read_boottime
 from .model import (
     NO_CONFIGURATION,
@@ -304,7 +305,8 @@
         keep = self._is_outage_recent()
         present = {item.name for item in listing.items}
         for name in self._entries.keys() - present:
-            self._remove_backend(name, listing.revision, keep=keep)
+            if is_gone(self._entries[name][0], as_of=listing.revision):
+                self._remove_backend(name, listing.revision, keep=keep)
         for item in listing.items:
             self._set_backend(item.name, item.revision, item.spec)
             # The listing's own revision is not used, since changes to other kinds raise
@@ -319,8 +321,11 @@
         for change in changes.changes:
             item = change.item
             if change.removed:
-                keep = self._is_outage_recent()
-                self._remove_backend(item.name, changes.revision, keep=keep)
+                known = self._entries.get(item.name)
+                # A late answer may tell of a removal before the latest registration.
+                if known is None or is_gone(known[0], as_of=item.revision):
+                    keep = self._is_outage_recent()
+                    self._remove_backend(item.name, changes.revision, keep=keep)
             else:
                 self._set_backend(item.name, item.revision, item.spec)
         self.backends_revision = max(self.backends_revision, changes.revision)
@@ -332,14 +337,14 @@
         present = {name for name, _, _ in state["entries"]}
         if state["whole"]:
             for name in self._entries.keys() - present:
-                if self._entries[name][0] <= revision:
+                if is_gone(self._entries[name][0], as_of=revision):
                     # The peer may know the store's copy only.
                     carried_over = self._entries[name][0] == CARRIED_OVER
                     keep = carried_over and self._is_outage_recent()
                     self._remove_backend(name, revision, keep=keep)
         for name, last, end in state["removed"]:
             known = self._entries.get(name)
-            if known is not None and known[0] <= last:
+            if known is not None and is_gone(known[0], as_of=last):
                 # The list excludes servers that the peer keeps because of an outage.
                 self._remove_backend(name, end, keep=False)
         for name, entry_revision, spec in state["entries"]:
@@ -348,10 +353,14 @@
         self.backends_revision = max(self.backends_revision, revision)
         self._notify()
 
-    def _is_outage_recent(self) -> bool:
-        recent = read_boottime() - self.outage_ended_at < RETURN_GRACE_S
+    def is_outage_recent(self, within_s: float) -> bool:
+        """Tells whether the store is unreachable, or was in the last `within_s`."""
+        recent = read_boottime() - self.outage_ended_at < within_s
         return recent or self.read_confirmation_age() > OUTAGE_S
 
+    def _is_outage_recent(self) -> bool:
+        return self.is_outage_recent(RETURN_GRACE_S)
+
     def _set_backend(self, name: str, revision: int, spec: Any) -> None:
         known = self._entries.get(name)
         if known is not None and known[0] > revision:
