Keep the size of a fleet over an outage of the store

Cause: while the store is away keys cannot be confirmed and nearly all requests are refused; the load measured then ordered 28 servers instead of 86, five seconds after the store's return.

Change: the fleet does not shrink while the store is away, nor until two time constants of the measured load have passed. Growth is not held back.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -39,6 +39,7 @@
 from .model import BackendState, EdgeSettings, FleetBounds, Service
 from .store_era import StoreEra
 from .usage import Usage
+from .work_meter import TIME_CONSTANT_S
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -61,6 +62,8 @@
 FAILURES_TO_ABANDON: Final = 2
 # A younger confirmation of the configuration shows that the store answers.
 FRESH_CONFIRMATION_S: Final = 2.0
+# Two time constants of the measured load, which fell while requests were refused.
+LOAD_SETTLE_S: Final = 2 * TIME_CONSTANT_S
 CALL_MARGIN_S: Final = 0.3  # no call is started with less of the hold left
 
 
@@ -365,6 +368,7 @@
             load=load,
             n_for_quotas=self._count_for_quotas(),
             now=read_boottime(),
+            may_shrink=not self._catalogue.is_outage_recent(LOAD_SETTLE_S),
         )
         if size.n_wanted != n_before:
             log_event(
--- a/berylpost/policy/fleet_size.py
+++ b/berylpost/policy/fleet_size.py
@@ -101,7 +101,14 @@
     low_since: float | None = None
 
 
-def size_fleet(size: FleetSize, *, load: float, n_for_quotas: int, now: float) -> int:
+def size_fleet(
+    size: FleetSize,
+    *,
+    load: float,
+    n_for_quotas: int,
+    now: float,
+    may_shrink: bool = True,
+) -> int:
     """Grows the fleet immediately with the load; shrinks it only after a sustained low.
 
     Before any load is seen, the fleet keeps its initial size, or the size for the
@@ -112,6 +119,9 @@
         load: server-seconds of work per second.
         n_for_quotas: servers for the quotas; 0 if the fleet has served before.
         now: seconds of the boot-time clock.
+        may_shrink: whether a low load means few requests. While the store is away,
+            requests are refused for keys that cannot be confirmed, and few are
+            measured.
 
     Returns:
         The number of servers wanted.
@@ -122,6 +132,9 @@
         needed = count_needed(load, size.n_wanted)
     if needed >= size.n_wanted:
         size.low_since = None
+    elif not may_shrink:
+        size.low_since = None
+        return size.n_wanted
     elif size.low_since is None:
         size.low_since = now
         return size.n_wanted
