Keep engines that an outage of the object API hides from the planner

Cause: in virtual time, with the object API in memory and a fake cloud, the planner replaced or bought an engine without evidence in three cases. - An engine that missed its last reading before the lease ran out and one reading after an outage of 20 s was released as "silent for 15 s", although nobody had read it in between. - A VM that the list left out was replaced although its engine answered. - A fleet record that was lost during the outage took the starts in progress with it, and a second VM was started for the same replica. With the API merely down for 20 s, nothing was started or released.

Change: silence begins anew when no engine was read for more than 4 s, an engine that answers counts as present while the list leaves it out, and a planner that finds no record goes on from the one that it read last.

Conclusion: a planner acts on readings only, not on the time between them. A planner that starts anew still has no memory of a lost record.

--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -20,6 +20,7 @@
 import urllib3
 
 from .configurations import ConfigurationInForce
+from .engine_sightings import EngineSightings
 from .errors import PlatformError
 from .http_pools import make_pool
 from .kernel import Context, MailboxTask, Plugin, Slot, register_plugin
@@ -108,8 +109,7 @@
         refused_at: when an offer was last refused, monotonic seconds.
         reclaims: number of reclaim notices by offer.
         counted_notices: VMs whose reclaim notice is included in `reclaims`.
-        silent_since: when an engine stopped answering, monotonic seconds; 0 while
-            it answers, absent if it has not answered this planner yet.
+        sightings: which engines have answered this planner.
     """
 
     lease: Lease
@@ -120,7 +120,7 @@
     refused_at: dict[str, float] = field(default_factory=dict)
     reclaims: dict[str, int] = field(default_factory=dict)
     counted_notices: set[str] = field(default_factory=set)
-    silent_since: dict[str, float] = field(default_factory=dict)
+    sightings: EngineSightings = field(default_factory=EngineSightings)
 
 
 class PlannerTask(MailboxTask):
@@ -195,10 +195,15 @@
         if not plan.loaded or plan.record.epoch != plan.lease.epoch:
             self._load_record(name, plan)
         vms = [v for v in self._cloud.list_vms() if v.deployment == name]
-        engines = [v for v in vms if v.role == "engine"]
+        engines = plan.sightings.begin_round(
+            [v for v in vms if v.role == "engine"],
+            is_answering=lambda vm: bool(self._read_load(vm).model),
+            now=time.monotonic(),
+        )
         self._update_starts(name, plan, engines)
         self._terminate_released_vms(plan, engines)
         states = [self._describe_engine(vm, plan) for vm in engines]
+        plan.sightings.end_round(time.monotonic())
         listed = {vm.id for vm in engines}
         states += [
             EngineVm(
@@ -221,7 +226,7 @@
         """Reads the previous planner's record and fences that planner off."""
         plan.snapshot = read_object(self._objects, f"fleet/{name}")
         value = plan.snapshot.open()
-        record = FleetRecord()
+        record = plan.record  # if the store has lost the record since it was read
         if value is not None:
             record = msgspec.json.decode(value, type=FleetRecord)
         record = msgspec.structs.replace(record, epoch=plan.lease.epoch)
@@ -245,12 +250,7 @@
 
     def _describe_engine(self, vm: Vm, plan: _Plan) -> EngineVm:
         load = self._read_load(vm)
-        if load.model:
-            plan.silent_since[vm.id] = 0.0
-        elif not plan.silent_since.get(vm.id, -1.0):
-            # Only engines that have answered before time out; a starting one
-            # needs longer.
-            plan.silent_since[vm.id] = time.monotonic()
+        plan.sightings.record(vm, answered=bool(load.model), now=time.monotonic())
         leaving = bool(vm.notice_at) or vm.id in plan.record.ends
         return EngineVm(
             id=vm.id,
@@ -382,13 +382,12 @@
         self, name: str, plan: _Plan, states: list[EngineVm]
     ) -> None:
         """Releases engines that answered before but not for `SILENCE_TIMEOUT_S`."""
-        now = time.monotonic()
         for vm in states:
-            since = plan.silent_since.get(vm.id, 0.0)
-            if vm.leaving or since <= 0 or now - since < SILENCE_TIMEOUT_S:
+            silence_s = plan.sightings.read_silence_s(vm.id, time.monotonic())
+            if vm.leaving or silence_s < SILENCE_TIMEOUT_S:
                 continue
-            reason = f"silent for {now - since:.0f} s"
-            self._release_vm(name, plan, ReleaseVm(vm=vm.id, reason=reason))
+            action = ReleaseVm(vm=vm.id, reason=f"silent for {silence_s:.0f} s")
+            self._release_vm(name, plan, action)
 
     def _terminate_released_vms(self, plan: _Plan, engines: list[Vm]) -> None:
         """Keeps new work from released VMs; terminates idle and overdue ones."""
@@ -413,6 +412,7 @@
             idle = load.running + load.waiting == 0
             if time.time() >= end_at or (idle and draining_s > 3 * PERIOD_S):
                 self._cloud.terminate_vm(vm_id)
+                plan.sightings.forget(vm_id)
                 FLEET_ACTIONS.labels("end").inc()
 
     # Sending orders to engines.
