Soak: let all entries of servers expire in an outage of the store

Cause: the soak's outages left the servers' entries alone, so it could not show a fleet that stays dark after them.

Change: a phase of its own and a random action take the store away, refusing or silent, for 4.1 to 6.6 s; after three heartbeats all entries are removed. Each server registers within 2 s of the return, one daemon gets the store's answers 2.5 s late, and the history is dropped half of the time. The judge checks that each daemon that nothing else disturbed serves 95 in 100 requests (one may fail) from 4 s to 8 s after the return. Periods and faults of the store move to modules of their own; faults.py and world.py become shorter.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,19 +5,21 @@
 """
 
 import asyncio
+import functools
 import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-import msgspec
-
 from berylpost.fakes.links import LinkFault
 from berylpost.fakes.replica import FAULTS
 
+from .lapse_check import CHECK_S, SERVED_AGAIN_S
+from .periods import CutPeriod
 from .proxy import Mode, Proxy
-from .world import DRAIN_S, HEARTBEAT_S, CutPeriod, Daemon, World
+from .store_faults import STORE_FAULTS, lapse_entries
+from .world import DRAIN_S, Daemon, World
 
 FAULT_PHASE_S: Final = (5.0, 11.0)
 # The strict checks do not apply in its first three seconds (`STEADY_S` of `judge`).
@@ -34,26 +36,8 @@
 MIN_BACKENDS: Final = 2
 LIMIT_RATES: Final = (0.5, 1.0, 4.0)  # requests a second; each server gets 20 or more
 LIMIT_S: Final = (8.0, 12.0)  # longer than it takes until the rate must be kept
-# From a restore until entries of servers that have ended are gone again.
-RESTORE_LASTS_S: Final = 3 * HEARTBEAT_S
 LINK_MODES: Final = (Mode.DELAY, Mode.SILENT, Mode.CUT_UP, Mode.CUT_DOWN)
 
-# Kinds of stored objects, and text in one that the usual decoders reject.
-ODD_KINDS: Final = (
-    "servers",
-    "berylpost-members",
-    "berylpost-holds",
-    "berylpost-streams",
-)
-ODD_FIELDS: Final = (
-    b'"Extra": "\\ud83d"',
-    b'"\\udc00": 1',
-    b'"Extra": "\xff"',
-    b'"Extra": "\x01"',
-    b"Extra: 1",
-    b'"Extra": 1e999',
-)
-
 Action = Callable[[], Awaitable[None]]
 
 
@@ -80,13 +64,13 @@
             "backend_fault": self._set_backend_fault,
             "backend_kill": self._kill_backend,
             "backend_pause": self._pause_backend,
-            "store_fault": self._disturb_store,
             "backend_limit": self._limit_backend,
-            "store_restore": self._restore_store,
             "backend_cut": self._cut_daemons,
             "backend_brittle": self._make_brittle,
-            "odd_entry": self._store_odd_entry,
         }
+        for name, disturb in STORE_FAULTS.items():
+            action = functools.partial(disturb, world, random_state)
+            self.fault_actions[name] = action
         self.planned_actions: dict[str, Action] = {
             "stop": self._restart,
             "stop_in_turn": self._restart_in_turn,
@@ -106,6 +90,7 @@
             await self._wait_for_actions()
             await self._run_crash_phase()
             await self._run_cut_phase()
+            await self._run_lapse_phase()
             await self._run_phase(
                 self.planned_actions, QUIET_PHASE_S, QUIET_INTERVAL_S, ends_at
             )
@@ -130,6 +115,14 @@
             self._world.end_cut(period)
         await self._wait_for_actions()
 
+    async def _run_lapse_phase(self) -> None:
+        """Lets all entries of servers expire in an outage, beside nothing else."""
+        await asyncio.sleep(DAEMON_START_S)  # the last one may just have started
+        await lapse_entries(self._world, self._random)
+        returned_at = self._world.lapse_periods[-1].returned_at
+        checked_until = returned_at + SERVED_AGAIN_S + CHECK_S
+        await asyncio.sleep(max(0.0, checked_until - time.monotonic()))
+
     def _begin_cut(self, lasts_s: float) -> CutPeriod | None:
         """Cuts some daemons off, not all; None if others are cut off now."""
         daemons = self._world.daemons
@@ -276,15 +269,6 @@
         await asyncio.sleep(seconds)
         self._world.set_fault(backend, "none")
 
-    async def _store_odd_entry(self) -> None:
-        """Stores an entry of another writer, beside which all others still count."""
-        kind = self._random.choice(ODD_KINDS)
-        name = f"{self._random.choice('az')}-odd"
-        spec = msgspec.Raw(b'{"Service": "app", %s}' % self._random.choice(ODD_FIELDS))
-        await self._world.store.put(kind, name, spec)
-        await asyncio.sleep(self._random.uniform(0.5, 6.0))
-        await self._world.store.remove(kind, name)
-
     async def _kill_backend(self) -> None:
         backends = self._world.list_active_backends()
         if len(backends) <= MIN_BACKENDS:
@@ -376,35 +360,7 @@
             backend.process.kill()
         await self._world.store.remove("servers", backend.id)
 
-    # Store and operator.
-
-    async def _restore_store(self) -> None:
-        """Brings the store back from a copy some seconds old."""
-        stored = self._world.store.take_copy()
-        await asyncio.sleep(self._random.uniform(0.2, 4.0))
-        away_s = self._random.choice((0.0, self._random.uniform(0.1, 0.7)))
-        self._world.record_disturbance(
-            "store_fault", "all", lasts_s=away_s + RESTORE_LASTS_S
-        )
-        faults = self._world.store.server.faults
-        faults.down = faults.down or away_s > 0
-        await asyncio.sleep(away_s)
-        await self._world.restore_store(stored)
-        if away_s:
-            faults.down = False
-
-    async def _disturb_store(self) -> None:
-        faults = self._world.store.server.faults
-        seconds = self._random.uniform(0.5, 6.0)
-        self._world.record_disturbance("store_fault", "all", lasts_s=seconds)
-        fault = self._random.choice(("down", "delay_s", "lose_answers", "history"))
-        if fault == "history":
-            self._world.store.compact_history()
-            return
-        values = {"down": True, "delay_s": 0.3, "lose_answers": 6}
-        setattr(faults, fault, values[fault])
-        await asyncio.sleep(seconds)
-        setattr(faults, fault, type(faults)().__getattribute__(fault))
+    # Operator.
 
     async def _update_configuration(self) -> None:
         for _ in range(self._random.choice((1, 1, 5))):
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -11,7 +11,9 @@
 from berylpost.fakes.replica import N_EVENTS, SIGNATURE
 
 from .callers import REQUEST_KINDS, RequestRecord
-from .world import DRAIN_S, GRACE_S, Backend, CutPeriod, LimitPeriod, World
+from .lapse_check import list_unserved
+from .periods import CutPeriod
+from .world import DRAIN_S, GRACE_S, Backend, LimitPeriod, World
 
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 DENIED_STATUSES: Final = frozenset({401, 403, 404})
@@ -145,6 +147,13 @@
             self._check_limit(period)
         for cut in self.world.cut_periods:
             self._check_cut(cut)
+        for lapse in self.world.lapse_periods:
+            lines, n_checked = list_unserved(
+                lapse, world=self.world, records=self.records
+            )
+            self.counts["lapse checked daemons"] += n_checked
+            for line in lines:
+                self._add_violation("lapse", "-", line)
         for brittle in self.world.brittle_periods:
             if brittle.n_falls > MAX_FALLS:
                 self._add_violation(
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,6 +16,7 @@
 from berylpost.fakes.entry_world import make_configuration, make_route
 from berylpost.fakes.objects import ObjectStore, StoreCopy
 
+from .periods import CutPeriod, Disturbance, LapsePeriod
 from .proxy import Proxy
 
 ROOT: Final = Path(__file__).parent.parent
@@ -104,6 +105,12 @@
     entry_says_leaving: bool = True
     killed: bool = False
 
+    @property
+    def state(self) -> str:
+        """State in its entry, while it runs."""
+        is_draining = time.monotonic() >= self.draining_since
+        return "draining" if is_draining and self.entry_says_leaving else "ready"
+
 
 @dataclass(slots=True, kw_only=True)
 class LimitPeriod:
@@ -115,15 +122,6 @@
     ended_at: float = float("inf")
 
 
-@dataclass(slots=True, kw_only=True)
-class CutPeriod:
-    """Time in which daemons reach no backend server, monotonic seconds."""
-
-    daemons: frozenset[str]
-    started_at: float
-    ended_at: float = float("inf")
-
-
 @dataclass(slots=True, kw_only=True)
 class BrittlePeriod:
     """Time in which a backend server may fall over, monotonic seconds."""
@@ -134,25 +132,6 @@
     n_falls: int = 0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Disturbance:
-    """A fault or planned action; times are in seconds on the monotonic clock.
-
-    Attributes:
-        kind: Name of the action.
-        target: Name of the daemon or id of the backend server concerned, or `all`.
-        started_at: When it started.
-        ended_at: When it ended or will end.
-        planned: Whether it is planned work, which must not lose an answer.
-    """
-
-    kind: str
-    target: str
-    started_at: float
-    ended_at: float
-    planned: bool
-
-
 class World:
     """All processes and fakes of a run, and the disturbances so far.
 
@@ -174,6 +153,7 @@
         limit_periods: When backend servers named a request rate.
         cut_periods: When daemons were cut off from all backend servers.
         brittle_periods: When backend servers were brittle.
+        lapse_periods: When the store was away and all entries of servers expired.
         n_stopped: How often servers stopped a run to move it, by attempt id.
         n_moved: How often a run went on from the memory of a stopped one, likewise.
         bad_part_ended_at: When callers stopped to send a part, monotonic seconds.
@@ -208,6 +188,7 @@
         self.limit_periods: list[LimitPeriod] = []
         self.cut_periods: list[CutPeriod] = []
         self.brittle_periods: list[BrittlePeriod] = []
+        self.lapse_periods: list[LapsePeriod] = []
         self.store = ObjectStore(endpoint=f"{address_prefix}.0.1:{PORT}")
         self.cloud = DutyApi(endpoint=f"{address_prefix}.0.2:{PORT}")
         self._document: dict[str, Any] = {}
@@ -587,10 +568,7 @@
             if backend.killed:
                 self.spawn(self._expire(backend))
             else:
-                is_draining = time.monotonic() >= backend.draining_since
-                has_entry = not is_draining or backend.entry_says_leaving
-                state = "draining" if is_draining and has_entry else "ready"
-                await self.put_backend(backend, state)
+                await self.put_backend(backend, backend.state)
 
     async def _expire(self, backend: Backend) -> None:
         await asyncio.sleep(3 * HEARTBEAT_S)
