Check a configuration before it is sent

Cause: the daemons accept configurations with entries that never match and with limits that refuse everything; an operator learned of it from callers.

Change: `berylpost config check FILE [--in-force FILE]` prints faults with their paths and what differs, for the platform's document and that of a deployment, and exits with 1 if there is a fault. Keys are never printed. The name `check` belongs to the check of settings files. Nothing that a daemon runs changes.

Conclusion: all limits are compared with the decoder's defaults, where a document leaves them out.

--- a/berylpost/application.py
+++ b/berylpost/application.py
@@ -33,6 +33,7 @@
     show_request,
     wait_configuration,
 )
+from .configuration_check import check_configuration
 
 
 def make_application() -> Application:
@@ -70,6 +71,13 @@
             [deployment, argument("file", "Configuration, YAML or JSON")],
             [option("objects", "o", "Object API, http://IP-NUMBER:PORT", flag=False)],
         ),
+        make_command(
+            "config check",
+            "Check a configuration before it is sent; status 1 if it has a fault",
+            check_configuration,
+            [argument("file", "Configuration, YAML or JSON")],
+            [option("in-force", None, "Configuration that it replaces", flag=False)],
+        ),
         make_command(
             "config get",
             "Print the configuration in force",
