Take a load report with three or four figures

Cause: some services add a fourth figure to their load, the time that work takes on their machine at the moment, where 100 is normal. The parser took exactly three figures, so such an answer lost its whole load, and its answer time was no longer compared.

Change: the fourth figure is optional in the report. A malformed one (no number, not positive, above 10,000) counts as missing and leaves the other three; five figures are malformed as before.

Conclusion: nothing uses the figure yet; three figures parse as they did.

--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -327,8 +327,14 @@
 
 
 class LoadReport(NamedTuple):
-    """Load that a backend server reports."""
+    """Load that a backend server reports.
+
+    Attributes:
+        work_percent: how long work takes on its machine now, 100 is normal; None if
+            the server does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: float | None = None
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -26,6 +26,9 @@
 )
 MAX_DIGITS: Final = 18
 RATE_PATTERN: Final = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+N_LOAD_FIGURES: Final = 3  # running, waiting and slots
+# A server that is slower by a factor of 100 answers nothing in time; more is an error.
+MAX_WORK_PERCENT: Final = 10_000.0
 MAX_DEADLINE_S: Final = 86_400.0  # larger values are ignored as errors of the caller
 
 
@@ -126,12 +129,21 @@
 
 
 def parse_load(value: bytes) -> LoadReport | None:
-    """Parses the load of a backend server; returns None if it is malformed."""
+    """Parses the load of a backend server; returns None if it is malformed.
+
+    The fourth figure is optional. A malformed one counts as missing.
+    """
+    parts = value.split(b",")
     try:
-        running, waiting, slots = (int(part) for part in value.split(b","))
+        running, waiting, slots = (int(part) for part in parts[:N_LOAD_FIGURES])
     except ValueError:
         return None
-    return LoadReport(running, waiting, slots)
+    if len(parts) > N_LOAD_FIGURES + 1:
+        return None
+    work_percent = parse_rate_limit(b"".join(parts[N_LOAD_FIGURES:]))
+    if work_percent is not None and not 0 < work_percent <= MAX_WORK_PERCENT:
+        work_percent = None
+    return LoadReport(running, waiting, slots, work_percent)
 
 
 def parse_rate_limit(value: bytes) -> float | None:
