Use learned speeds in the entry daemon and show their error

Cause: the learned speeds and the choice among nearly equal servers were decisions without a caller.

Change: the router adds the predicted speeds to the loads of a service whose servers state the fourth figure, so placement, prompt admission and the metered work use one prediction. Answers and first tokens of plain servers and engines feed it. Two gauges show the median and the 95th percentile of the prediction error of the first token, and the log line of a request has wait_error_s.

Conclusion: deployments without the fourth figure decide and send as before.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -47,6 +47,8 @@
 from .registration import Registration
 from .request_quarantine import RequestQuarantine
 from .server_limits import RISK_MARK, ServerLimits
+from .server_speeds import ServerSpeeds
+from .speed_exchange import SpeedExchange
 from .store_era import StoreEra
 from .store_watch import StoreWatch
 from .stream_origins import StreamOrigins
@@ -177,6 +179,12 @@
         )
         self.leaving_servers = LeavingServers(members=self.members, table=self.table)
         self.buffers = BufferBudget(memory_bytes=settings.memory_bytes)
+        self.speeds = ServerSpeeds(
+            find_service=self._find_service, random_state=random.Random()
+        )
+        self.speed_exchange = SpeedExchange(
+            name=settings.name, members=self.members, speeds=self.speeds
+        )
         self.forwarder = Forwarder(
             catalogue=self.catalogue,
             table=self.table,
@@ -188,6 +196,7 @@
             quotas=self.quotas,
             usage=self.usage,
             work_meter=self.work,
+            speeds=self.speeds,
             buffers=self.buffers,
             observe=observe_request,
         )
@@ -257,6 +266,7 @@
         self.limits.start()
         self.brittle.start()
         self.leaving_servers.start()
+        self.speed_exchange.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -314,6 +324,7 @@
         self.limits.stop()
         self.brittle.stop()
         self.leaving_servers.stop()
+        self.speed_exchange.stop()
         self.paths.stop()
         self.members.announce(everyone=True)
         self.members.stop()
@@ -334,6 +345,7 @@
         self.limits.stop()
         self.brittle.stop()
         self.leaving_servers.stop()
+        self.speed_exchange.stop()
         self.paths.stop()
         self.registration.stop()
         self.members.stop()
@@ -437,6 +449,7 @@
             "suspect_servers": self.table.count_suspect(),
             "cut_links": self.paths.n_cut,
             "passed_on_connections": self.paths.tunnels.n_open,
+            **self.speeds.read_errors(),
         }
         pools = [record.pool for record in self.table.records.values()]
         counters = {
@@ -510,6 +523,10 @@
         configuration = self.catalogue.configuration
         return configuration.customers.get(name) if configuration else None
 
+    def _find_service(self, backend: str) -> str:
+        known = self.catalogue.backends.get(backend)
+        return known.service if known is not None else ""
+
     def _handle_role(self, active: bool) -> None:
         self.quotas.forget_totals()
 
@@ -591,6 +608,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.table.sweep()
+            self.speeds.sweep(self.table.records)
             self.watch.update()
             self.members.watch_served = self.watch.is_served
             self.members.ready = self.is_ready
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -36,6 +36,7 @@
 from .request_quarantine import RequestQuarantine
 from .routing import Router
 from .server_limits import ServerLimits
+from .server_speeds import ServerSpeeds
 from .stream_origins import StreamOrigins
 from .stream_relay import StreamRelay
 from .upstream import AnswerHead, Connection, Exchange, Failure, UpstreamError
@@ -85,6 +86,7 @@
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
         work_meter: measures the work that callers' requests cause.
+        speeds: learned speeds of the servers.
         buffers: counts the bodies that are held.
         observe: called for metrics with the outcome, the route, the seconds until the
             answer began (negative if it did not) and the total seconds.
@@ -103,6 +105,7 @@
         quotas: Quotas,
         usage: Usage,
         work_meter: WorkMeter,
+        speeds: ServerSpeeds,
         buffers: BufferBudget,
         observe: Callable[[str, Route, float, float], None],
     ) -> None:
@@ -110,8 +113,13 @@
             catalogue=catalogue, quotas=quotas, quarantine=quarantine
         )
         self._router = Router(
-            table=table, limits=limits, brittle=brittle, work_meter=work_meter
+            table=table,
+            limits=limits,
+            brittle=brittle,
+            work_meter=work_meter,
+            speeds=speeds,
         )
+        self._speeds = speeds
         self._relay = StreamRelay(
             table=table, limits=limits, record_origin=origins.record
         )
@@ -342,6 +350,9 @@
             if head.status != 421:  # another server answered
                 self._note_leaving(record, head)
                 self._note_brittle(record, head)
+                self._speeds.note_load(
+                    record.backend, parse_load(head.find(names.LOAD))
+                )
             if head.status == 421 or head.find(names.NOT_EXECUTED):
                 await self._await_body(context, exchange)
                 complete = True
@@ -358,6 +369,8 @@
                 first = await self._await_first_event(context, exchange)
                 record.pending_tokens[urgency] -= pending
                 pending = 0.0
+                if first:
+                    self._note_first_token(context, record, uncached, sent_at)
                 context.kv_source = context.moved_to = ""
                 await self._relay.relay(
                     context, caller, record, connection, exchange, head, first
@@ -398,6 +411,32 @@
                 connection.abort()
             exchange.discard_body()
 
+    def _note_first_token(
+        self,
+        context: RequestContext,
+        record: BackendRecord,
+        uncached: float,
+        sent_at: float,
+    ) -> None:
+        """Learns from a stream that has begun on a server, unless it goes on there."""
+        parts = context.head.parts
+        if (
+            not parts
+            or context.kv_source
+            or context.splitter.last_id
+            or context.head.last_event_id
+        ):
+            return
+        # Whether the engine has shared parts that it was not known to have is unknown.
+        is_known = uncached <= parts[-1].n_tokens
+        context.wait_error_s = self._speeds.note_first_token(
+            record.backend,
+            n_tokens=uncached if is_known else 0.0,
+            n_ahead=context.n_ahead,
+            first_s=read_boottime() - sent_at,
+            predicted_s=context.predicted_wait_s,
+        )
+
     def _note_limit(self, record: BackendRecord, head: AnswerHead) -> None:
         """Records the request rate that a server names; ignores a malformed one."""
         value = head.find(names.RATE_LIMIT)
@@ -540,6 +579,8 @@
         load = parse_load(head.find(names.LOAD))
         comparable = load is not None and load.waiting == 0
         self._table.note_success(record, answer_s if comparable else None)
+        if comparable:
+            self._speeds.note_answer(record.backend, answer_s)
         if head.status < MIN_RETRY_STATUS:
             self._quarantine.note_answered(context.suspects)
         self._send_answer(context, caller, head, body)
@@ -583,6 +624,7 @@
             tried=",".join(context.tried) if context else "",
             n_sent=context.n_sent if context else 0,
             predicted_s=context.predicted_wait_s if context else 0.0,
+            wait_error_s=context.wait_error_s if context else None,
             first_s=first_s,
             total_s=total_s,
             tokens=head.prompt_tokens,
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -22,6 +22,7 @@
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
 from .clock import read_boottime
 from .server_limits import ServerLimits
+from .server_speeds import DEFAULT_WORK_S, ServerSpeeds
 from .upstream import Connection, UpstreamError
 from .work import MIN_LEFT_S, RequestContext, make_refusal
 from .work_meter import WorkMeter
@@ -36,7 +37,6 @@
 NO_BACKEND_RETRY_S: Final = 0.5  # a suspect server is tried again after about this time
 MAX_REPEAT_WAIT_S: Final = 0.5  # for a slot of a server that names a rate
 FULL_RETRY_S: Final = 0.3  # a full server has room after about one request
-DEFAULT_WORK_S: Final = 0.06  # assumed time of one request to a plain backend server
 
 
 class Router:
@@ -47,6 +47,7 @@
         limits: request rates that servers name.
         brittle: rates of what brittle servers may turn away.
         work_meter: measures the work that callers' requests cause.
+        speeds: learned speeds of the servers.
     """
 
     def __init__(
@@ -56,11 +57,13 @@
         limits: ServerLimits,
         brittle: ServerLimits,
         work_meter: WorkMeter,
+        speeds: ServerSpeeds,
     ) -> None:
         self._table = table
         self._limits = limits
         self._brittle = brittle
         self._work_meter = work_meter
+        self._speeds = speeds
         self._random = random.Random()
 
     async def connect(
@@ -78,6 +81,7 @@
                 break
             record, choice = self._choose(context)
             context.predicted_wait_s = choice.wait_s
+            context.n_ahead = choice.n_ahead
             slot_s = self._limits.find_wait(record)
             self._limits.take(record)
             if not self._has_room(record):
@@ -145,15 +149,19 @@
         records = self._leave_out_full(context, first or records)
         records = self._prefer_open(context, records)
         loads = self._table.view_loads(records, min(N_URGENCIES - 1, context.urgency))
+        loads = self._speeds.add_speeds(context.service, loads)
         parts = context.head.parts
         if parts:
             uncached = [self._table.count_uncached(record, parts) for record in records]
             self._prefer_home(context, records, uncached)
-            choice = choose_engine(loads, uncached)
+            pick = self._speeds.find_engine_pick(context.service)
+            choice = choose_engine(loads, uncached, pick=pick)
         else:
-            tie_breaker = self._random.randrange(len(records))
             choice = choose_server(
-                loads, work_s=DEFAULT_WORK_S, tie_breaker=tie_breaker
+                loads,
+                work_s=DEFAULT_WORK_S,
+                tie_breaker=self._random.randrange(len(records)),
+                pick=self._speeds.find_server_pick(context.service),
             )
         assert choice is not None
         if parts and not context.n_sent:
--- a/berylpost/edge/server_speeds.py
+++ b/berylpost/edge/server_speeds.py
@@ -4,12 +4,21 @@
 `policy.server_speed` has the decisions.
 """
 
+import random
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
-from typing import Any, Final
-
-from ..policy.placement import PREFILL_TOKENS_PER_S, BackendLoad
+from typing import Final
+
+from ..policy.placement import (
+    ENGINE_MARGIN_S,
+    PREFILL_TOKENS_PER_S,
+    SERVER_MARGIN_SHARE,
+    BackendLoad,
+    Pick,
+    make_spread_pick,
+    pick_lowest,
+)
 from ..policy.server_speed import (
     FAST_SHARE,
     FIGURE_CHANGE_S,
@@ -43,6 +52,11 @@
 N_ERRORS: Final = 512  # prediction errors of which percentiles are taken
 
 
+# Figure of a server and its age in milliseconds, as sent to other daemons.
+FigureRow = tuple[float, float]
+# Server, whether it is a rate, tokens per second or microseconds, the server's figure,
+# and the sender's clock in milliseconds, which tells new samples from known ones.
+SampleRow = tuple[str, bool, float, float, float]
 # Time, server, whether it is a rate, the rate or the seconds, and the server's figure.
 _Sample = tuple[float, str, bool, float, float]
 
@@ -56,14 +70,18 @@
         reported: the newest figure that another daemon reported.
         usual_samples: its figures, one for each period of change.
         usual_at: boot-time clock of the newest of these.
+        usual: its usual figure.
         rates: prompt tokens per second at a normal figure.
         works: seconds of a plain request at a normal figure.
+        rate: its learned rate; 0 while unknown.
+        work_s: its learned time of a plain request; 0 while unknown.
         n_samples: number of this daemon's own samples.
     """
 
     __slots__ = (
         "figure",
         "n_samples",
+        "rate",
         "rates",
         "reported",
         "seen_at",
@@ -71,6 +89,7 @@
         "usual",
         "usual_at",
         "usual_samples",
+        "work_s",
         "works",
     )
 
@@ -84,14 +103,34 @@
         self.usual_at = float("-inf")
         self.rates: deque[float] = deque(maxlen=N_SAMPLES)
         self.works: deque[float] = deque(maxlen=N_SAMPLES)
+        self.rate = 0.0
+        self.work_s = 0.0
         self.n_samples = 0
 
+    def add_rate(self, tokens_per_s: float) -> None:
+        """Adds a sample of the rate."""
+        self.rates.append(tokens_per_s)
+        self.rate = find_fast(self.rates, 0.0, share=FAST_SHARE)
+
+    def add_work(self, work_s: float) -> None:
+        """Adds a sample of the time of a plain request."""
+        self.works.append(work_s)
+        self.work_s = find_fast(self.works, 0.0, share=1 - FAST_SHARE)
+
+    def add_usual(self, percent: float, now: float) -> None:
+        """Adds a figure as one of its period of change, unless one is recorded."""
+        if now - self.usual_at >= FIGURE_CHANGE_S:
+            self.usual_at = now
+            self.usual_samples.append(percent)
+            self.usual = find_typical(self.usual_samples, NORMAL_PERCENT)
+
 
 class ServerSpeeds:
     """Learned speeds and momentary figures of the servers, by service.
 
     Args:
         find_service: returns the service of a server; empty for an unknown server.
+        random_state: source of the random choices.
         read_clock: returns the seconds of the clock that all times refer to.
     """
 
@@ -99,21 +138,34 @@
         self,
         *,
         find_service: Callable[[str], str],
+        random_state: random.Random,
         read_clock: Callable[[], float] = read_boottime,
     ) -> None:
         self._find_service = find_service
+        self._pick_engine = make_spread_pick(random_state, margin_s=ENGINE_MARGIN_S)
+        self._pick_server = make_spread_pick(
+            random_state, margin_share=SERVER_MARGIN_SHARE
+        )
         self._read_clock = read_clock
         self._servers: dict[str, _ServerState] = {}
         self._services: set[str] = set()
         self._medians: dict[str, tuple[float, ServerSpeed]] = {}
         self._errors: deque[float] = deque(maxlen=N_ERRORS)
         self._samples: deque[_Sample] = deque(maxlen=MAX_REPORTED_SAMPLES)
-        self._imported_until: dict[str, int] = {}
+        self._imported_until: dict[str, float] = {}
 
     def is_learned(self, service: str) -> bool:
         """Tells whether servers of a service state how long work takes."""
         return service in self._services
 
+    def find_engine_pick(self, service: str) -> Pick:
+        """Returns how one of a service's engines is picked by their costs."""
+        return self._pick_engine if self.is_learned(service) else pick_lowest
+
+    def find_server_pick(self, service: str) -> Pick:
+        """Returns how one of a service's plain servers is picked by their costs."""
+        return self._pick_server if self.is_learned(service) else pick_lowest
+
     def note_load(self, backend: Backend, load: LoadReport | None) -> None:
         """Records the figure of an answer; a missing one counts as normal."""
         percent = load.work_percent if load is not None else None
@@ -125,7 +177,7 @@
         state = self._find_state(backend.id, backend.service)
         state.figure = Figure(percent=percent or NORMAL_PERCENT, at=now)
         state.seen_at = now
-        _note_usual(state, state.figure.percent, now)
+        state.add_usual(state.figure.percent, now)
 
     def note_first_token(
         self,
@@ -156,7 +208,7 @@
             n_tokens=n_tokens, n_ahead=n_ahead, first_s=first_s, percent=percent
         )
         if rate is not None:
-            state.rates.append(rate)
+            state.add_rate(rate)
             sample = (self._read_clock(), backend.id, True, rate, percent)
             self._plan_report(state, len(state.rates), sample)
         error_s = first_s - predicted_s
@@ -169,7 +221,7 @@
             state = self._find_state(backend.id, backend.service)
             percent = self._read_percent(state)
             work_s = measure_work(answer_s=answer_s, percent=percent)
-            state.works.append(work_s)
+            state.add_work(work_s)
             sample = (self._read_clock(), backend.id, False, work_s, percent)
             self._plan_report(state, len(state.works), sample)
 
@@ -179,9 +231,7 @@
         if n_known < N_SAMPLES or not state.n_samples % SAMPLES_PER_REPORT:
             self._samples.append(sample)
 
-    def add_speeds(
-        self, service: str, loads: Sequence[BackendLoad]
-    ) -> Sequence[BackendLoad]:
+    def add_speeds(self, service: str, loads: list[BackendLoad]) -> list[BackendLoad]:
         """Returns the loads with the predicted speeds of the servers.
 
         Those of a service whose servers do not state how long work takes are returned
@@ -201,8 +251,8 @@
             return typical
         percent = predict_percent(state.figure, usual=state.usual, now=now)
         stretch = percent / NORMAL_PERCENT
-        rate = find_fast(state.rates, typical.tokens_per_s, share=FAST_SHARE)
-        work_s = find_fast(state.works, typical.work_s, share=1 - FAST_SHARE)
+        rate = state.rate or typical.tokens_per_s
+        work_s = state.work_s or typical.work_s
         return ServerSpeed(tokens_per_s=rate / stretch, work_s=work_s * stretch)
 
     def _find_median(self, service: str, now: float) -> ServerSpeed:
@@ -211,44 +261,39 @@
         if speed is not None and now - at < MEDIAN_TTL_S:
             return speed
         states = [s for s in self._servers.values() if s.service == service]
-        rates = [find_fast(state.rates, 0.0, share=FAST_SHARE) for state in states]
-        works = [find_fast(state.works, 0.0, share=1 - FAST_SHARE) for state in states]
+        rates = [state.rate for state in states if state.rate]
+        works = [state.work_s for state in states if state.work_s]
         speed = ServerSpeed(
-            tokens_per_s=find_service_typical(
-                filter(None, rates), PREFILL_TOKENS_PER_S
-            ),
-            work_s=find_service_typical(filter(None, works), DEFAULT_WORK_S),
+            tokens_per_s=find_service_typical(rates, PREFILL_TOKENS_PER_S),
+            work_s=find_service_typical(works, DEFAULT_WORK_S),
         )
         self._medians[service] = (now, speed)
         return speed
 
-    def export_state(self, report_s: float) -> list[Any]:
-        """Returns what other daemons do not know; empty if there is nothing.
-
-        The list has the figures, each with its age in milliseconds, and the newest
-        samples, each with its server, whether it is a rate, its value (a time in
-        microseconds), the server's figure, and the clock in milliseconds, which tells
-        new ones from old.
+    def export_state(
+        self, report_s: float
+    ) -> tuple[dict[str, FigureRow], list[SampleRow]]:
+        """Returns figures and samples that other daemons do not know.
 
         Args:
             report_s: time for which a sample is reported.
         """
         now = self._read_clock()
         figures = self._list_unusual(now)
-        samples = [
-            [
+        samples: list[SampleRow] = [
+            (
                 name,
                 is_rate,
                 round(value * (1 if is_rate else 1e6)),
                 round(percent),
                 round(at * 1_000),
-            ]
+            )
             for at, name, is_rate, value, percent in self._samples
             if now - at <= report_s
         ]
-        return [figures, samples] if figures or samples else []
+        return figures, samples
 
-    def _list_unusual(self, now: float) -> dict[str, list[int]]:
+    def _list_unusual(self, now: float) -> dict[str, FigureRow]:
         """Returns figures that differ from what the other daemons assume."""
         rows = []
         for name, state in self._servers.items():
@@ -262,15 +307,17 @@
                 rows.append((age_s, name, figure.percent))
         rows.sort()
         return {
-            name: [round(percent), round(age_s * 1_000)]
+            name: (round(percent), round(age_s * 1_000))
             for age_s, name, percent in rows[:MAX_REPORTED]
         }
 
-    def import_state(self, member: str, state: Sequence[Any]) -> None:
+    def import_state(
+        self,
+        member: str,
+        figures: Mapping[str, FigureRow],
+        samples: Iterable[SampleRow],
+    ) -> None:
         """Records what another daemon has seen of the servers."""
-        if not state:
-            return
-        figures, samples = state
         now = self._read_clock()
         for name, (percent, age_ms) in figures.items():
             figure = Figure(percent=percent, at=now - max(0, age_ms) / 1_000)
@@ -287,11 +334,11 @@
             if server is None or at_ms <= imported_until:
                 continue
             self._imported_until[member] = at_ms
-            _note_usual(server, percent, now)
+            server.add_usual(percent, now)
             if is_rate:
-                server.rates.append(value)
+                server.add_rate(value)
             else:
-                server.works.append(value / 1e6)
+                server.add_work(value / 1e6)
 
     def _find_reported(self, name: str, value: float) -> _ServerState | None:
         """Returns the state of a server of which another daemon reports a value."""
@@ -331,14 +378,6 @@
         )
 
 
-def _note_usual(state: _ServerState, percent: float, now: float) -> None:
-    """Records a figure as one of its period of change, unless one is recorded."""
-    if now - state.usual_at >= FIGURE_CHANGE_S:
-        state.usual_at = now
-        state.usual_samples.append(percent)
-        state.usual = find_typical(state.usual_samples, NORMAL_PERCENT)
-
-
 def predict_known(reported: Figure | None, usual: float, now: float) -> float:
     """Returns the figure that the other daemons assume for a server."""
     if reported is None or now - reported.at >= FIGURE_TTL_S:
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -40,6 +40,9 @@
         may_be_stopped: whether the server of the last attempt stopped the run, or may
             have done so, in order to move it.
         moved_to: backend server that continues the run; empty for any.
+        n_ahead: prompt tokens that the chosen engine was known to read before.
+        wait_error_s: time from sending the last attempt to its first token beyond the
+            predicted one; None if its service's speeds are not learned.
         is_trial: whether the request tries what is otherwise held back.
     """
 
@@ -72,6 +75,8 @@
     backend_id: str = ""
     first_byte_s: float = -1.0
     predicted_wait_s: float = 0.0
+    n_ahead: float = 0.0
+    wait_error_s: float | None = None
 
     @property
     def urgency(self) -> int:
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -84,6 +84,7 @@
             none.
         brittle: value of the header that names how many requests the server may turn
             away in a second before it falls over; empty for none.
+        load_suffix: what follows the three figures of its load.
         room: requests that it runs at the same time; it turns others away.
         may_fall: whether it falls over then; it says so some time before.
         fall_s: time for which it is gone after it fell over.
@@ -118,6 +119,7 @@
         self.on_fall = on_fall
         self.on_stop = on_stop
         self.on_run = on_run
+        self.load_suffix = ""
         self.on_crash = on_crash
         self.crashing_parts: frozenset[str] = frozenset()
         self.crashing_bodies: frozenset[bytes] = frozenset()
@@ -327,7 +329,7 @@
     headers = {
         "X-Berylpost-Attempt-Id": incoming.headers.get("x-berylpost-attempt-id", ""),
         "X-Berylpost-Replica-Signature": SIGNATURE,
-        "X-Berylpost-Replica-Load": "1,0,8",
+        "X-Berylpost-Replica-Load": f"1,0,8{replica.load_suffix}",
     }
     if replica.limit:
         headers["Server-Limit"] = replica.limit
--- a/berylpost/policy/placement.py
+++ b/berylpost/policy/placement.py
@@ -103,6 +103,9 @@
     choice: Choice
 
 
+Pick = Callable[[Sequence[Candidate]], Choice | None]
+
+
 def pick_lowest(candidates: Sequence[Candidate]) -> Choice | None:
     """Picks the first candidate with the lowest cost; None if there are none."""
     best = min(candidates, key=lambda candidate: candidate.cost, default=None)
@@ -111,7 +114,7 @@
 
 def make_spread_pick(
     random_state: random.Random, *, margin_s: float = 0.0, margin_share: float = 0.0
-) -> Callable[[Sequence[Candidate]], Choice | None]:
+) -> Pick:
     """Makes a pick that keeps many daemons from choosing the same server at once.
 
     It compares a few random ones of the candidates whose costs are nearly the lowest.
@@ -166,7 +169,7 @@
     loads: Sequence[BackendLoad],
     uncached: Sequence[float],
     *,
-    pick: Callable[[Sequence[Candidate]], Choice | None] = pick_lowest,
+    pick: Pick = pick_lowest,
 ) -> Choice | None:
     """Chooses the engine with the lowest predicted time to first token.
 
@@ -202,7 +205,7 @@
     *,
     work_s: float,
     tie_breaker: int,
-    pick: Callable[[Sequence[Candidate]], Choice | None] = pick_lowest,
+    pick: Pick = pick_lowest,
 ) -> Choice | None:
     """Chooses the plain server with the lowest predicted cost.
 
--- a/features/steps/uneven_server_model.py
+++ b/features/steps/uneven_server_model.py
@@ -15,13 +15,10 @@
 from berylpost.edge.model import Backend, BackendState, Endpoint, LoadReport
 from berylpost.edge.server_speeds import DEFAULT_WORK_S, ServerSpeeds
 from berylpost.policy.placement import (
-    ENGINE_MARGIN_S,
-    SERVER_MARGIN_SHARE,
     BackendLoad,
     Choice,
     choose_engine,
     choose_server,
-    make_spread_pick,
     pick_lowest,
 )
 
@@ -134,11 +131,9 @@
         self.told = {name: (0, 0.0) for name in servers}
         self.mean_answer_s = dict.fromkeys(servers, 0.0)
         self.speeds = ServerSpeeds(
-            find_service=lambda _name: "s", read_clock=lambda: world.now
-        )
-        self.pick_engine = make_spread_pick(random_state, margin_s=ENGINE_MARGIN_S)
-        self.pick_server = make_spread_pick(
-            random_state, margin_share=SERVER_MARGIN_SHARE
+            find_service=lambda _name: "s",
+            random_state=random_state,
+            read_clock=lambda: world.now,
         )
         self.turn = random_state.randrange(len(servers))
 
@@ -182,9 +177,10 @@
     def choose(daemon, totals, n_tokens):
         loads = daemon.view_loads(totals)
         pick_engine = pick_server = pick_lowest
-        if uses_speeds and daemon.speeds.is_learned("s"):
+        if uses_speeds:
             loads = daemon.speeds.add_speeds("s", loads)
-            pick_engine, pick_server = daemon.pick_engine, daemon.pick_server
+            pick_engine = daemon.speeds.find_engine_pick("s")
+            pick_server = daemon.speeds.find_server_pick("s")
         if n_tokens:
             uncached = [n_tokens] * len(loads)
             return choose_engine(loads, uncached, pick=pick_engine)
@@ -262,11 +258,12 @@
             self.totals[name][0] += own[0] - told[0]
             self.totals[name][1] += own[1] - told[1]
             daemon.told[name] = tuple(own)
-        state = daemon.speeds.export_state(ROUND_S)
-        self.datagram_bytes.append(len(encode(state)) if state else 0)
-        for other in self.daemons if state else ():
+        figures, samples = daemon.speeds.export_state(ROUND_S)
+        has_news = bool(figures or samples)
+        self.datagram_bytes.append(len(encode((figures, samples))) if has_news else 0)
+        for other in self.daemons if has_news else ():
             if other is not daemon:
-                other.speeds.import_state(daemon.name, state)
+                other.speeds.import_state(daemon.name, figures, samples)
         self.world.at(self.world.now + ROUND_S, lambda: self.gossip(daemon))
 
     def send(self, daemon, work_s, n_tokens):
--- a/features/steps/uneven_server_steps.py
+++ b/features/steps/uneven_server_steps.py
@@ -1,8 +1,17 @@
-"""Steps for servers of uneven speed, without sockets and in virtual time."""
+"""Steps for servers of uneven speed, most of them in virtual time."""
 
+import asyncio
 import random
 
-from behave import then, when
+from behave import given, then, when
+from steps.entry_steps import (
+    Caller,
+    first_daemon,
+    make_request_line,
+    send_request,
+    start_world,
+    wait_for,
+)
 from steps.uneven_server_model import (
     CHOOSERS,
     TOKENS_PER_S,
@@ -78,7 +87,11 @@
 )
 def check_unknown_server(context, a, b, c):
     now = 0.0
-    speeds = ServerSpeeds(find_service=lambda _: "s", read_clock=lambda: now)
+    speeds = ServerSpeeds(
+        find_service=lambda _: "s",
+        random_state=random.Random(1),
+        read_clock=lambda: now,
+    )
     for name, rate in zip("abc", (a, b, c), strict=True):
         backend = Backend(
             id=name,
@@ -195,3 +208,54 @@
         metered[speed] = replay.metered_s
     ratio = metered[SLOW] * SLOW / metered[1.0]
     assert abs(ratio - 1) < METER_SHARE, ratio
+
+
+@given('two entry daemons and servers that state a load of "{load}"')
+def start_daemons(context, load):
+    start_world(context, n_daemons=2)
+    for replica in context.world.replicas:
+        replica.load_suffix = load.removeprefix("1,0,8")
+
+
+@when("the first daemon is sent {n_plain:d} plain requests and {n_prompts:d} prompts")
+def send_requests(context, n_plain, n_prompts):
+    daemon = first_daemon(context)
+    header = "X-Berylpost-Prompt-Prefix: a:300,own:2500"
+    for n in range(n_plain):
+        line = make_request_line("read")
+        answer = context.world.run(send_request(daemon, line, f"p{n}"))
+        assert answer.status == 200, answer
+    for n in range(n_prompts):
+        line = make_request_line("stream")
+        sent = send_request(daemon, line, f"s{n}", extra_headers=(header,))
+        answer = context.world.run(sent)
+        assert answer.status == 200 and answer.complete, answer
+
+
+@then(
+    'the first daemon has learned "{learned}" and shows the prediction error: "{shown}"'
+)
+def check_daemon(context, learned, shown):
+    daemon = first_daemon(context)
+    assert daemon.speeds.is_learned("app") == (learned == "yes")
+    text = context.world.run(read_metrics(daemon))
+    for percentile in ("p50", "p95"):
+        name = f"berylpost_edge_first_token_prediction_error_{percentile}_seconds "
+        assert (name in text) == (shown == "yes"), text
+
+
+@then('the other daemon has heard of the speeds: "{heard}"')
+def check_exchange(context, heard):
+    _, other = context.world.daemons.values()
+    if heard == "yes":
+        wait_for(2.0, lambda: other.speeds.is_learned("app"))
+    else:
+        assert not other.speeds.is_learned("app")
+
+
+async def read_metrics(daemon):
+    caller = Caller(*await asyncio.open_connection(*daemon.settings.metrics))
+    caller.writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+    answer = await caller.read()
+    caller.close()
+    return answer.body.decode()
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -77,3 +77,17 @@
   Scenario: An engine of speed 0.55 counts as 0.55 servers in the work that sizes a fleet
     # Guards against a fleet that is sized for engines of the usual speed.
     Then the work metered for the same prompts on engines of speed 0.55 is that on engines of speed 1 divided by 0.55
+
+  Scenario Outline: Two daemons with servers that state a load of <load>
+    # Guards against speeds that are not used, not exchanged, or used where no server
+    # states a fourth figure.
+    Given two entry daemons and servers that state a load of "<load>"
+    When the first daemon is sent 10 plain requests and 10 prompts
+    Then the first daemon has learned "<learned>" and shows the prediction error: "<learned>"
+    And the other daemon has heard of the speeds: "<learned>"
+
+    Examples:
+      | load      | learned |
+      | 1,0,8     | no      |
+      | 1,0,8,250 | yes     |
+      | 1,0,8,x   | no      |
