--- a/features/run.py
+++ b/features/run.py
@@ -1,15 +1,17 @@
 """Runs behave on the features of this folder and prints what failed and the totals.
 
 Features run side by side, each in a process of its own: their fakes have addresses and
-ports of their own. Scenarios tagged `known_red` are listed in KNOWN-RED.txt; they are
-skipped, and the list is printed. The exit status is 1 on any failure and if no scenario
-ran.
+ports of their own. Those tagged `alone` run after the others, one at a time, since they
+load the machine and measure processes. Scenarios tagged `known_red` are listed in
+KNOWN-RED.txt; they are skipped, and the list is printed. The exit status is 1 on any
+failure and if no scenario ran.
 """
 
 import json
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,6 +19,7 @@
 FEATURES = Path(__file__).parent
 KNOWN_RED = FEATURES.parent / "KNOWN-RED.txt"
 N_WORKERS = 2
+ALONE_TAG = "@alone"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +73,21 @@
     return [[str(path)] for path in paths]
 
 
+def is_alone(run: list[str]) -> bool:
+    """Tells whether the feature of a run must not run beside others."""
+    return any(
+        Path(argument).is_file() and Path(argument).read_text().startswith(ALONE_TAG)
+        for argument in run
+    )
+
+
+def run_all(runs: list[list[str]]) -> Iterator[Result]:
+    """Runs features side by side, then those that must run alone."""
+    with ThreadPoolExecutor(N_WORKERS) as executor:
+        yield from executor.map(run_feature, [r for r in runs if not is_alone(r)])
+    yield from map(run_feature, [r for r in runs if is_alone(r)])
+
+
 def main() -> int:
     """Runs the features given on the command line, or all."""
     if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
@@ -77,16 +95,15 @@
     n_passed = 0
     failures: list[str] = []
     failed = False
-    with ThreadPoolExecutor(N_WORKERS) as executor:
-        for result in executor.map(run_feature, list_runs(sys.argv[1:])):
-            print(result.output, end="", flush=True)
-            failed = failed or result.status != 0
-            n_passed += sum(status == "passed" for status, _ in result.scenarios)
-            failures += [
-                f"{status}: {scenario}"
-                for status, scenario in result.scenarios
-                if status not in ("passed", "skipped")
-            ]
+    for result in run_all(list_runs(sys.argv[1:])):
+        print(result.output, end="", flush=True)
+        failed = failed or result.status != 0
+        n_passed += sum(status == "passed" for status, _ in result.scenarios)
+        failures += [
+            f"{status}: {scenario}"
+            for status, scenario in result.scenarios
+            if status not in ("passed", "skipped")
+        ]
     print("", *failures, f"{n_passed} passed, {len(failures)} failed", sep="\n")
     return 0 if n_passed and not failures and not failed else 1
 
