Bound all that callers make an entry daemon hold

The budget counted bodies only. Header sections take up to 60 times their bytes as objects, pipelined requests were parsed without end, and callers could take every descriptor.

BufferBudget now counts connections, header sections as stored, parsed requests, received bytes behind them, bodies and all unsent answers. policy/client_limits.py decides who loses when they exceed their share: what makes no progress first, by bytes and age, then requests much larger than an ordinary one that asks; otherwise the one that asks gets 503 with Retry-After, as not run. A caller that does not read its answers gets no further request started. Connections are bounded by half of the descriptors beside 64 and by memory; a new one displaces an idle one.

An upload of ordinary speed is not displaced by a later one, as the oldest would be.

--- /dev/null
+++ b/berylpost/edge/caller_server.py
@@ -0,0 +1,221 @@
+"""Listens for callers and bounds how many may be connected.
+
+When callers have as many connections as the process has descriptors and memory for, a
+new one takes the place of an idle one. If none is idle, the new one gets 503 with a
+time to come back.
+"""
+
+import asyncio
+import logging
+import resource
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from ..logs import log_event
+from ..policy.client_limits import (
+    CONNECTION_BYTES,
+    IdleConnection,
+    choose_connection,
+    limit_connections,
+)
+from .buffer_budget import BufferBudget
+from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
+from .clock import read_boottime
+from .model import CallerLimits
+
+LOGGER: Final = logging.getLogger(__name__)
+
+BACKLOG: Final = 1_024  # room for a burst of new connections while the loop is busy
+# Connections accepted in one round of the event loop. They are counted up to three
+# rounds later, and must not take the descriptors that a daemon keeps for itself.
+ACCEPTED_AT_ONCE: Final = 8
+# Connections are kept this much longer than callers may leave them idle, so that no
+# request is sent while its connection is being closed.
+IDLE_MARGIN_S: Final = 2.0
+SWEEP_S: Final = 1.0
+LOG_S: Final = 1.0  # between two log lines about connections; they come in bursts
+
+Handler = Callable[[CallerRequest, CallerConnection], Awaitable[None]]
+
+
+def read_descriptor_limit() -> float:
+    """Returns how many descriptors this process may open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return float("inf") if soft == resource.RLIM_INFINITY else soft
+
+
+class CallerServer:
+    """Listens for callers and passes each complete request to a handler.
+
+    Args:
+        handler: serves one request; it must finish or abort the answer.
+        read_limits: returns the limits for callers that currently apply.
+        buffers: counts the bodies that are held; None for few small ones.
+
+    Attributes:
+        leaving: whether to close each connection after its next answer.
+        max_connections: connections that callers may have open at once.
+        counts: how many connections were closed for new ones, and rejected.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+        buffers: BufferBudget | None = None,
+    ) -> None:
+        self.handler = handler
+        self.buffers = buffers or BufferBudget(memory_bytes=float("inf"))
+        self.read_limits = read_limits
+        self.leaving = False
+        self.connections: set[CallerConnection] = set()
+        self.counts: Counter[str] = Counter()
+        self.max_connections = limit_connections(
+            read_descriptor_limit(), self.buffers.request_limit
+        )
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self._logged_at = float("-inf")
+
+    async def start(self, ip: str, port: int) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        sock = _bind(ip, port)
+        self._server = await loop.create_server(
+            lambda: CallerConnection(server=self), sock=sock, backlog=ACCEPTED_AT_ONCE
+        )
+        # asyncio uses one figure for the queue and for what it accepts in one round.
+        sock.listen(BACKLOG)
+        self._sweeper = asyncio.create_task(self._close_idle())
+
+    def stop_listening(self) -> None:
+        """Stops accepting connections; open ones continue."""
+        if self._server is not None:
+            self._server.close()
+
+    async def end_requests(self, timeout_s: float) -> None:
+        """Ends the requests in progress and waits until their handlers have answered.
+
+        Args:
+            timeout_s: how long to wait.
+        """
+        tasks = [t for c in self.connections if (t := c.end_requests()) is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
+    def count_busy(self) -> int:
+        """Counts the connections with an unanswered request."""
+        return sum(1 for connection in self.connections if connection.is_busy)
+
+    def read_gauges(self) -> dict[str, float]:
+        """Returns what callers make the daemon hold, as metrics by name."""
+        return {
+            "busy_connections": self.count_busy(),
+            "caller_connections": len(self.connections),
+            "caller_bytes": self.buffers.n_held + self.buffers.n_connection_bytes,
+        }
+
+    def read_counters(self) -> dict[str, float]:
+        """Returns who lost a place to others so far, as metrics by name."""
+        return {
+            "caller_requests_rejected": self.buffers.counts["rejected"],
+            "caller_requests_displaced": self.buffers.counts["displaced"],
+            "unread_answers_dropped": self.buffers.counts["unread"],
+            "caller_connections_displaced": self.counts["closed"],
+            "caller_connections_rejected": self.counts["rejected"],
+        }
+
+    def close(self) -> None:
+        """Stops listening and closes all connections, busy ones after their request."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close_when_written()
+
+    def kill(self) -> None:
+        """Stops listening and aborts all connections, like the end of the process."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def admit(self, connection: CallerConnection) -> bool:
+        """Registers a new connection, in place of an idle one if necessary.
+
+        Returns:
+            Whether it may stay; otherwise it is to be rejected.
+        """
+        admitted = len(self.connections) < self.max_connections or self._close_one()
+        self.connections.add(connection)
+        self.buffers.n_connection_bytes += CONNECTION_BYTES
+        if not admitted:
+            self.counts["rejected"] += 1
+            self._log_full("connection_rejected")
+        return admitted
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Removes a connection that was lost or is being closed for another one."""
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.buffers.n_connection_bytes -= CONNECTION_BYTES
+
+    def _close_one(self) -> bool:
+        """Closes the idle connection that matters least, if there is one."""
+        chosen = choose_connection(
+            IdleConnection(key=c, active_at=c.active_at, has_served=c.has_served)
+            for c in self.connections
+            if not c.is_busy
+        )
+        if chosen is None:
+            return False
+        connection = chosen.key
+        assert isinstance(connection, CallerConnection)
+        self.counts["closed"] += 1
+        self._log_full("connection_displaced")
+        connection.abort()
+        self.remove(connection)
+        return True
+
+    def _log_full(self, event: str) -> None:
+        now = read_boottime()
+        if now - self._logged_at >= LOG_S:
+            self._logged_at = now
+            log_event(LOGGER, event, limit=self.max_connections, **self.counts)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            limits = self.read_limits()
+            idle_before = read_boottime() - limits.idle_timeout_s - IDLE_MARGIN_S
+            for connection in list(self.connections):
+                memory = connection.memory
+                if memory.n_unsent:
+                    memory.count_unsent()
+                if connection.is_running or connection.active_at >= idle_before:
+                    continue
+                if memory.n_unsent:
+                    if memory.unread_since < idle_before:
+                        connection.abort()
+                elif not connection.is_busy:
+                    connection.close_when_written()
+
+
+def _bind(ip: str, port: int) -> socket.socket:
+    """Binds a socket to listen on."""
+    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((ip, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -8,31 +8,35 @@
 import logging
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Final, cast
+from typing import TYPE_CHECKING, Final, cast
 
 import httptools
 
 from ..errors import BerylpostError, ErrorKind, render_problem
 from ..logs import log_event
 from ..platform import names
-from ..platform.headers import Header
-from .buffer_budget import BufferBudget
+from ..platform.headers import MAX_DIGITS, Header, is_number
+from ..policy.client_limits import cost_request
+from .caller_memory import CallerMemory
 from .clock import read_boottime
 from .model import CallerLimits
 
+if TYPE_CHECKING:
+    from .caller_server import CallerServer
+
 LOGGER: Final = logging.getLogger(__name__)
 
-BACKLOG: Final = 1_024  # room for a burst of new connections while the loop is busy
 MAX_PIPELINED: Final = 8  # complete requests queued behind the one in progress
-# Connections are kept this much longer than callers may leave them idle, so that no
-# request is sent while its connection is being closed.
-IDLE_MARGIN_S: Final = 2.0
-SWEEP_S: Final = 1.0
+# Parsed at once, so that few requests and header lines arrive beyond a limit.
+HEAD_SLICE_BYTES: Final = 4_096
+PIPELINE_SLICE_BYTES: Final = 1_024  # of requests behind one that is being served
+BODY_SLICE_BYTES: Final = 65_536
 # Other requests have been answered by then.
 BUSY_RETRY_S: Final = 0.5
+CONTINUE: Final = b"100-continue"
 HEADER_EXTRA_BYTES: Final = 4  # colon, space and line end
 # Limits for callers until a configuration sets others.
 DEFAULT_LIMITS: Final = CallerLimits(
@@ -50,6 +54,7 @@
     Attributes:
         headers: headers with names in lower case.
         arrived_at: boot-time clock at which the first bytes arrived.
+        n_held: memory that is counted for it.
     """
 
     method: bytes
@@ -58,6 +63,7 @@
     body: bytes
     arrived_at: float
     keep_alive: bool
+    n_held: int = 0
 
     def find(self, name: bytes) -> bytes:
         """Returns the value of a header; empty if there is none."""
@@ -67,97 +73,6 @@
         return b""
 
 
-Handler = Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
-
-
-class CallerServer:
-    """Listens for callers and passes each complete request to a handler.
-
-    Args:
-        handler: serves one request; it must finish or abort the answer.
-        read_limits: returns the limits for callers that currently apply.
-        buffers: counts the bodies that are held; None for few small ones.
-
-    Attributes:
-        leaving: whether to close each connection after its next answer.
-    """
-
-    def __init__(
-        self,
-        *,
-        handler: Handler,
-        read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
-        buffers: BufferBudget | None = None,
-    ) -> None:
-        self.handler = handler
-        self.buffers = buffers or BufferBudget(memory_bytes=float("inf"))
-        self.read_limits = read_limits
-        self.leaving = False
-        self.connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
-        self._sweeper: asyncio.Task[None] | None = None
-
-    async def start(self, ip: str, port: int) -> None:
-        """Starts listening.
-
-        Raises:
-            OSError: the address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(server=self),
-            ip,
-            port,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
-        self._sweeper = asyncio.create_task(self._close_idle())
-
-    def stop_listening(self) -> None:
-        """Stops accepting connections; open ones continue."""
-        if self._server is not None:
-            self._server.close()
-
-    async def end_requests(self, timeout_s: float) -> None:
-        """Ends the requests in progress and waits until their handlers have answered.
-
-        Args:
-            timeout_s: how long to wait.
-        """
-        tasks = [t for c in self.connections if (t := c.end_requests()) is not None]
-        if tasks:
-            await asyncio.wait(tasks, timeout=timeout_s)
-
-    def count_busy(self) -> int:
-        """Counts the connections with an unanswered request."""
-        return sum(1 for connection in self.connections if connection.is_busy)
-
-    def close(self) -> None:
-        """Stops listening and closes all connections, busy ones after their request."""
-        self.stop_listening()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
-        for connection in list(self.connections):
-            connection.close_when_written()
-
-    def kill(self) -> None:
-        """Stops listening and aborts all connections, like the end of the process."""
-        self.stop_listening()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
-        for connection in list(self.connections):
-            connection.abort()
-
-    async def _close_idle(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            limits = self.read_limits()
-            idle_before = read_boottime() - limits.idle_timeout_s - IDLE_MARGIN_S
-            for connection in list(self.connections):
-                if not connection.is_busy and connection.active_at < idle_before:
-                    connection.close_when_written()
-
-
 class CallerConnection(asyncio.Protocol):
     """A connection from one caller.
 
@@ -169,9 +84,11 @@
         on_writable: called with False when the caller reads too slowly and with True
             when writing can resume or the connection is lost.
         answer_started: whether the head of the current answer was sent.
+        has_served: whether a request was answered on it.
+        memory: counts what the caller makes the daemon hold.
     """
 
-    def __init__(self, *, server: CallerServer) -> None:
+    def __init__(self, *, server: "CallerServer") -> None:
         self.active_at = read_boottime()
         self.on_writable: Callable[[bool], None] | None = None
         self._server = server
@@ -187,8 +104,16 @@
         self._overhead_bytes = 0
         self._in_head = True
         self._has_progress = False
-        # Bytes counted because the caller reads too slowly.
-        self._n_unsent = 0
+        self._is_paused = False
+        # Received behind the most requests that are queued, not parsed yet.
+        self._unparsed = b""
+        self.has_served = False
+        self.memory = CallerMemory(
+            budget=server.buffers,
+            reject=self._reject_overload,
+            abort=self.abort,
+            read_unsent=self._read_unsent,
+        )
         self._body = bytearray()
         self._arrived_at = 0.0
         self._chunked = False
@@ -200,6 +125,11 @@
         """Whether a complete request is queued or being served."""
         return self._task is not None or bool(self._queue)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether a request is being served."""
+        return self._task is not None
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open."""
@@ -213,22 +143,41 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._server.connections.add(self)
+        if not self._server.admit(self):
+            retry_s = BUSY_RETRY_S
+            self._reject(ErrorKind.OVERLOADED, "too many connections", retry_s)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         if self._rejected:
             return
-        self.active_at = read_boottime()
-        self._has_progress = False
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(ErrorKind.BAD_REQUEST, "protocol upgrades are not offered")
-        except httptools.HttpParserError as error:
-            self._reject(ErrorKind.BAD_REQUEST, str(error))
-        if not self._has_progress:
-            self._count_overhead(len(data))
+        self.active_at = self.memory.active_at = read_boottime()
+        self._parse(self._unparsed + data if self._unparsed else data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parses until the bytes end or enough requests are queued."""
+        position = 0
+        self._unparsed = b""
+        while position < len(data) and not self._rejected:
+            if len(self._queue) > MAX_PIPELINED:
+                self._unparsed = data[position:]
+                break
+            n_bytes = HEAD_SLICE_BYTES if self._in_head else BODY_SLICE_BYTES
+            if self._in_head and self.is_busy:
+                n_bytes = PIPELINE_SLICE_BYTES
+            piece = data[position : position + n_bytes]
+            position += n_bytes
+            self._has_progress = False
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade:
+                self._reject(ErrorKind.BAD_REQUEST, "protocol upgrades are not offered")
+            except httptools.HttpParserError as error:
+                self._reject(ErrorKind.BAD_REQUEST, str(error))
+            if not self._has_progress:
+                self._count_overhead(len(piece))
+            self._count_held()
+        self._count_held()
 
     def eof_received(self) -> bool:
         """Closes the connection when the caller has closed its side."""
@@ -237,12 +186,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request in progress and drops the queued ones."""
         self._transport = None
-        self._count_unsent(0)
-        n_held = len(self._body) + sum(len(r.body) for r in self._queue)
-        self._server.buffers.adjust(-n_held)
-        self._body = bytearray()
-        self._queue.clear()
-        self._server.connections.discard(self)
+        self.memory.count_unsent(0)
+        self._drop_unserved()
+        self._server.remove(self)
         if self._task is not None:
             self._task.cancel()
         if self.on_writable is not None:
@@ -250,15 +196,18 @@
 
     def pause_writing(self) -> None:
         """Reports that the caller reads too slowly."""
-        self._count_unsent()
+        self._is_paused = True
+        self.memory.count_unsent()
         if self.on_writable is not None:
             self.on_writable(False)
 
     def resume_writing(self) -> None:
         """Reports that writing can resume."""
-        self._count_unsent(0)
+        self._is_paused = False
+        self.memory.count_unsent()
         if self.on_writable is not None:
             self.on_writable(True)
+        self._start_next()
 
     # Called by the parser.
 
@@ -285,10 +234,10 @@
     def on_headers_complete(self) -> None:
         """Answers `Expect: 100-continue`."""
         self._in_head = False
-        if (
-            not self._rejected
-            and dict(self._headers).get(b"expect", b"").lower() == b"100-continue"
-        ):
+        headers = dict(self._headers)
+        length = headers.get(b"content-length", b"")
+        self.memory.n_expected = int(length[:MAX_DIGITS]) if is_number(length) else 0
+        if not self._rejected and headers.get(b"expect", b"").lower() == CONTINUE:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -296,9 +245,6 @@
         self._has_progress = True
         if self._rejected:
             return
-        if not self._server.buffers.take(len(body)):
-            self._reject(ErrorKind.OVERLOADED, "too many bodies at once", BUSY_RETRY_S)
-            return
         self._body += body
         limit = self._server.read_limits().body_bytes
         if len(self._body) > limit:
@@ -307,8 +253,13 @@
     def on_message_complete(self) -> None:
         """Queues the complete request."""
         self._has_progress = True
+        self._in_head = True
         if self._rejected:
             return
+        n_held = self._cost_incomplete()
+        if not self.memory.take(n_held):
+            self._reject_overload()
+            return
         request = CallerRequest(
             method=self._parser.get_method(),
             target=self._target,
@@ -316,8 +267,11 @@
             body=bytes(self._body),
             arrived_at=self._arrived_at,
             keep_alive=self._parser.should_keep_alive(),
+            n_held=n_held,
         )
-        self._body = bytearray()
+        self._drop_incomplete()
+        self.memory.n_expected = 0
+        self.memory.complete()
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED and self._transport is not None:
             self._transport.pause_reading()
@@ -421,12 +375,37 @@
         if self._overhead_bytes > limit and not self._rejected:
             self._reject(ErrorKind.BAD_REQUEST, f"headers of more than {limit} bytes")
 
-    def _count_unsent(self, n_bytes: int | None = None) -> None:
-        """Counts what the caller has not read; by default all that is buffered."""
-        if n_bytes is None and self._transport is not None:
-            n_bytes = self._transport.get_write_buffer_size()
-        before, self._n_unsent = self._n_unsent, n_bytes or 0
-        self._server.buffers.adjust(self._n_unsent - before)
+    def _reject_overload(self) -> None:
+        self._reject(ErrorKind.OVERLOADED, "too much is held at once", BUSY_RETRY_S)
+
+    def _read_unsent(self) -> int:
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    def _cost_incomplete(self) -> int:
+        """Returns the memory for the request that is arriving; 0 if there is none."""
+        n_bytes = self._overhead_bytes + len(self._target) + len(self._body)
+        return cost_request(len(self._headers), n_bytes) if n_bytes else 0
+
+    def _count_held(self) -> None:
+        """Counts what has arrived; rejects the request if that is too much."""
+        self.memory.arrived_at = self._arrived_at
+        n_bytes = self._cost_incomplete() + len(self._unparsed)
+        if not self._rejected and not self.memory.take(n_bytes):
+            self._reject_overload()
+
+    def _drop_incomplete(self) -> None:
+        self._target = b""
+        self._headers = []
+        self._overhead_bytes = 0
+        self._body = bytearray()
+
+    def _drop_unserved(self) -> None:
+        """Drops the incomplete request and the queued ones."""
+        self._drop_incomplete()
+        self._unparsed = b""
+        self.memory.drop_unserved()
+        self._queue.clear()
 
     def _reject(
         self, kind: ErrorKind, detail: str, retry_after_s: float | None = None
@@ -443,22 +422,31 @@
             lines += [f"{name}: {value}" for name, value in headers]
             lines += [f"Content-Length: {len(body)}", "Connection: close"]
             self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self._drop_unserved()
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
-            if self._n_unsent:
-                self._count_unsent()
+            if self.memory.n_unsent or self._read_unsent():
+                self.memory.count_unsent()
 
     def _start_next(self) -> None:
         if self._task is not None or not self._queue or self._transport is None:
             return
+        if self._is_paused:
+            return  # the caller is to read its answers first
         self._request = self._queue.popleft()
+        self.memory.begin(self._request.n_held)
         self.answer_started = False
+        n_held = self._request.n_held
         self._task = asyncio.create_task(self._run(self._request))
+        # Also if it is cancelled before it begins.
+        self._task.add_done_callback(lambda _task: self.memory.release(n_held))
         if len(self._queue) == MAX_PIPELINED:
-            self._transport.resume_reading()
+            self._parse(self._unparsed)
+            if len(self._queue) <= MAX_PIPELINED and self._transport is not None:
+                self._transport.resume_reading()
 
     async def _run(self, request: CallerRequest) -> None:
         try:
@@ -473,8 +461,8 @@
                 kind = ErrorKind.INTERNAL
                 self.answer_error(BerylpostError(kind, "see this daemon's log"))
         finally:
-            self._server.buffers.adjust(-len(request.body))
             self._task = None
+            self.has_served = True
             self.on_writable = None
             self.active_at = read_boottime()
             if self._transport is not None:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -21,7 +21,8 @@
 from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
 from .buffer_budget import BufferBudget
-from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest, CallerServer
+from .caller_server import CallerServer
+from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .duties import Duties
@@ -442,7 +443,7 @@
             "backends": len(self.catalogue.backends),
             "configuration_number": configuration.number if configuration else 0,
             "confirmation_age_seconds": round(age_s, 3),
-            "busy_connections": self.front.count_busy(),
+            **self.front.read_gauges(),
             "held_parts": self.quarantine.n_held,
             "limited_servers": self.limits.n_limited,
             "brittle_servers": self.brittle.n_limited,
@@ -462,6 +463,7 @@
             "passed_on_connects": self.paths.tunnels.n_opened,
             "declined_connects": self.paths.tunnels.n_refused,
             "engine_probes": self.notice_poller.n_queries,
+            **self.front.read_counters(),
         }
         body = render_metrics(gauges, counters)
         caller.answer(200, b"", ((b"content-type", b"text/plain"),), body)
--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -175,7 +175,7 @@
     return {unquote(name).lower(): unquote(value) for name, _, value in pairs}
 
 
-def is_number(text: str) -> bool:
+def is_number(text: str | bytes) -> bool:
     """Tells whether a text is a decimal number that `int` converts.
 
     `str.isdigit` accepts digits such as `²`, and `int` refuses thousands of digits.
--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -19,7 +19,8 @@
 from steps.shared import DETERMINISTIC
 
 from berylpost import http_pools
-from berylpost.edge.callers import CallerConnection, CallerServer
+from berylpost.edge.caller_server import CallerServer
+from berylpost.edge.callers import CallerConnection
 from berylpost.edge.http_channel import _AnswerProtocol
 from berylpost.edge.upstream import Connection, Exchange
 from berylpost.upstream import Upstream
