Release the headers of answered requests, and let in ordinary ones

A connection kept its last request until the next one, so idle callers held headers that nothing counted. And requests were rejected whenever answers took more than half of the budget, so callers of large answers kept all others out.

The connection now drops its request with the answer. A request of at most 64 KiB is compared with what requests hold and with the whole budget.

--- a/berylpost/edge/buffer_budget.py
+++ b/berylpost/edge/buffer_budget.py
@@ -83,6 +83,7 @@
         self.limit = max(MIN_LIMIT_BYTES, share)
         self.n_held = 0
         self.n_connection_bytes = 0
+        self._n_requests = 0
         self.counts: Counter[str] = Counter()
         self._answers: set[AnswerBuffer] = set()
         # Connections with an incomplete request or an unread answer; in order of entry.
@@ -104,18 +105,34 @@
         Returns:
             Whether the bytes may be held.
         """
-        limit = self.request_limit
-        if n_total > ORDINARY_BYTES:
-            limit *= LARGE_SHARE
-        limit -= self.n_connection_bytes
-        if self.n_held + n_bytes > limit:
-            self._make_room(self.n_held + n_bytes - limit, holder, n_total)
-        if self.n_held + n_bytes > limit:
+        if (n_needed := self._find_excess(n_bytes, n_total)) > 0:
+            self._make_room(n_needed, holder, n_total)
+        if self._find_excess(n_bytes, n_total) > 0:
             self.counts["rejected"] += 1
             return False
         self.n_held += n_bytes
+        self._n_requests += n_bytes
         return True
 
+    def release_request(self, n_bytes: int) -> None:
+        """Releases bytes of a request."""
+        self.n_held -= n_bytes
+        self._n_requests -= n_bytes
+
+    def _find_excess(self, n_bytes: int, n_total: int) -> float:
+        """Returns how many bytes exceed the limits if a request takes `n_bytes`.
+
+        A large request leaves room for answers. An ordinary one may take what answers
+        leave, or large answers would keep all others out.
+        """
+        n_others = n_bytes + self.n_connection_bytes
+        if n_total > ORDINARY_BYTES:
+            return self.n_held + n_others - self.request_limit * LARGE_SHARE
+        return max(
+            self._n_requests + n_others - self.request_limit,
+            self.n_held + n_others - self.limit,
+        )
+
     def adjust(self, n_bytes: int) -> None:
         """Counts bytes that are held anyway, or releases bytes if negative."""
         self.n_held += n_bytes
--- a/berylpost/edge/caller_memory.py
+++ b/berylpost/edge/caller_memory.py
@@ -53,7 +53,7 @@
         n_total = max(n_incomplete, self.n_expected) + self._n_queued + self._n_running
         if n_more > 0 and not self._budget.take(n_more, self, n_total):
             return False
-        self._budget.adjust(min(0, n_more))
+        self._budget.release_request(max(0, -n_more))
         self._n_incomplete = n_incomplete
         self._register()
         return True
@@ -72,11 +72,11 @@
     def release(self, n_bytes: int) -> None:
         """Releases a running request of `n_bytes`."""
         self._n_running -= n_bytes
-        self._budget.adjust(-n_bytes)
+        self._budget.release_request(n_bytes)
 
     def drop_unserved(self) -> None:
         """Releases the incomplete request and the queued ones."""
-        self._budget.adjust(-self._n_incomplete - self._n_queued)
+        self._budget.release_request(self._n_incomplete + self._n_queued)
         self._n_incomplete = self._n_queued = 0
         self._register()
 
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -462,6 +462,7 @@
                 self.answer_error(BerylpostError(kind, "see this daemon's log"))
         finally:
             self._task = None
+            self._request = None  # an idle connection must not keep its headers
             self.has_served = True
             self.on_writable = None
             self.active_at = read_boottime()
