Describe the limits on callers

docs/settings.md gets one table of the limits, their defaults and who never reaches them, rendered from the constants.

--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -11,8 +11,22 @@
 
 import msgspec
 
+from .edge.buffer_budget import BUFFER_SHARE, REQUEST_SHARE
+from .edge.callers import MAX_PIPELINED
 from .errors import ERROR_RESPONSES, ErrorKind
 from .metrics import REGISTRY
+from .policy.client_limits import (
+    CALLER_DESCRIPTOR_SHARE,
+    CONNECTION_BYTES,
+    CONNECTION_SHARE,
+    HEADER_LINE_BYTES,
+    INCOMPLETE_THREAD_SHARE,
+    LARGE_SHARE,
+    MIN_BYTES_PER_S,
+    OWN_DESCRIPTORS,
+    STALL_S,
+    START_S,
+)
 from .settings import SECTIONS, Settings
 
 DOCS_DIR: Final = Path(__file__).parent.parent / "docs"
@@ -148,6 +162,60 @@
     return str(field.default)
 
 
+# Limits on what callers make a daemon hold: limit, default, who never reaches it.
+CALLER_LIMITS: Final = (
+    (
+        "memory of all that callers make an entry daemon hold",
+        f"{BUFFER_SHARE:g} of `Limits.MemoryMb`, less below 160 MB",
+        "any, while requests and answers in progress fit; 500 ordinary requests take "
+        "a third",
+    ),
+    (
+        "part of it for requests and connections",
+        f"{REQUEST_SHARE:g}",
+        "as above; a request of 16,384 header bytes and a body of 4,194,304 fits",
+    ),
+    (
+        "part of that for requests above 64 KiB",
+        f"{LARGE_SHARE:g}",
+        "three bodies of 4,194,304 bytes at once on 160 MB",
+    ),
+    (
+        "memory counted for a header line beside its text",
+        f"{HEADER_LINE_BYTES} bytes",
+        "a section of 16,384 bytes takes 1 MB at most",
+    ),
+    (
+        "time without a byte after which a request may lose its place, only when the "
+        "memory or the threads are taken",
+        f"{STALL_S:g} s",
+        "whoever sends a request without pauses",
+    ),
+    (
+        "time that a request may take, only then",
+        f"{START_S:g} s and its bytes at {MIN_BYTES_PER_S * 8 / 1e6:g} Mbit/s",
+        "whoever sends as fast as the narrowest link of a daemon",
+    ),
+    (
+        "requests parsed behind the one in progress on a connection",
+        f"{MAX_PIPELINED}",
+        "whoever waits for answers; others are read later",
+    ),
+    (
+        "connections of callers",
+        f"{CALLER_DESCRIPTOR_SHARE:g} of the descriptors beside {OWN_DESCRIPTORS}; at "
+        f"the entry daemon also {CONNECTION_SHARE:g} of the memory for requests, at "
+        f"{CONNECTION_BYTES} bytes each",
+        "787 connections with 1,638 descriptors and 160 MB; an idle one makes way",
+    ),
+    (
+        "threads of the own interface that wait for the rest of requests",
+        f"{INCOMPLETE_THREAD_SHARE:g} of `listen.threads`",
+        "requests up to 64 KiB that arrive as a whole",
+    ),
+)
+
+
 def render_settings() -> str:
     """Renders docs/settings.md."""
     lines = [
@@ -170,6 +238,18 @@
             _describe_default(field),
         ]
         lines.append(f"| {' | '.join(cells)} |")
+    lines += [
+        "",
+        "## Limits on callers",
+        "",
+        "Both daemons bound what their callers make them hold. The limits follow from",
+        "the memory, descriptors and threads of the process and are no settings. What",
+        "exceeds them is rejected with 503 and `Retry-After` as not run, or closed.",
+        "",
+        "| limit | default | which client never reaches it |",
+        "|---|---|---|",
+    ]
+    lines += [f"| {' | '.join(row)} |" for row in CALLER_LIMITS]
     return "\n".join(lines) + "\n"
 
 
