Decode rollout orders and enable them by the settings

The platform orders rollouts by objects of kind `rollouts` and says in the settings' `Contracts` whether it does. Nothing uses them yet; 11 scenarios of the decoding pass.

--- a/berylpost/edge/model.py
+++ b/berylpost/edge/model.py
@@ -51,6 +51,11 @@
         quota_extra: units above the quota allowed in one window, over all daemons.
         quota_overshoot: share of the quota allowed above it in one window.
         heartbeat_s: time between two writes of a backend server's entry.
+        exposure_share: share of a service's requests that a version which is not yet
+            found good may get.
+        exposure_extra: requests above that share, over all daemons.
+        rollback_s: time after the last tolerated bad answer of a version from which on
+            no request is sent to it.
     """
 
     lease_s: float
@@ -67,6 +72,9 @@
     quota_extra: float
     quota_overshoot: float
     heartbeat_s: float = 1.2
+    exposure_share: float = 0.1
+    exposure_extra: float = 50.0
+    rollback_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,6 +94,7 @@
         bounds: bounds that the platform declares.
         n_cores: processor cores that the daemon may use, also a part of one.
         memory_bytes: memory that the daemon may use.
+        has_rollouts: whether the platform orders rollouts.
     """
 
     name: str
@@ -104,6 +113,7 @@
     bounds: Bounds
     n_cores: float = 1.0
     memory_bytes: float = 160e6
+    has_rollouts: bool = False
 
 
 class ServiceShare(NamedTuple):
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -46,11 +46,13 @@
         revision: revision of the last change.
         era: value of the header that names the era; empty for none.
         refused_kinds: kinds of which no object can be written.
+        statuses: kind, name and status of each status that was written.
     """
 
     def __init__(self, *, endpoint: str) -> None:
         self.era = "1"
         self.refused_kinds: set[str] = set()
+        self.statuses: list[tuple[str, str, Any]] = []
         self.kinds: dict[str, dict[str, Document]] = {}
         self.calls: Counter[str] = Counter()
         self.revision = 1
@@ -112,6 +114,9 @@
         if not request.path.startswith(PREFIX):
             return reply_json({"Error": "no such path"}, 404)
         kind, _, name = request.path.removeprefix(PREFIX).partition("/")
+        if request.method == "PUT" and name.endswith("/status"):
+            self.calls["status"] += 1
+            return await self._write_status(kind, name.removesuffix("/status"), request)
         if request.method == "GET":
             if name:
                 self.calls["read"] += 1
@@ -157,6 +162,19 @@
         await self._store(kind, name, document.get("Spec"), current)
         return reply_json(self.kinds[kind][name])
 
+    async def _write_status(self, kind: str, name: str, request: Request) -> Reply:
+        current = self.kinds.get(kind, {}).get(name)
+        if current is None:
+            return reply_json({}, 404)
+        status = (request.decode() or {}).get("Status")
+        self.statuses.append((kind, name, status))
+        self.revision += 1
+        metadata = {**current["Metadata"], "Revision": self.revision}
+        document = {**current, "Metadata": metadata, "Status": status}
+        self.kinds[kind][name] = document
+        await self._record(kind, {"Object": document, "Removed": False})
+        return reply_json(document)
+
     async def _store(
         self, kind: str, name: str, spec: Any, current: Document | None
     ) -> int:
--- a/berylpost/platform/boot.py
+++ b/berylpost/platform/boot.py
@@ -12,7 +12,7 @@
 
 from ..edge.model import Bounds, EdgeSettings, Endpoint
 from ..errors import SettingsError
-from .names import SETTINGS_VARIABLE
+from .names import ROLLOUT_CONTRACT, SETTINGS_VARIABLE
 
 # Also set in deploy/system.toml; the usual port of metrics exporters.
 METRICS_PORT: Final = 9464
@@ -44,6 +44,9 @@
     quota_window_s: float = 8
     quota_extra: float = 0
     quota_overshoot: float = 0.1
+    exposure_share: float = 0.1
+    exposure_extra: float = 50
+    rollback_ms: float = 5_000
 
 
 class _Remote(msgspec.Struct, frozen=True, rename="pascal"):
@@ -69,6 +72,7 @@
     limits: _Limits = _Limits()
     cloud: _Remote | None = None
     heartbeat_ms: float = 1_200
+    contracts: Any = ()
 
 
 def parse_endpoint(text: str) -> Endpoint:
@@ -144,7 +148,16 @@
             quota_extra=bounds.quota_extra,
             quota_overshoot=bounds.quota_overshoot,
             heartbeat_s=document.heartbeat_ms / _MS,
+            exposure_share=bounds.exposure_share,
+            exposure_extra=bounds.exposure_extra,
+            rollback_s=bounds.rollback_ms / _MS,
         ),
         n_cores=document.limits.cpu_share * document.limits.cpu_cores,
         memory_bytes=document.limits.memory_mb * _MB,
+        has_rollouts=_lists_rollouts(document.contracts),
     )
+
+
+def _lists_rollouts(contracts: Any) -> bool:
+    """Tells whether the platform's contracts, a list of names, include rollouts."""
+    return isinstance(contracts, list | dict) and ROLLOUT_CONTRACT in contracts
--- a/berylpost/platform/object_store.py
+++ b/berylpost/platform/object_store.py
@@ -24,8 +24,10 @@
     decode_page,
     decode_write_response,
     encode_object,
+    encode_status,
     make_kind_target,
     make_object_target,
+    make_status_target,
     make_watch_target,
     parse_era,
 )
@@ -123,6 +125,16 @@
         target = make_object_target(kind, name)
         return await self._write("PUT", target, encode_object(name, spec, revision))
 
+    async def write_status(self, kind: str, name: str, status: Any) -> None:
+        """Writes an object's status and leaves its spec unchanged.
+
+        Raises:
+            PlatformError: the write was refused and had no effect.
+            LostAnswerError: it is unknown whether the write took effect.
+        """
+        target = make_status_target(kind, name)
+        await self._call("PUT", target, body=encode_status(name, status))
+
     async def delete(self, kind: str, name: str) -> None:
         """Deletes an object; does nothing if it does not exist.
 
--- a/berylpost/platform/object_wire.py
+++ b/berylpost/platform/object_wire.py
@@ -36,12 +36,14 @@
     Attributes:
         revision: revision of its last change.
         created_revision: revision of its creation; 0 if unknown.
+        status: what was written as its status; None for none.
     """
 
     name: str
     revision: int
     created_revision: int
     spec: Any
+    status: Any = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,6 +93,7 @@
 class _WireObject(msgspec.Struct, frozen=True):
     metadata: _WireMetadata = msgspec.field(name="Metadata")
     spec: msgspec.Raw = msgspec.field(name="Spec", default=EMPTY)
+    status: msgspec.Raw = msgspec.field(name="Status", default=EMPTY)
 
 
 class _WirePage(msgspec.Struct, frozen=True):
@@ -151,6 +154,16 @@
     return msgspec.json.encode({"Metadata": metadata, "Spec": spec})
 
 
+def make_status_target(kind: str, name: str) -> str:
+    """Makes the request target of an object's status."""
+    return f"{make_object_target(kind, name)}/status"
+
+
+def encode_status(name: str, status: Any) -> bytes:
+    """Encodes an object's status to write."""
+    return msgspec.json.encode({"Metadata": {"Name": name}, "Status": status})
+
+
 def check_status(call: str, status: int, accepted: Iterable[int] = ()) -> None:
     """Checks that the status means success or is one of the accepted ones.
 
@@ -271,4 +284,15 @@
         revision=metadata.revision,
         created_revision=metadata.created or 0,
         spec=spec,
+        status=_parse_status(stored.status),
     )
+
+
+def _parse_status(document: msgspec.Raw) -> Any:
+    """Parses a status; returns None if it is missing or cannot be decoded."""
+    if bytes(document) == bytes(EMPTY):
+        return None
+    try:
+        return decode_value(document)
+    except ValueError:
+        return None
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -75,3 +75,28 @@
       | failing in a fifth |
       | slow in a third    |
       | failing late       |
+
+  Scenario Outline: Rollouts are enabled by the settings' contracts <contracts>
+    Then settings with the contracts <contracts> have rollouts: <enabled>
+
+    Examples:
+      | contracts               | enabled |
+      | none                    | no      |
+      | ["memory"]              | no      |
+      | ["rollout", "overload"] | yes     |
+      | null                    | no      |
+      | "rollout"               | no      |
+
+  Scenario: The bounds of rollouts are those of the settings
+    Then settings with the bounds 0.2, 30 and 4000 ms have them, and defaults otherwise
+
+  Scenario Outline: An order is decoded as <order>
+    Then an order with the spec <spec> and the status <status> is decoded as <order>
+
+    Examples:
+      | spec                                          | status                             | order                |
+      | {"Service":"a","To":"v2","DurationS":60}      | null                               | a to v2 in 60 s:     |
+      | {"To":"v2","DurationS":12.5,"More":[1]}       | {"State":"active","To":"v2"}       | order to v2 in 12.5 s: active |
+      | {"Service":"a","To":"v3","DurationS":60}      | {"State":"complete","To":"v2"}     | a to v3 in 60 s:     |
+      | {"Service":"a","To":3,"DurationS":60}         | null                               | nothing              |
+      | null                                          | null                               | nothing              |
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -6,12 +6,16 @@
 """
 
 import heapq
+import json
 import random
 from dataclasses import dataclass, field
 
 from behave import given, then, when
 from behave.runner import Context
 
+from berylpost.platform.boot import decode_boot_settings
+from berylpost.platform.object_wire import decode_object
+from berylpost.platform.rollouts import decode_order
 from berylpost.policy.rollout import (
     FINAL,
     AnswerCounts,
@@ -299,3 +303,46 @@
         before, reached = run.n_sent_before_verdict, run.n_reached_before_verdict
         assert not run.moved or before <= 0.1 * reached + 50, (seed, run)
         assert run.last_sent_at <= run.fiftieth_at + ROLLBACK_S, (seed, run)
+
+
+def make_settings(**fields):
+    document = {
+        "Node": "n-1",
+        "Ip": "10.0.0.1",
+        "Zone": "a",
+        "Listen": dict.fromkeys(("Front", "Readiness", "Directory"), "10.0.0.1:80"),
+        "Platform": {"Address": "10.0.0.2:80"},
+        "PortRange": [7000, 7010],
+        **fields,
+    }
+    return decode_boot_settings(json.dumps(document).encode())
+
+
+@then("settings with the contracts {contracts} have rollouts: {enabled}")
+def step_check_contracts(context: Context, contracts: str, enabled: str) -> None:
+    fields = {} if contracts == "none" else {"Contracts": json.loads(contracts)}
+    assert make_settings(**fields).has_rollouts is (enabled == "yes")
+
+
+@then("settings with the bounds 0.2, 30 and 4000 ms have them, and defaults otherwise")
+def step_check_bounds(context: Context) -> None:
+    bounds = {"ExposureShare": 0.2, "ExposureExtra": 30, "RollbackMs": 4_000}
+    for fields, expected in (({"Bounds": bounds}, (0.2, 30, 4)), ({}, (0.1, 50, 5))):
+        found = make_settings(**fields).bounds
+        limits = (found.exposure_share, found.exposure_extra, found.rollback_s)
+        assert limits == expected, limits
+
+
+@then("an order with the spec {spec} and the status {status} is decoded as {order}")
+def step_check_order(context, spec, status, order) -> None:
+    document = {
+        "Metadata": {"Name": "order", "Revision": 7},
+        "Spec": json.loads(spec),
+        "Status": json.loads(status),
+    }
+    found = decode_order(decode_object(json.dumps(document).encode()))
+    text = "nothing"
+    if found is not None:
+        duration = f"{found.duration_s:g} s: {found.state}".strip()
+        text = f"{found.service} to {found.to} in {duration}"
+    assert text == order, text
