Carry out rollouts with all daemons

An order was decoded, and nothing acted on it. Where the contracts list `rollout`, the daemons that watch the store now watch the orders; the holder of the duty lease decides, stores its record before it acts on a move and writes each status once; its words and the daemons' counts go by datagrams, ordered by fencing number. Requests go to the new version by the share in force; a word expires after 2 s, and a daemon that sees 50 bad answers itself stops. Without the contract no task starts and no call is made.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -47,6 +47,7 @@
 from .quotas import Quotas
 from .registration import Registration
 from .request_quarantine import RequestQuarantine
+from .rollouts import Rollouts
 from .server_limits import RISK_MARK, ServerLimits
 from .server_speeds import ServerSpeeds
 from .speed_exchange import SpeedExchange
@@ -179,6 +180,15 @@
             mark=RISK_MARK,
         )
         self.leaving_servers = LeavingServers(members=self.members, table=self.table)
+        self.rollouts = Rollouts(
+            settings=settings,
+            incarnation=self._incarnation,
+            members=self.members,
+            catalogue=self.catalogue,
+            era=self.era,
+            watch=self.watch,
+            find_lease=lambda: self.duties.lease if self.duties else None,
+        )
         self.buffers = BufferBudget(memory_bytes=settings.memory_bytes)
         self.speeds = ServerSpeeds(
             find_service=self._find_service, random_state=random.Random()
@@ -194,6 +204,7 @@
             limits=self.limits,
             brittle=self.brittle,
             leaving=self.leaving_servers,
+            rollouts=self.rollouts,
             quotas=self.quotas,
             usage=self.usage,
             work_meter=self.work,
@@ -268,6 +279,7 @@
         self.brittle.start()
         self.leaving_servers.start()
         self.speed_exchange.start()
+        self.rollouts.start()
         if self.duties is not None:
             self.duties.start()
         self._tasks.append(asyncio.create_task(self._sweep()))
@@ -326,6 +338,7 @@
         self.brittle.stop()
         self.leaving_servers.stop()
         self.speed_exchange.stop()
+        self.rollouts.stop()
         self.paths.stop()
         self.members.announce(everyone=True)
         self.members.stop()
@@ -347,6 +360,7 @@
         self.brittle.stop()
         self.leaving_servers.stop()
         self.speed_exchange.stop()
+        self.rollouts.stop()
         self.paths.stop()
         self.registration.stop()
         self.members.stop()
@@ -465,7 +479,10 @@
             "engine_probes": self.notice_poller.n_queries,
             **self.front.read_counters(),
         }
-        body = render_metrics(gauges, counters)
+        rollout_gauges, rollout_counters = self.rollouts.export_metrics()
+        body = render_metrics(
+            {**gauges, **rollout_gauges}, {**counters, **rollout_counters}
+        )
         caller.answer(200, b"", ((b"content-type", b"text/plain"),), body)
 
     def _answer_json(self, caller: CallerConnection, document: Any) -> None:
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -34,6 +34,7 @@
 from .model import RequestHead, Route, RouteKind
 from .quotas import Quotas
 from .request_quarantine import RequestQuarantine
+from .rollouts import Rollouts
 from .routing import Router
 from .server_limits import ServerLimits
 from .server_speeds import ServerSpeeds
@@ -83,6 +84,7 @@
         limits: request rates that servers name.
         brittle: rates of what brittle servers may turn away.
         leaving: servers that said that they leave.
+        rollouts: orders that move services to new versions.
         quotas: quotas of customers and retry budgets of services.
         usage: counts executed requests by customer.
         work_meter: measures the work that callers' requests cause.
@@ -102,6 +104,7 @@
         limits: ServerLimits,
         brittle: ServerLimits,
         leaving: LeavingServers,
+        rollouts: Rollouts,
         quotas: Quotas,
         usage: Usage,
         work_meter: WorkMeter,
@@ -116,6 +119,7 @@
             table=table,
             limits=limits,
             brittle=brittle,
+            rollouts=rollouts,
             work_meter=work_meter,
             speeds=speeds,
         )
@@ -126,6 +130,7 @@
         self._limits = limits
         self._brittle = brittle
         self._leaving = leaving
+        self._rollouts = rollouts
         self._origins = origins
         self._quarantine = quarantine
         self._catalogue = catalogue
@@ -232,7 +237,8 @@
                 return
             began_at = read_boottime()
             try:
-                await self._attempt(context, caller, record, connection)
+                with self._rollouts.measure(context, record):
+                    await self._attempt(context, caller, record, connection)
                 return
             except RunMoved:
                 continue
@@ -367,6 +373,7 @@
                 if not context.route.repeatable:
                     context.may_have_run = True
                 first = await self._await_first_event(context, exchange)
+                context.on_first_event()
                 record.pending_tokens[urgency] -= pending
                 pending = 0.0
                 if first:
--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -21,6 +21,7 @@
 from ..policy.prompt_admission import decide_prompt_admission
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
 from .clock import read_boottime
+from .rollouts import Rollouts
 from .server_limits import ServerLimits
 from .server_speeds import DEFAULT_WORK_S, ServerSpeeds
 from .upstream import Connection, UpstreamError
@@ -46,6 +47,7 @@
         table: state of the backend servers.
         limits: request rates that servers name.
         brittle: rates of what brittle servers may turn away.
+        rollouts: orders that move services to new versions.
         work_meter: measures the work that callers' requests cause.
         speeds: learned speeds of the servers.
     """
@@ -56,9 +58,11 @@
         table: BackendTable,
         limits: ServerLimits,
         brittle: ServerLimits,
+        rollouts: Rollouts,
         work_meter: WorkMeter,
         speeds: ServerSpeeds,
     ) -> None:
+        self._rollouts = rollouts
         self._table = table
         self._limits = limits
         self._brittle = brittle
@@ -79,7 +83,7 @@
         for _ in range(MAX_CONNECT_ATTEMPTS):
             if context.left_s < MIN_LEFT_S:
                 break
-            record, choice = self._choose(context)
+            record, choice = self._choose_permitted(context)
             context.predicted_wait_s = choice.wait_s
             context.n_ahead = choice.n_ahead
             slot_s = self._limits.find_wait(record)
@@ -117,6 +121,22 @@
             ErrorKind.NO_BACKEND, "no server answers", NO_BACKEND_RETRY_S
         )
 
+    def _choose_permitted(
+        self, context: RequestContext
+    ) -> tuple[BackendRecord, Choice]:
+        """Selects a server; one of the old version if those of a canary are full.
+
+        Raises:
+            BerylpostError: no backend server is available, or the prompt was refused.
+        """
+        try:
+            return self._choose(context)
+        except BerylpostError:
+            if not context.takes_new:
+                raise
+            context.takes_new = False
+            return self._choose(context)
+
     def _choose(self, context: RequestContext) -> tuple[BackendRecord, Choice]:
         """Selects the backend server for the next attempt.
 
@@ -130,6 +150,7 @@
         records = self._table.list_usable(
             context.service, context.tried, context.stream_version
         )
+        records = self._rollouts.select(context, records)
         if not records:
             version = context.stream_version
             detail = "" if version is None else f" of version {version}"
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -1,5 +1,6 @@
 """The state of one request while it is served, and how its attempts may end."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -44,6 +45,9 @@
         wait_error_s: time from sending the last attempt to its first token beyond the
             predicted one; None if its service's speeds are not learned.
         is_trial: whether the request tries what is otherwise held back.
+        takes_new: whether the request goes to the version of an order that is not yet
+            decided; None before that is drawn.
+        on_first_event: called when the first event of a server's stream has arrived.
     """
 
     request: CallerRequest
@@ -77,6 +81,8 @@
     predicted_wait_s: float = 0.0
     n_ahead: float = 0.0
     wait_error_s: float | None = None
+    takes_new: bool | None = None
+    on_first_event: Callable[[], None] = lambda: None
 
     @property
     def urgency(self) -> int:
--- a/berylpost/fakes/entry_world.py
+++ b/berylpost/fakes/entry_world.py
@@ -88,6 +88,7 @@
         n_daemons: number of entry daemons to start.
         versions: software version of each backend server of the service `app`.
         duties: duties that the platform assigns to the daemons.
+        has_rollouts: whether the platform orders rollouts.
 
     Attributes:
         n_crashes: number of crashes of servers that `restart_crashed` restarts.
@@ -99,10 +100,12 @@
         n_daemons: int = 1,
         versions: Sequence[str] = ("v1", "v1"),
         duties: frozenset[str] = frozenset(),
+        has_rollouts: bool = False,
     ) -> None:
         self._network = f"127.{next(_networks) % 250 + 2}.{random.randrange(250)}"
         self._ports = _find_ports(6)
         self._duties = duties
+        self._has_rollouts = has_rollouts
         self.loop = LinkedLoop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         store = f"{self._network}.1:{self._ports[0]}"
@@ -162,6 +165,7 @@
             cloud=cloud if self._duties else None,
             duties=self._duties,
             bounds=BOUNDS,
+            has_rollouts=self._has_rollouts,
         )
 
     async def start_daemon(self, number: int) -> EdgeDaemon:
--- a/berylpost/policy/rollout.py
+++ b/berylpost/policy/rollout.py
@@ -129,6 +129,8 @@
 
 
 NO_ANSWERS: Final = AnswerCounts()
+# Stands for a route: answers that count for the version, but not for a route.
+NO_ROUTE: Final = ""
 RouteCounts = Mapping[str, AnswerCounts]
 
 
@@ -260,6 +262,8 @@
     pairs = [(sum_counts(view.new), sum_counts(view.old))]
     recent_pairs = [(sum_counts(new_before), sum_counts(old_before))]
     for route, new in view.new.items():
+        if route == NO_ROUTE:
+            continue
         pairs.append((new, view.old.get(route, NO_ANSWERS)))
         recent_pairs.append(
             (new_before.get(route, NO_ANSWERS), old_before.get(route, NO_ANSWERS))
@@ -338,10 +342,9 @@
 
 
 def _probe(progress: Progress, view: RolloutView, limits: ExposureLimits) -> Decision:
-    is_due = (
-        view.elapsed_s >= find_verdict_time(view)
-        and view.elapsed_s - progress.since_s >= MIN_CANARY_S
-    )
+    # Without servers of the old version nothing is gained by waiting.
+    is_time = view.elapsed_s >= find_verdict_time(view) or not view.n_old_servers
+    is_due = is_time and view.elapsed_s - progress.since_s >= MIN_CANARY_S
     fault = _find_fault(progress, view, DOUBT_CHANCE if is_due else REVERT_CHANCE)
     if fault:
         return Decision(phase=Phase.REVERTED, share=0.0, reason=fault)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -13,6 +13,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from berylpost.edge.rollout_counts import OrderCounts, RolloutCounts
+from berylpost.edge.rollout_records import KnownRollout, RolloutRecord, RolloutTable
+from berylpost.edge.rollout_tally import RolloutTally
 from berylpost.platform.boot import decode_boot_settings
 from berylpost.platform.object_wire import decode_object
 from berylpost.platform.rollouts import decode_order
@@ -346,3 +349,84 @@
         duration = f"{found.duration_s:g} s: {found.state}".strip()
         text = f"{found.service} to {found.to} in {duration}"
     assert text == order, text
+
+
+def make_record(**fields):
+    return RolloutRecord(
+        service="app",
+        name="app",
+        to="v2",
+        duration_s=60.0,
+        era=1,
+        revision=5,
+        created=5,
+        elapsed_s=4.0,
+        baseline=("v1",),
+        **fields,
+    )
+
+
+@given("a daemon that heard the word {n:d} of the holder with fence {fence:d}")
+def step_hear(context: Context, n: int, fence: int) -> None:
+    context.rollout_table = RolloutTable(
+        list_versions=list, on_change=lambda _rollout: None
+    )
+    record = make_record(phase=Phase.CANARY, share=0.1, fence=fence, sequence=n)
+    assert context.rollout_table.adopt(record)
+
+
+@given("a daemon that heard that a version is reverted")
+def step_hear_reverted(context: Context) -> None:
+    step_hear(context, 3, 8)
+    assert context.rollout_table.adopt(
+        make_record(phase=Phase.REVERTED, fence=8, sequence=4)
+    )
+
+
+@then("a word {n:d} with fence {fence:d} and phase {phase} counts: {counts}")
+def step_check_word(context, n: int, fence: int, phase: str, counts: str) -> None:
+    record = make_record(phase=Phase(phase), share=1.0, fence=fence, sequence=n)
+    assert context.rollout_table.adopt(record) is (counts == "yes")
+    known = context.rollout_table.rollouts["app"].record
+    assert (known == record) is (counts == "yes"), known
+
+
+@then("a word of 1.9 s ago is in force, one of 2.1 s ago is not, and a decision is")
+def step_check_expiry(context: Context) -> None:
+    for age_s, phase, share in (
+        (1.9, Phase.MOVING, 1.0),
+        (2.1, Phase.MOVING, 0.0),
+        (600.0, Phase.COMPLETE, 1.0),
+    ):
+        record = make_record(phase=phase, share=1.0, fence=8, word_age_s=age_s)
+        assert KnownRollout(record=record).share == share, (age_s, phase)
+
+
+def count_answers(n_new_bad=0, n_old_bad=0):
+    counts = OrderCounts(to="v2", order=(1, 5))
+    for is_new, n_bad, n in ((True, n_new_bad, 60), (False, n_old_bad, 600)):
+        change = AnswerCounts(n_good=n - n_bad, n_failed=n_bad)
+        counts.add(is_new, "summary", change)
+    return counts
+
+
+@then(
+    "a daemon that saw {new:d} bad of 60 new answers and {old:d} bad of 600 old ones "
+    "{does}"
+)
+def step_check_own(context: Context, new: int, old: int, does: str) -> None:
+    assert count_answers(new, old).is_over() is (does == "stops")
+
+
+@then("16 connections broken by one server, seen by 8 daemons, count as 3 failures")
+def step_check_breaks(context: Context) -> None:
+    tally = RolloutTally()
+    for number in range(8):
+        counts = RolloutCounts()
+        counts.begin_order("app", OrderCounts(to="v2", order=(1, 5)))
+        for _ in range(2):
+            counts.orders["app"].add_break(True, "r-7")
+        tally.note_report(counts.export("app", f"entry-{number}", 1))
+    view = tally.make_view(KnownRollout(record=make_record()), ())
+    assert [c.n_failed for c in view.new.values()] == [3], view.new
+    assert [c.n_failed for c in view.old.values()] == [0], view.old
