--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -214,6 +214,39 @@
         "requests up to 64 KiB that arrive as a whole",
     ),
 )
+# The entry daemon keeps its settings and metrics apart from those of this interface.
+ENTRY_SETTINGS: Final = (
+    "",
+    "The entry daemon reads the platform's settings file. For rollouts it uses:",
+    "",
+    "| key | meaning | default |",
+    "|---|---|---|",
+    "| `Contracts` | names; rollouts are carried out if `rollout` is one | none |",
+    "| `Bounds.ExposureShare` | share for a version not yet found good | 0.1 |",
+    "| `Bounds.ExposureExtra` | requests above that share | 50 |",
+    "| `Bounds.RollbackMs` | ms from the 50th bad answer to the last request; "
+    "only read, as a daemon without a word stops after 2 s | 5000 |",
+)
+ENTRY_METRICS: Final = (
+    "",
+    "The entry daemon has further metrics. Those of prediction errors exist once a",
+    "server has stated a fourth figure in its load "
+    "([uneven servers](design/uneven-servers.md)),",
+    "those of rollouts only where rollouts are ordered:",
+    "",
+    "| metric | kind | meaning |",
+    "|---|---|---|",
+    "| `berylpost_edge_first_token_prediction_error_p50_seconds` | gauge | Median "
+    "difference of predicted and actual time to first token, last 512 streams. |",
+    "| `berylpost_edge_first_token_prediction_error_p95_seconds` | gauge | 95th "
+    "percentile of the same. |",
+    "| `berylpost_edge_rollouts_undecided` | gauge | Orders that are undecided. |",
+    "| `berylpost_edge_rollout_share` | gauge | Largest share of a new version here. |",
+    "| `berylpost_edge_rollout_requests` | counter | Requests sent to the versions "
+    "of the last orders; begins anew with an order. |",
+    "| `berylpost_edge_rollout_bad_answers` | counter | Their bad answers. |",
+    "| `berylpost_edge_rollout_statuses` | counter | Statuses written here. |",
+)
 
 
 def render_settings() -> str:
@@ -250,7 +283,7 @@
         "|---|---|---|",
     ]
     lines += [f"| {' | '.join(row)} |" for row in CALLER_LIMITS]
-    return "\n".join(lines) + "\n"
+    return "\n".join((*lines, *ENTRY_SETTINGS)) + "\n"
 
 
 ERROR_ADVICE: Final[dict[ErrorKind, str]] = {
@@ -320,7 +353,7 @@
         text = collector._documentation  # type: ignore[attr-defined]
         suffix = "_total" if kind == "counter" else ""
         lines.append(f"| `{name}{suffix}` | {kind} | {labels} | {text} |")
-    return "\n".join(lines) + "\n"
+    return "\n".join((*lines, *ENTRY_METRICS)) + "\n"
 
 
 PAGE_RENDERERS: Final = {
