Keep on-demand servers over an outage of the store

Cause: the number of on-demand servers follows the measured load at once, through count_guaranteed, and does not depend on the size that size_fleet holds. While the store is away requests are refused and the measured load falls, so the duty holder gave on-demand servers back.

Change: plan_on_demand keeps all existing on-demand servers while a low load is no evidence.

Conclusion: both parts of a fleet keep their size over an outage.

--- a/berylpost/edge/duties.py
+++ b/berylpost/edge/duties.py
@@ -23,6 +23,7 @@
 )
 from ..policy.fleet_size import (
     IDLE_LOAD,
+    SHRINK_DELAY_S,
     FleetSize,
     ZoneFleet,
     count_for_quotas,
@@ -64,6 +65,9 @@
 FRESH_CONFIRMATION_S: Final = 2.0
 # Two time constants of the measured load, which fell while requests were refused.
 LOAD_SETTLE_S: Final = 2 * TIME_CONSTANT_S
+# On-demand servers are given back without a delay, so the delay is added here: after
+# two time constants alone the measured load may still be 14% too low.
+ON_DEMAND_SETTLE_S: Final = LOAD_SETTLE_S + SHRINK_DELAY_S
 CALL_MARGIN_S: Final = 0.3  # no call is started with less of the hold left
 
 
@@ -307,7 +311,12 @@
         n_guaranteed = size.n_found
         if load > IDLE_LOAD:
             n_guaranteed = count_guaranteed(load, n_needed)
-        on_demand = plan_on_demand(zones, n_guaranteed=n_guaranteed, n_max=bounds.n_max)
+        on_demand = plan_on_demand(
+            zones,
+            n_guaranteed=n_guaranteed,
+            n_max=bounds.n_max,
+            may_shrink=not self._catalogue.is_outage_recent(ON_DEMAND_SETTLE_S),
+        )
         for zone, n_servers in on_demand.items():
             await self._place_order(service, zone, n_servers, spot=False)
 
--- a/berylpost/policy/fleet_size.py
+++ b/berylpost/policy/fleet_size.py
@@ -196,7 +196,11 @@
 
 
 def plan_on_demand(
-    zones: Mapping[str, ZoneFleet], *, n_guaranteed: int, n_max: int
+    zones: Mapping[str, ZoneFleet],
+    *,
+    n_guaranteed: int,
+    n_max: int,
+    may_shrink: bool = True,
 ) -> dict[str, int]:
     """Plans on-demand servers from the reclaimable servers that actually exist.
 
@@ -207,6 +211,8 @@
         zones: fleets by zone name.
         n_guaranteed: servers that must exist regardless of price.
         n_max: maximum number of servers in a zone, of both kinds together.
+        may_shrink: whether `n_guaranteed` may be relied on to give servers back; see
+            `size_fleet`.
 
     Returns:
         Wanted on-demand servers by zone.
@@ -218,7 +224,9 @@
     wanted = {}
     for name in sorted(zones, key=lambda zone: (-zones[zone].n_on_demand, zone)):
         fleet = zones[name]
-        n_retained = min(fleet.n_on_demand, max(0, n_to_keep))
+        n_retained = fleet.n_on_demand
+        if may_shrink:
+            n_retained = min(n_retained, max(0, n_to_keep))
         n_to_keep -= n_retained
         n_missing -= n_retained
         wanted[name] = n_retained
--- a/features/entry_outages.feature
+++ b/features/entry_outages.feature
@@ -37,6 +37,16 @@
     When requests are refused for 6 s because the store is away and few come afterwards
     Then servers are given back within 24 s of its return
 
+  Scenario: On-demand servers are kept over an outage
+    # Guards against giving back servers because refused requests were not measured.
+    Given a duty holder with 2 reclaimable and 20 on-demand servers at a load of 13
+    When the measured load falls to 3 while the store is away
+    Then 20 on-demand servers are ordered
+    When the store has answered for 10 s and the measured load is 11
+    Then 20 on-demand servers are ordered
+    When the store has answered for 20 s and the measured load is 3
+    Then 3 on-demand servers are ordered
+
   Scenario Outline: <n> daemons serve again after an outage with expired entries
     Given <n> entry daemons and 4 servers whose entries expire in an outage
     When the store is down for 4.5 s and one daemon gets the removals 2.5 s after its return
--- a/features/steps/entry_outage_steps.py
+++ b/features/steps/entry_outage_steps.py
@@ -5,6 +5,7 @@
 import math
 import time
 from functools import partial
+from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
@@ -12,8 +13,10 @@
 from steps.entry_steps import connect
 
 from berylpost.edge import catalogue as catalogue_module
+from berylpost.edge import duties as duties_module
 from berylpost.edge.catalogue import Catalogue
 from berylpost.edge.duties import LOAD_SETTLE_S
+from berylpost.edge.model import Endpoint
 from berylpost.edge.work_meter import TIME_CONSTANT_S
 from berylpost.fakes.entry_world import EntryWorld
 from berylpost.platform import names
@@ -202,6 +205,78 @@
     assert all(n == context.n_before for s, n in context.sizes.items() if s < 8)
 
 
+@given(
+    "a duty holder with {n_spot:d} reclaimable and {n_on_demand:d} on-demand servers"
+    " at a load of {load:g}"
+)
+def step_duty_holder(
+    context: Context, n_spot: int, n_on_demand: int, load: float
+) -> None:
+    """Reclaimable servers are refused, so that on-demand ones carry the load."""
+    catalogue = make_catalogue()
+    entries = [make_entry(i, 1 + i) for i in range(n_spot + n_on_demand)]
+    for number, entry in enumerate(entries):
+        entry.spec["Spot"] = number < n_spot
+    listing = Listing(items=tuple(entries), revision=len(entries))
+    run_at(0.0, lambda: catalogue.apply_backend_list(listing))
+    endpoint = Endpoint("127.0.0.1", 1)
+    bounds = SimpleNamespace(lease_s=10.0)
+    context.duties = duties_module.Duties(
+        settings=SimpleNamespace(
+            name="d-1", cloud=endpoint, store=endpoint, bounds=bounds
+        ),
+        incarnation=1,
+        members=mock.Mock(),
+        remove_lost=mock.Mock(),
+        catalogue=catalogue,
+        era=mock.Mock(),
+        usage=mock.Mock(),
+        read_work=dict,
+    )
+    context.duties._spot_retry_at["app", "a"] = float("inf")
+    context.n_spot = n_spot
+    order_on_demand(context, now=0.5, confirmed_at=0.0, outage_ended_at=-1e9, load=load)
+    assert context.n_ordered == n_on_demand, context.n_ordered
+
+
+def order_on_demand(context, *, now, confirmed_at, outage_ended_at, load):
+    """Lets the duty holder order servers at a time of the boot-time clock."""
+    duties = context.duties
+    duties._catalogue.confirmed_at = confirmed_at
+    duties._catalogue.outage_ended_at = outage_ended_at
+    fleet = SimpleNamespace(zone_prices={"a": 1.0}, n_min=1, n_max=200, boot_s=5.0)
+    service = SimpleNamespace(name="app", fleet=fleet)
+
+    async def record(_service, _zone, n_servers, *, spot):
+        if not spot:
+            context.n_ordered = n_servers
+
+    with (
+        mock.patch.object(catalogue_module, "read_boottime", lambda: now),
+        mock.patch.object(duties_module, "read_boottime", lambda: now),
+        mock.patch.object(duties, "_place_order", record),
+    ):
+        asyncio.run(duties._order_servers(service, load))
+
+
+@when("the measured load falls to {load:g} while the store is away")
+def step_load_falls(context: Context, load: float) -> None:
+    order_on_demand(
+        context, now=20.0, confirmed_at=1.0, outage_ended_at=-1e9, load=load
+    )
+
+
+@when("the store has answered for {since_s:g} s and the measured load is {load:g}")
+def step_load_returns(context: Context, since_s: float, load: float) -> None:
+    now = 20.0 + since_s
+    order_on_demand(context, now=now, confirmed_at=now, outage_ended_at=20.0, load=load)
+
+
+@then("{n:d} on-demand servers are ordered")
+def step_on_demand_kept(context: Context, n: int) -> None:
+    assert context.n_ordered == n, context.n_ordered
+
+
 @given("{n:d} entry daemons and {m:d} servers whose entries expire in an outage")
 def step_world(context: Context, n: int, m: int) -> None:
     context.world = EntryWorld(n_daemons=n, versions=("v1",) * m)
