Learn from a daemon whose VM has booted again

Cause: a sample of a daemon counts if its clock is above that of the newest known one, which was kept for ever by the daemon's name. The clock is the boot-time clock, so after a boot under the same name all samples were ignored for as long as the VM had run before. The table also kept an entry for every daemon that ever reported a sample.

A repeated datagram arrives earlier than that.

Measured: the new scenario of uneven_servers.feature fails without the change and passes with it.

Conclusion: the table holds only daemons that reported lately, and a daemon that returns is heard.

--- a/berylpost/edge/server_speeds.py
+++ b/berylpost/edge/server_speeds.py
@@ -49,6 +49,9 @@
 # One of so many samples is reported once a server's speed is known, to follow changes.
 SAMPLES_PER_REPORT: Final = 8
 MEDIAN_TTL_S: Final = 0.5  # medians of a service change with many answers only
+# Longer than any repetition of a sample is under way, shorter than a VM takes to boot;
+# the boot-time clock of a daemon whose VM has booted again begins anew.
+IMPORT_MEMORY_S: Final = 5.0
 N_ERRORS: Final = 512  # prediction errors of which percentiles are taken
 
 
@@ -152,7 +155,8 @@
         self._medians: dict[str, tuple[float, ServerSpeed]] = {}
         self._errors: deque[float] = deque(maxlen=N_ERRORS)
         self._samples: deque[_Sample] = deque(maxlen=MAX_REPORTED_SAMPLES)
-        self._imported_until: dict[str, float] = {}
+        # For each daemon its clock at its newest known sample, and when that arrived.
+        self._imported: dict[str, tuple[float, float]] = {}
 
     def is_learned(self, service: str) -> bool:
         """Tells whether servers of a service state how long work takes."""
@@ -328,12 +332,12 @@
                 server.figure = figure
             if server.reported is None or figure.at > server.reported.at:
                 server.reported = figure
-        imported_until = self._imported_until.get(member, -1)
+        imported_until, _ = self._imported.get(member, (-1.0, now))
         for name, is_rate, value, percent, at_ms in samples:
             server = self._find_reported(name, min(value, percent))
             if server is None or at_ms <= imported_until:
                 continue
-            self._imported_until[member] = at_ms
+            self._imported[member] = at_ms, now
             server.add_usual(percent, now)
             if is_rate:
                 server.add_rate(value)
@@ -349,7 +353,9 @@
         return self._find_state(name, service)
 
     def sweep(self, names: Iterable[str]) -> None:
-        """Forgets the servers that are not among the names."""
+        """Forgets servers that are not among the names, and daemons silent for long."""
+        horizon = self._read_clock() - IMPORT_MEMORY_S
+        self._imported = {m: v for m, v in self._imported.items() if v[1] >= horizon}
         for name in self._servers.keys() - set(names):
             del self._servers[name]
 
--- a/features/steps/uneven_server_steps.py
+++ b/features/steps/uneven_server_steps.py
@@ -122,6 +122,36 @@
     assert found.speed.tokens_per_s == b, found
 
 
+@then(
+    "samples of a daemon count once, and again when its clock has begun anew {later:g} "
+    "s later"
+)
+def check_clock_begun_anew(context, later):
+    context.now = 1.0
+    context.speeds = speeds = ServerSpeeds(
+        find_service=lambda _: "s",
+        random_state=random.Random(1),
+        read_clock=lambda: context.now,
+    )
+
+    def count_after(at_ms):
+        speeds.import_state("d-1", {}, [("a", True, 40_000, 100, at_ms)])
+        speeds.sweep(["a"])
+        return len(speeds._servers["a"].rates)
+
+    assert [count_after(at_ms) for at_ms in (9e6, 9e6, 8e6)] == [1, 1, 1]
+    context.now += later
+    speeds.sweep(["a"])
+    assert [count_after(at_ms) for at_ms in (2e3, 2e3)] == [2, 2]
+
+
+@then("no clock is kept of a daemon that has been silent for {silence:g} s")
+def check_clocks_forgotten(context, silence):
+    context.now += silence
+    context.speeds.sweep(["a"])
+    assert not context.speeds._imported
+
+
 def replay_all(replay, **options):
     """Replays the load with each decision and several seeds."""
     return {
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -42,6 +42,12 @@
     # Guards against new servers that get no requests, or all of them.
     Then a server without answers gets the rate of the middle one of servers that read 20000, 40000 and 44000 tokens a second
 
+  Scenario: Samples of a daemon whose VM has booted again are learned
+    # Guards against ignoring a daemon because its clock has begun anew, and against
+    # keeping a clock for every daemon that ever was.
+    Then samples of a daemon count once, and again when its clock has begun anew 10 s later
+    And no clock is kept of a daemon that has been silent for 10 s
+
   Scenario Outline: Daemons choose among plain servers with noisy neighbours at <rate> requests a second
     # Guards against herds towards a server that was fast a moment ago.
     When 69 daemons send 4 plain servers of 6 slots <rate> requests a second
