Do not take another deployment's engine for an ended one

Cause: an engine that the list of VMs leaves out is kept while something answers at its address, unless another VM has the address. Only the addresses of engines of the same deployment were compared, so that an engine of another deployment that got the address of an ended one kept it present, and it was never replaced.

Change: the addresses of all listed VMs are compared.

--- a/berylpost/engine_sightings.py
+++ b/berylpost/engine_sightings.py
@@ -5,7 +5,7 @@
 engine that still answers is not gone because the list of VMs leaves it out.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from .platform.cloud import Vm
@@ -27,12 +27,19 @@
         self._round_ended_at = 0.0
 
     def begin_round(
-        self, listed: Iterable[Vm], *, is_answering: Callable[[Vm], bool], now: float
+        self,
+        listed: Iterable[Vm],
+        *,
+        taken_addresses: Collection[str],
+        is_answering: Callable[[Vm], bool],
+        now: float,
     ) -> list[Vm]:
         """Begins a round; silence begins anew if no engine was read for some time.
 
         Args:
             listed: engines of the deployment in the list of VMs.
+            taken_addresses: addresses of all VMs in the list, also those of other
+                deployments.
             is_answering: asks an engine; called for those that the list leaves out.
             now: monotonic seconds.
 
@@ -43,13 +50,12 @@
             self._silent_since.clear()
         engines = list(listed)
         ids = {vm.id for vm in engines}
-        addresses = {vm.address for vm in engines}
         engines += [
             vm
             for vm in self._answering.values()
             if vm.id not in ids
             # The address of a VM that has ended may be another one's now.
-            and vm.address not in addresses
+            and vm.address not in taken_addresses
             and is_answering(vm)
         ]
         present = {vm.id for vm in engines}
--- a/berylpost/planner.py
+++ b/berylpost/planner.py
@@ -194,9 +194,10 @@
     ) -> None:
         if not plan.loaded or plan.record.epoch != plan.lease.epoch:
             self._load_record(name, plan)
-        vms = [v for v in self._cloud.list_vms() if v.deployment == name]
+        vms = self._cloud.list_vms()
         engines = plan.sightings.begin_round(
-            [v for v in vms if v.role == "engine"],
+            [v for v in vms if v.deployment == name and v.role == "engine"],
+            taken_addresses={v.address for v in vms},
             is_answering=lambda vm: bool(self._read_load(vm).model),
             now=time.monotonic(),
         )
--- a/features/planner_outage.feature
+++ b/features/planner_outage.feature
@@ -44,6 +44,7 @@
     Then 1 engine was started and <n> released
 
     Examples:
-      | cause                                    | n    |
-      | engine vm-1 misses its next 99 readings  | 1    |
-      | vm-1 ends and the list leaves it out     | none |
+      | cause                                                          | n    |
+      | engine vm-1 misses its next 99 readings                        | 1    |
+      | vm-1 ends and the list leaves it out                           | none |
+      | vm-1 ends and an engine of another deployment gets its address | none |
--- a/features/steps/planner_outage_steps.py
+++ b/features/steps/planner_outage_steps.py
@@ -4,6 +4,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
@@ -140,7 +141,8 @@
             self.n_missed[vm.id] -= 1
             self.now += planner.ENGINE_TIMEOUT_S
             return planner._EngineLoad()
-        if vm.id not in self.cloud.vms or vm.client_token:
+        at_address = [v.id for v in self.cloud.vms.values() if v.address == vm.address]
+        if not at_address or vm.client_token:
             return planner._EngineLoad()  # gone, or not booted yet
         return planner._EngineLoad(model="m", version="1")
 
@@ -211,6 +213,15 @@
     del context.rig.cloud.vms[vm]
 
 
+@when("vm-1 ends and an engine of another deployment gets its address")
+def step_reuse_address(context: Context) -> None:
+    """Guards against an ended VM that seems to answer since another one does."""
+    ended = context.rig.cloud.vms.pop("vm-1")
+    context.rig.cloud.vms["vm-other"] = msgspec.structs.replace(
+        ended, id="vm-other", deployment="other"
+    )
+
+
 @when("the cloud lists no started VM and {n:d} replicas are declared")
 def step_declare(context: Context, n: int) -> None:
     context.rig.cloud.lists_new = False
