Ignore reported speeds that are no positive finite number

Cause: a figure or sample of another daemon was compared with 0 only. One that is infinite or not a number entered the server's medians. All later predictions for the server were then not a number, and rounding them for the next datagram raised ValueError, which ends the rounds of the exchange for good.

Change: such values are ignored, each of a sample's two on its own.

Measured: the examples nan and inf of the new scenario in uneven_servers.feature fail without the change and pass with it; those of 0 and -1 pass with both.

Conclusion: what a daemon reports cannot end the exchange of another one.

--- a/berylpost/edge/server_speeds.py
+++ b/berylpost/edge/server_speeds.py
@@ -4,6 +4,7 @@
 `policy.server_speed` has the decisions.
 """
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
@@ -334,7 +335,7 @@
                 server.reported = figure
         imported_until, _ = self._imported.get(member, (-1.0, now))
         for name, is_rate, value, percent, at_ms in samples:
-            server = self._find_reported(name, min(value, percent))
+            server = self._find_reported(name, value, percent)
             if server is None or at_ms <= imported_until:
                 continue
             self._imported[member] = at_ms, now
@@ -344,10 +345,10 @@
             else:
                 server.add_work(value / 1e6)
 
-    def _find_reported(self, name: str, value: float) -> _ServerState | None:
-        """Returns the state of a server of which another daemon reports a value."""
+    def _find_reported(self, name: str, *values: float) -> _ServerState | None:
+        """Returns the state of a server of which another daemon reports values."""
         service = self._find_service(name)
-        if not service or value <= 0:
+        if not service or not all(0 < value < math.inf for value in values):
             return None
         self._services.add(service)
         return self._find_state(name, service)
--- a/features/steps/uneven_server_steps.py
+++ b/features/steps/uneven_server_steps.py
@@ -122,6 +122,24 @@
     assert found.speed.tokens_per_s == b, found
 
 
+@then("a reported figure or sample of {value} is ignored")
+def check_reported_value(context, value):
+    number = float(value)
+    speeds = ServerSpeeds(
+        find_service=lambda _: "s",
+        random_state=random.Random(1),
+        read_clock=lambda: 5.0,
+    )
+    for at_ms in (1e3, 2e3, 3e3):
+        samples = [
+            ("a", True, 40_000.0, number, at_ms),
+            ("a", True, number, 100.0, 9e9),
+        ]
+        speeds.import_state("d-1", {"a": (number, 0)}, samples)
+    assert not speeds.is_learned("s")
+    assert not speeds._servers
+
+
 @then(
     "samples of a daemon count once, and again when its clock has begun anew {later:g} "
     "s later"
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -42,6 +42,17 @@
     # Guards against new servers that get no requests, or all of them.
     Then a server without answers gets the rate of the middle one of servers that read 20000, 40000 and 44000 tokens a second
 
+  Scenario Outline: Another daemon reports a figure of <value>
+    # Guards against a value that spoils every later prediction and ends the exchange.
+    Then a reported figure or sample of <value> is ignored
+
+    Examples:
+      | value |
+      | nan   |
+      | inf   |
+      | 0     |
+      | -1    |
+
   Scenario: Samples of a daemon whose VM has booted again are learned
     # Guards against ignoring a daemon because its clock has begun anew, and against
     # keeping a clock for every daemon that ever was.
