Pass a removal on under the revision that was removed

Cause: a removal was recorded under the revision of the locally known entry. A daemon that had missed the last write of the entry recorded an older one, so that a neighbour that knew the last write took the removal for an earlier one and kept the ended server until it got a whole state.

Change: the removal is recorded under the revision of the removed entry, as the watch or the neighbour states it, if that is newer.

Measured: in the new scenario of entry_outages.feature the neighbour kept the server before the change and removes it now; all 13 scenarios pass.

Conclusion: the comparison of revisions does not depend on what a daemon happened to see.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -325,7 +325,9 @@
                 # A late answer may tell of a removal before the latest registration.
                 if known is None or is_gone(known[0], as_of=item.revision):
                     keep = self._is_outage_recent()
-                    self._remove_backend(item.name, changes.revision, keep=keep)
+                    self._remove_backend(
+                        item.name, changes.revision, keep=keep, last=item.revision
+                    )
             else:
                 self._set_backend(item.name, item.revision, item.spec)
         self.backends_revision = max(self.backends_revision, changes.revision)
@@ -346,7 +348,7 @@
             known = self._entries.get(name)
             if known is not None and is_gone(known[0], as_of=last):
                 # The list excludes servers that the peer keeps because of an outage.
-                self._remove_backend(name, end, keep=False)
+                self._remove_backend(name, end, keep=False, last=last)
         for name, entry_revision, spec in state["entries"]:
             if entry_revision > self._removed.get(name, (-1, 0))[0]:
                 self._set_backend(name, entry_revision, spec)
@@ -422,8 +424,17 @@
                 self._set_backend(name, revision, spec)
         self._notify()
 
-    def _remove_backend(self, name: str, revision: int, *, keep: bool) -> None:
-        """Removes an entry; with `keep`, only after the grace period of an outage."""
+    def _remove_backend(
+        self, name: str, revision: int, *, keep: bool, last: int = CARRIED_OVER
+    ) -> None:
+        """Removes an entry; with `keep`, only after the grace period of an outage.
+
+        Args:
+            name: name of the entry.
+            revision: revision of the removal.
+            keep: whether the server may register again soon.
+            last: revision of the removed entry, which may be newer than the known one.
+        """
         if keep and name in self.backends:
             if name not in self._missing:
                 self._missing.add(name)
@@ -433,7 +444,7 @@
         if entry is not None:
             self.backends_digest ^= _digest_entry(name, entry[0])
             self._removed.pop(name, None)
-            self._removed[name] = (entry[0], revision)
+            self._removed[name] = (max(entry[0], last), revision)
             while len(self._removed) > MAX_REMOVED:
                 _, end = self._removed.pop(next(iter(self._removed)))
                 self._forgotten_revision = max(self._forgotten_revision, end)
--- a/features/entry_outages.feature
+++ b/features/entry_outages.feature
@@ -21,6 +21,12 @@
       | a watch   |
       | a list    |
 
+  Scenario: A daemon that missed the last write of an entry learns of its removal
+    # Guards against a neighbour that keeps an ended server whose last entry it knows.
+    Given a daemon that knows a server at revision 5 and a neighbour at revision 8
+    When a watch shows the daemon that the server is gone since revision 8
+    Then neither it nor the neighbour that asks it for changes knows the server
+
   Scenario Outline: A fleet keeps its size over an outage of <outage_s> s at <n> servers
     Given a fleet of <n> servers at a load that needs them
     When requests are refused for <outage_s> s because the store is away
--- a/features/steps/entry_outage_steps.py
+++ b/features/steps/entry_outage_steps.py
@@ -143,6 +143,35 @@
     assert set(other.backends) == expected, other.backends
 
 
+@given(
+    "a daemon that knows a server at revision {own:d} and a neighbour at revision"
+    " {other:d}"
+)
+def step_two_revisions(context: Context, own: int, other: int) -> None:
+    context.catalogue, context.neighbour = make_catalogue(), make_catalogue()
+    for catalogue, revision in (context.catalogue, own), (context.neighbour, other):
+        listing = Listing(items=(make_entry(1, revision),), revision=revision)
+        run_at(0.0, partial(catalogue.apply_backend_list, listing))
+        catalogue.confirmed_at = 100.0
+
+
+@when("a watch shows the daemon that the server is gone since revision {last:d}")
+def step_gone_since(context: Context, last: int) -> None:
+    removal = Change(item=make_entry(1, last), removed=True)
+    changes = Changes(changes=(removal,), revision=last + 1)
+    run_at(100.0, lambda: context.catalogue.apply_backend_changes(changes))
+
+
+@then("neither it nor the neighbour that asks it for changes knows the server")
+def step_both_removed(context: Context) -> None:
+    neighbour = context.neighbour
+    since = neighbour.backends_revision
+    state = context.catalogue.export_state(backends_since=since)
+    run_at(100.0, lambda: neighbour.import_state(state))
+    assert not context.catalogue.backends, context.catalogue.backends
+    assert not neighbour.backends, neighbour.backends
+
+
 @given("a fleet of {n:d} servers at a load that needs them")
 def step_fleet(context: Context, n: int) -> None:
     context.size = FleetSize(n_found=n, n_wanted=n)
