Give the exchange of speeds a mark of its own

Cause: speeds and rollouts both bound the mark c1 c5, so where rollouts are enabled the later binding took the messages of both, and the other part decoded none. Change: speeds use c1 c6, and binding a mark twice raises ValueError. Measured: with equal marks each daemon of the rollout scenarios fails to start with that error, which none showed before; with different ones they pass.

--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -144,7 +144,12 @@
         Args:
             on_message: called with the message without its mark.
             mark: `MESSAGE_MARK`, or a longer mark that begins with it.
+
+        Raises:
+            ValueError: the mark is in use; the other messages would not be handled.
         """
+        if mark in self._on_message:
+            raise ValueError(f"two kinds of messages have the mark {mark!r}")
         self._on_message[mark] = on_message
 
     def send_message(
--- a/berylpost/edge/speed_exchange.py
+++ b/berylpost/edge/speed_exchange.py
@@ -15,7 +15,7 @@
 from .server_speeds import FigureRow, SampleRow, ServerSpeeds
 
 # First bytes of these datagrams; no other message begins with them.
-SPEED_MARK: Final = b"\xc1\xc5"
+SPEED_MARK: Final = b"\xc1\xc6"
 # Bytes that a daemon may send per second: half of the 8 KB/s that it may use for all
 # control traffic.
 BYTES_PER_S: Final = 4_000.0
