Take a load figure below ten for missing

Cause: the figure had an upper bound only; one of a millionth would promise a server of any speed, which draws all requests until three answers are known. Change: figures below 10 count as missing. Measured: the new row of uneven_servers.feature gives 3 0 6 1e-06 before and 3 0 6 None now.

--- a/berylpost/platform/headers.py
+++ b/berylpost/platform/headers.py
@@ -29,6 +29,8 @@
 N_LOAD_FIGURES: Final = 3  # running, waiting and slots
 # A server that is slower by a factor of 100 answers nothing in time; more is an error.
 MAX_WORK_PERCENT: Final = 10_000.0
+# Below this the figure would promise ten times the usual speed, which no machine has.
+MIN_WORK_PERCENT: Final = 10.0
 MAX_DEADLINE_S: Final = 86_400.0  # larger values are ignored as errors of the caller
 
 
@@ -141,7 +143,9 @@
     if len(parts) > N_LOAD_FIGURES + 1:
         return None
     work_percent = parse_rate_limit(b"".join(parts[N_LOAD_FIGURES:]))
-    if work_percent is not None and not 0 < work_percent <= MAX_WORK_PERCENT:
+    if work_percent is not None and not (
+        MIN_WORK_PERCENT <= work_percent <= MAX_WORK_PERCENT
+    ):
         work_percent = None
     return LoadReport(running, waiting, slots, work_percent)
 
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -17,6 +17,7 @@
       | 3,0,6,nan       | 3 0 6 None      |
       | 3,0,6,inf       | 3 0 6 None      |
       | 3,0,6,999999999 | 3 0 6 None      |
+      | 3,0,6,0.000001  | 3 0 6 None      |
       | 3,0             | nothing         |
       | 3,0,x,100       | nothing         |
       | 3,0,6,100,1     | nothing         |
