--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,62 +1,64 @@
-"""One engine sends an event without end, in small pieces; callers of others wait."""
+"""Another writer stores large entries beside those of the backend servers."""
 
 import asyncio
 import itertools
+import json
 import os
 import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
+from berylpost.fakes.objects import Document, ObjectStore
+from berylpost.fakes.server import Reply, reply_json
 from review.stand_ins_2 import (
     KEY,
-    Answer,
+    MEMORY_MB,
+    Daemon,
     Record,
     Request,
     Site,
     call,
     make_configuration,
-    make_headers,
     make_route,
     serve,
     write_answer,
 )
 
-TIMEOUT_S: Final = 1.5  # `TimeoutMs` of the route for bookings
-LATE_S: Final = 0.5
-N_LATE: Final = 8
-DEADLINE_S: Final = 4.0  # for which the booking clients wait
-N_BOOKINGS: Final = 120
-BOOKING_PAUSE_S: Final = 0.1
-N_STREAMS: Final = 4
+N_DAEMONS: Final = 3
+N_ENDS: Final = 3  # ends of processes by themselves that the rule allows less than
+N_MACHINES: Final = 2  # on so many machines
+N_ENTRIES: Final = 16
+VALUE_BYTES: Final = 1_048_576  # `ValueBytes`, of which an entry takes less
+PAGE_BYTES: Final = 1_000_000  # of a list: "about 500 or 1 MB at most"
+WRITE_PAUSE_S: Final = 0.3
+MAX_RUN_S: Final = 80.0
+RESTART_S: Final = 0.5  # the platform's short delay before it starts a process again
+POLL_S: Final = 0.02
 TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
-TOKEN: Final = b"word "
-# 10,000 pieces of 10 bytes a second, a thousandth of the engine's link.
-N_PIECES: Final = 200
-PIECES_PAUSE_S: Final = 0.02
-
-
-async def tell(
-    request: Request, writer: asyncio.StreamWriter, *, is_endless: bool
-) -> bool:
-    """Answers a stream with five events, or with one that does not end."""
-    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-    lines += [*make_headers(request), "Transfer-Encoding: chunked"]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-    chunk = b"%x\r\n%b\r\n" % (len(TOKEN), TOKEN)
-    if is_endless:
-        writer.write(b"c\r\nid: 1\ndata: \r\n")
-        while True:  # until the caller closes
-            writer.write(chunk * N_PIECES)
-            await writer.drain()
-            await asyncio.sleep(PIECES_PAUSE_S)
-    for number in range(1, 6):
-        event = b"id: %d\ndata: word\n\n" % number
-        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        await asyncio.sleep(0.05)
-    writer.write(b"0\r\n\r\n")
-    return True
+
+
+class PagedStore(ObjectStore):
+    """The project's stand-in of the store, with pages of a megabyte."""
+
+    def _list(self, kind: str, after: str) -> Reply:
+        items: list[Document] = []
+        n_bytes = 0
+        names = sorted(name for name in self.kinds.get(kind, {}) if name > after)
+        for name in names:
+            document = self.kinds[kind][name]
+            n_bytes += len(json.dumps(document))
+            if items and n_bytes > PAGE_BYTES:
+                break
+            items.append(document)
+        return reply_json(
+            {
+                "Items": items,
+                "HasMore": len(items) < len(names),
+                "StoreRevision": self.revision,
+            }
+        )
 
 
 async def book(request: Request, writer: asyncio.StreamWriter) -> bool:
@@ -65,79 +67,92 @@
     return True
 
 
+def make_entry(number: int) -> dict[str, Any]:
+    """Makes an entry that names no replica: an address and a state are missing."""
+    entry: dict[str, Any] = {"Service": "desk", "Zone": "toowoomba", "Host": number}
+    if TROUBLE:
+        sample = {"t": 1}
+        n_samples = 1_000_000 // len(json.dumps(sample, separators=(",", ":")) + ",")
+        entry["Samples"] = [sample] * n_samples
+    assert len(json.dumps(entry, separators=(",", ":"))) < VALUE_BYTES
+    return entry
+
+
+async def watch(site: Site, daemon: Daemon, ends: list[str]) -> None:
+    """Does what the platform does: kills at the limit and starts ended processes."""
+    while True:
+        await asyncio.sleep(POLL_S)
+        memory_mb = daemon.read_memory_mb()
+        process = daemon.process
+        assert process is not None
+        if memory_mb > MEMORY_MB:
+            await site.kill_daemon(daemon)
+            site.record.note(f"{daemon.name} killed at {memory_mb:.0f} MB")
+        elif process.returncode is not None:
+            site.record.note(f"{daemon.name} ended with {process.returncode}")
+        else:
+            continue
+        ends.append(daemon.name)
+        await asyncio.sleep(RESTART_S)
+        await site.start_daemon(daemon)
+
+
+async def send_bookings(site: Site, daemon: Daemon) -> None:
+    """Sends a booking now and then, as an ordinary client does."""
+    for number in itertools.count(1):
+        attempt = f"{daemon.name}-book-{number}"
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "X-Berylpost-Attempt-Id": attempt,
+            "X-Berylpost-Deadline-Ms": "1500",
+        }
+        answer = await call(
+            (daemon.ip, site.front),
+            "POST",
+            "/book/1",
+            headers=headers,
+            body=b"x",
+            timeout_s=1.5,
+        )
+        site.record.note(f"{attempt} status={answer.status}")
+        await asyncio.sleep(0.25)
+
+
 async def run(folder: Path, record: Record) -> int:
     """Runs the case; returns 1 if the rule was broken, else 0."""
     site = Site(folder=folder, record=record)
-    routes = [
-        make_route("book", "non_idempotent", "desk", MaxAttempts=1),
-        make_route(
-            "tell", "streaming", "pool", CanResume=True, GapAimMs=250, TimeoutMs=15_000
-        ),
-    ]
-    services = [{"Name": n, "MaxConns": 600} for n in ("desk", "pool")]
-    for number, server_id in enumerate(("engine-1", "engine-2")):
-
-        async def handle(
-            request: Request, writer: asyncio.StreamWriter, name: str = server_id
-        ) -> bool:
-            is_endless = TROUBLE and name == "engine-1"
-            record.note(f"{name} runs {request.id} endless={is_endless}")
-            return await tell(request, writer, is_endless=is_endless)
-
-        await serve(server_id, site.ip(101 + number), site.port, handle)
-        await site.register(server_id, site.ip(101 + number))
+    site.store = PagedStore(endpoint=site.store.server.endpoint)
+    routes = [make_route("book", "non_idempotent", "desk", MaxAttempts=1)]
+    services = [{"Name": "desk", "MaxConns": 600}]
     await serve("desk-1", site.ip(110), site.port, book)
     await site.register("desk-1", site.ip(110), Service="desk")
+    ends: list[str] = []
+    tasks: list[asyncio.Task[None]] = []
     try:
-        await site.start(make_configuration(routes, services), n_daemons=1)
-        return await _judge(site, record)
+        await site.start(make_configuration(routes, services), n_daemons=N_DAEMONS)
+        for daemon in site.daemons:
+            tasks.append(asyncio.create_task(watch(site, daemon, ends)))
+            tasks.append(asyncio.create_task(send_bookings(site, daemon)))
+        await asyncio.sleep(3.0)
+        for number in range(N_ENTRIES):
+            await site.store.put("servers", f"x-{number}", make_entry(number))
+            record.note(f"entry {number + 1} written")
+            await asyncio.sleep(WRITE_PAUSE_S)
+        began_at = time.monotonic()
+        while time.monotonic() - began_at < MAX_RUN_S:
+            await asyncio.sleep(1.0)
+            for daemon in site.daemons:
+                record.note(f"{daemon.name} holds {daemon.read_memory_mb():.0f} MB")
+            if all(ends.count(d.name) >= N_ENDS for d in site.daemons):
+                break
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await site.stop()
-
-
-async def _judge(site: Site, record: Record) -> int:
-    front = (site.daemons[0].ip, site.front)
-    numbers = itertools.count(1)
-    answers: list[Answer] = []
-
-    async def send(path: str, deadline_s: float) -> Answer:
-        attempt = f"{path.strip('/')}-{next(numbers)}"
-        headers = {
-            "Authorization": f"Bearer {KEY}",
-            "X-Berylpost-Attempt-Id": attempt,
-            "X-Berylpost-Deadline-Ms": str(int(deadline_s * 1_000)),
-        }
-        record.note(f"client sends {attempt}")
-        answer = await call(
-            front, "POST", f"{path}1", headers=headers, body=b"x", timeout_s=deadline_s
-        )
-        record.note(
-            f"{attempt} status={answer.status} complete={answer.is_complete} "
-            f"after {answer.seconds:.3f} s"
-        )
-        return answer
-
-    async def send_booking() -> None:
-        answers.append(await send("/book/", DEADLINE_S))
-
-    await asyncio.sleep(2.0)
-    tasks = [asyncio.create_task(send("/tell/", 15.0)) for _ in range(N_STREAMS)]
-    bookings = []
-    for _ in range(N_BOOKINGS):
-        bookings.append(asyncio.create_task(send_booking()))
-        await asyncio.sleep(BOOKING_PAUSE_S)
-    await asyncio.gather(*bookings)
-    for task in tasks:
-        task.cancel()
-    unanswered = [a for a in answers if not a.is_complete or a.seconds > TIMEOUT_S]
-    stuck = [
-        a for a in unanswered if not a.is_complete or a.seconds > TIMEOUT_S + LATE_S
-    ]
-    record.note(
-        f"{len(answers)} bookings, {len(unanswered)} not answered after "
-        f"{TIMEOUT_S} s, {len(stuck)} not {LATE_S} s later"
-    )
-    return int(len(stuck) >= N_LATE and len(stuck) > len(unanswered) / 2)
+    often = [d.name for d in site.daemons if ends.count(d.name) >= N_ENDS]
+    record.note(f"processes ended {len(ends)} times; {N_ENDS} times each: {often}")
+    return int(len(often) >= N_MACHINES)
 
 
 def main() -> int:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Clients send prompts that consist of very many small parts."""
+"""One engine sends an event without end, in small pieces; callers of others wait."""
 
 import asyncio
 import itertools
@@ -11,9 +11,7 @@
 
 from review.stand_ins_2 import (
     KEY,
-    LIMITS,
-    MEMORY_MB,
-    Daemon,
+    Answer,
     Record,
     Request,
     Site,
@@ -22,127 +20,124 @@
     make_headers,
     make_route,
     serve,
+    write_answer,
 )
 
-N_DAEMONS: Final = 2
-N_ENDS: Final = 3  # ends of processes by themselves that the rule allows less than
-N_MACHINES: Final = 2  # on so many machines
-N_ENGINES: Final = 6
-N_CLIENTS: Final = 8  # of each daemon, one request at a time
-N_PARTS: Final = 1_500
-MAX_RUN_S: Final = 105.0
-RESTART_S: Final = 0.5  # the platform's short delay before it starts a process again
-POLL_S: Final = 0.05
+TIMEOUT_S: Final = 1.5  # `TimeoutMs` of the route for bookings
+LATE_S: Final = 0.5
+N_LATE: Final = 8
+DEADLINE_S: Final = 4.0  # for which the booking clients wait
+N_BOOKINGS: Final = 120
+BOOKING_PAUSE_S: Final = 0.1
+N_STREAMS: Final = 4
 TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
+TOKEN: Final = b"word "
+# 10,000 pieces of 10 bytes a second, a thousandth of the engine's link.
+N_PIECES: Final = 200
+PIECES_PAUSE_S: Final = 0.02
 
 
-async def tell(request: Request, writer: asyncio.StreamWriter) -> bool:
-    """Answers a stream with one event."""
+async def tell(
+    request: Request, writer: asyncio.StreamWriter, *, is_endless: bool
+) -> bool:
+    """Answers a stream with five events, or with one that does not end."""
     lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
     lines += [*make_headers(request), "Transfer-Encoding: chunked"]
-    event = b"id: 1\ndata: word\n\n"
-    chunk = b"%x\r\n%b\r\n" % (len(event), event)
-    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-    writer.write(head + chunk + b"0\r\n\r\n")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    chunk = b"%x\r\n%b\r\n" % (len(TOKEN), TOKEN)
+    if is_endless:
+        writer.write(b"c\r\nid: 1\ndata: \r\n")
+        while True:  # until the caller closes
+            writer.write(chunk * N_PIECES)
+            await writer.drain()
+            await asyncio.sleep(PIECES_PAUSE_S)
+    for number in range(1, 6):
+        event = b"id: %d\ndata: word\n\n" % number
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await asyncio.sleep(0.05)
+    writer.write(b"0\r\n\r\n")
     return True
 
 
-async def watch(site: Site, daemon: Daemon, ends: list[str]) -> None:
-    """Does what the platform does: kills at the limit and starts ended processes."""
-    while True:
-        await asyncio.sleep(POLL_S)
-        memory_mb = daemon.read_memory_mb()
-        process = daemon.process
-        assert process is not None
-        if memory_mb > MEMORY_MB:
-            await site.kill_daemon(daemon)
-            site.record.note(f"{daemon.name} killed at {memory_mb:.0f} MB")
-        elif process.returncode is not None:
-            site.record.note(f"{daemon.name} ended with {process.returncode}")
-        else:
-            continue
-        ends.append(daemon.name)
-        await asyncio.sleep(RESTART_S)
-        await site.start_daemon(daemon)
-
-
-async def send_prompts(site: Site, daemon: Daemon, client: int) -> None:
-    """Sends one prompt after the other, each with parts of its own."""
-    parts = itertools.count(client << 24)
-    counts: dict[int, int] = {}
-    n_tokens = N_PARTS
-    for number in itertools.count(1):
-        n_parts = N_PARTS if TROUBLE else 3
-        size = N_PARTS // n_parts
-        prompt = ",".join(f"{next(parts):x}:{size}" for _ in range(n_parts))
-        assert len(prompt) < LIMITS["HeaderBytes"] - 1_000
-        headers = {
-            "Authorization": f"Bearer {KEY}",
-            "X-Berylpost-Attempt-Id": f"{daemon.name}-{client}-{number}",
-            "X-Berylpost-Deadline-Ms": "5000",
-            "X-Berylpost-Model": "m",
-            "X-Berylpost-Token-Counts": f"{n_tokens},5",
-            "X-Berylpost-Prompt-Prefix": prompt,
-        }
-        answer = await call(
-            (daemon.ip, site.front),
-            "POST",
-            "/tell/1",
-            headers=headers,
-            body=b"x",
-            timeout_s=5.0,
-        )
-        counts[answer.status] = counts.get(answer.status, 0) + 1
-        if not number % 50:
-            site.record.note(f"{daemon.name} client {client}: answers {counts}")
-        if answer.status != 200:
-            await asyncio.sleep(0.2)
+async def book(request: Request, writer: asyncio.StreamWriter) -> bool:
+    """Answers a booking at once."""
+    write_answer(request, writer, body=b"booked")
+    return True
 
 
 async def run(folder: Path, record: Record) -> int:
     """Runs the case; returns 1 if the rule was broken, else 0."""
     site = Site(folder=folder, record=record)
     routes = [
+        make_route("book", "non_idempotent", "desk", MaxAttempts=1),
         make_route(
-            "tell",
-            "streaming",
-            "pool",
-            CanResume=True,
-            GapAimMs=250,
-            TimeoutMs=15_000,
-            TargetLatencyMs=1_000,
-            Sticky=True,
+            "tell", "streaming", "pool", CanResume=True, GapAimMs=250, TimeoutMs=15_000
         ),
     ]
-    engine = {"Slots": 128, "KvCapacity": 667_580, "Stride": 2}
-    services = [{"Name": "pool", "MaxConns": 630, "Engine": engine}]
-    for number in range(N_ENGINES):
-        server_id = f"engine-{number + 1}"
-        await serve(server_id, site.ip(101 + number), site.port, tell)
-        await site.register(server_id, site.ip(101 + number), Slots=128)
-    ends: list[str] = []
-    tasks: list[asyncio.Task[None]] = []
+    services = [{"Name": n, "MaxConns": 600} for n in ("desk", "pool")]
+    for number, server_id in enumerate(("engine-1", "engine-2")):
+
+        async def handle(
+            request: Request, writer: asyncio.StreamWriter, name: str = server_id
+        ) -> bool:
+            is_endless = TROUBLE and name == "engine-1"
+            record.note(f"{name} runs {request.id} endless={is_endless}")
+            return await tell(request, writer, is_endless=is_endless)
+
+        await serve(server_id, site.ip(101 + number), site.port, handle)
+        await site.register(server_id, site.ip(101 + number))
+    await serve("desk-1", site.ip(110), site.port, book)
+    await site.register("desk-1", site.ip(110), Service="desk")
     try:
-        await site.start(make_configuration(routes, services), n_daemons=N_DAEMONS)
-        for daemon in site.daemons:
-            tasks.append(asyncio.create_task(watch(site, daemon, ends)))
-            for client in range(1, N_CLIENTS + 1):
-                tasks.append(asyncio.create_task(send_prompts(site, daemon, client)))
-        began_at = time.monotonic()
-        while time.monotonic() - began_at < MAX_RUN_S:
-            await asyncio.sleep(1.0)
-            for daemon in site.daemons:
-                record.note(f"{daemon.name} holds {daemon.read_memory_mb():.0f} MB")
-            if all(ends.count(d.name) >= N_ENDS for d in site.daemons):
-                break
+        await site.start(make_configuration(routes, services), n_daemons=1)
+        return await _judge(site, record)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         await site.stop()
-    often = [d.name for d in site.daemons if ends.count(d.name) >= N_ENDS]
-    record.note(f"processes ended {len(ends)} times; {N_ENDS} times each: {often}")
-    return int(len(often) >= N_MACHINES)
+
+
+async def _judge(site: Site, record: Record) -> int:
+    front = (site.daemons[0].ip, site.front)
+    numbers = itertools.count(1)
+    answers: list[Answer] = []
+
+    async def send(path: str, deadline_s: float) -> Answer:
+        attempt = f"{path.strip('/')}-{next(numbers)}"
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "X-Berylpost-Attempt-Id": attempt,
+            "X-Berylpost-Deadline-Ms": str(int(deadline_s * 1_000)),
+        }
+        record.note(f"client sends {attempt}")
+        answer = await call(
+            front, "POST", f"{path}1", headers=headers, body=b"x", timeout_s=deadline_s
+        )
+        record.note(
+            f"{attempt} status={answer.status} complete={answer.is_complete} "
+            f"after {answer.seconds:.3f} s"
+        )
+        return answer
+
+    async def send_booking() -> None:
+        answers.append(await send("/book/", DEADLINE_S))
+
+    await asyncio.sleep(2.0)
+    tasks = [asyncio.create_task(send("/tell/", 15.0)) for _ in range(N_STREAMS)]
+    bookings = []
+    for _ in range(N_BOOKINGS):
+        bookings.append(asyncio.create_task(send_booking()))
+        await asyncio.sleep(BOOKING_PAUSE_S)
+    await asyncio.gather(*bookings)
+    for task in tasks:
+        task.cancel()
+    unanswered = [a for a in answers if not a.is_complete or a.seconds > TIMEOUT_S]
+    stuck = [
+        a for a in unanswered if not a.is_complete or a.seconds > TIMEOUT_S + LATE_S
+    ]
+    record.note(
+        f"{len(answers)} bookings, {len(unanswered)} not answered after "
+        f"{TIMEOUT_S} s, {len(stuck)} not {LATE_S} s later"
+    )
+    return int(len(stuck) >= N_LATE and len(stuck) > len(unanswered) / 2)
 
 
 def main() -> int:
