--- a/review/6/case.py
+++ b/review/6/case.py
@@ -162,7 +162,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             status = asyncio.run(run(Path(folder), record))
-    except (OSError, TimeoutError) as error:
+    except Exception as error:
         record.note(f"the case could not run: {error!r}")
         status = 2
     record.note(f"exit status {status} after {time.monotonic() - began_at:.0f} s")
