--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,7 +29,7 @@
 DEADLINE_S: Final = 4.0  # for which the booking clients wait
 N_BOOKINGS: Final = 120
 BOOKING_PAUSE_S: Final = 0.1
-N_STREAMS: Final = 4
+N_STREAMS: Final = 8
 TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
 TOKEN: Final = b"word "
 # 10,000 pieces of 10 bytes a second, a thousandth of the engine's link.
