Checks: let neither chance nor a shared thread decide two of them

Cause: "A server that came before a restore gets requests" asked that each round of 30 requests reach one of the servers, which placement leaves to chance (3 of 5,350 rounds reached it with none, while all daemons listed it). "Keys stay confirmed at standby daemons" measured ages while 60 daemons that share one thread were still behind with the datagrams of their start.

Change: the first now asks in each round that every daemon may choose the server, which one round with 30 requests did not show for each daemon, and that requests reach it at all. The second waits, for 12 s at most, until no daemon's newest datagram is older than a second; the 4 s and the 6 s are as before, and a daemon that never catches up fails.

Not run on arm64.

--- a/features/entry_serving_set.feature
+++ b/features/entry_serving_set.feature
@@ -61,9 +61,11 @@
     When the operator stores configuration 2
     Then within 2 s every daemon has configuration 2 in force
 
+  # All daemons share one thread, which the start of 60 of them can fill for seconds.
   Scenario: Keys stay confirmed at standby daemons
     Given 60 entry daemons and 2 servers
     Then within 12 s 25 daemons are active
+    And within 12 s datagrams wait less than 1 s for the shared thread
     And for 6 s no daemon's configuration is older than 4 s
 
   @known_red
--- a/features/steps/entry_restore_steps.py
+++ b/features/steps/entry_restore_steps.py
@@ -310,12 +310,27 @@
     return len(replica.received)
 
 
-@then("for {seconds:g} s the first server gets {what}")
-def step_check_first(context: Context, seconds: float, what: str) -> None:
+@then("for {seconds:g} s the first server gets no request")
+def step_check_first_unused(context: Context, seconds: float) -> None:
     ends_at = time.monotonic() + seconds
     while time.monotonic() < ends_at:
         n_received = context.world.run(count_first(context))
-        assert (n_received == 0) == (what == "no request"), n_received
+        assert n_received == 0, n_received
+
+
+@then("for {seconds:g} s the first server gets requests")
+def step_check_first_used(context: Context, seconds: float) -> None:
+    # Placement may send 30 requests elsewhere by chance, but never drops the server.
+    first = context.world.replicas[0].id
+    ends_at = time.monotonic() + seconds
+    n_received = 0
+    while time.monotonic() < ends_at:
+        n_received += context.world.run(count_first(context))
+        for daemon in list_daemons(context):
+            service = daemon.catalogue.backends[first].service
+            usable = {r.backend.id for r in daemon.table.list_usable(service)}
+            assert first in usable, (daemon.settings.name, usable)
+    assert n_received, "no request reached the server"
 
 
 @when("the first server writes another entry")
--- a/features/steps/entry_serving_set_steps.py
+++ b/features/steps/entry_serving_set_steps.py
@@ -10,6 +10,7 @@
 from steps.entry_steps import make_request_line, send_request
 from steps.entry_version_steps import wait_until
 
+from berylpost.edge.clock import read_boottime
 from berylpost.fakes.entry_world import API_KEY, make_configuration
 from berylpost.policy.serving_set import (
     MIN_SERVING,
@@ -246,6 +247,17 @@
     )
 
 
+@then("within {seconds:g} s datagrams wait less than {limit:g} s for the shared thread")
+def step_await_thread(context: Context, seconds: float, limit: float) -> None:
+    def measure_wait(daemon):
+        stamps = [member.last_stamp for member in daemon.members.members.values()]
+        return read_boottime() - max(stamps)
+
+    wait_until(
+        lambda: all(measure_wait(d) < limit for d in list_daemons(context)), seconds
+    )
+
+
 @then("for {seconds:g} s no daemon's configuration is older than {age:g} s")
 def step_check_age(context: Context, seconds: float, age: float) -> None:
     ends_at = time.monotonic() + seconds
