Keep of a stored entry only what names a server, within a bound

Cause: the catalogue kept the decoded spec of every entry, refused ones too, and a list held the decoded specs of all its pages; decoded lists take twenty times their bytes.

Change: each entry is reduced to the fields of a server before the next is decoded; one that names no server counts as the removal of the server of its name. Kept entries take a quarter of MemoryMb at most; beyond that, those of services without a route are given up first, then the largest. An oversized watch is read as a list, in pages.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -7,6 +7,9 @@
 
 Revisions are compared within one era of the store only. When an era begins, all that
 is known is carried over at revision 0, older than whatever the store has.
+
+Of an entry only the fields of a backend server are kept. One that names no server
+counts as a removal, so that what other writers store takes no memory here.
 """
 
 import asyncio
@@ -16,12 +19,18 @@
 from typing import Any, Final
 
 from ..hashing import hash_text
-from ..logs import log_event
+from ..logs import OnceLog, log_event
 from ..platform import names
-from ..platform.entries import InvalidEntryError, decode_backend, decode_configuration
-from ..platform.object_wire import Changes, Listing
+from ..platform.entries import (
+    InvalidEntryError,
+    decode_backend,
+    decode_configuration,
+    reduce_backend,
+)
+from ..platform.object_wire import Changes, Listing, StoredObject
 from ..policy.registrations import is_gone
 from .clock import read_boottime
+from .entry_budget import EntryBudget
 from .model import (
     NO_CONFIGURATION,
     Backend,
@@ -49,6 +58,8 @@
 CARRIED_OVER: Final = 0  # revision of what is known from an earlier era
 # Removed entries that are remembered: ten minutes of a large deployment's losses.
 MAX_REMOVED: Final = 1_000
+# Stands for the digest of a daemon that had to give up entries; no digest is negative.
+PARTIAL_DIGEST: Final = -1
 
 Listener = Callable[[], None]
 
@@ -59,12 +70,22 @@
     Args:
         revoke_s: age of the last confirmation at which keys must not be trusted.
         heartbeat_s: time between two writes of a backend server's entry.
+        memory_bytes: memory that the process may use.
 
     Attributes:
         era: era of the store to which all revisions belong.
+        budget: memory that the entries of backend servers take.
+        refused: log of the entries that name no server, and how often one came.
+        n_given_up: entries of servers that were given up for their memory.
     """
 
-    def __init__(self, *, revoke_s: float, heartbeat_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        revoke_s: float,
+        heartbeat_s: float,
+        memory_bytes: float = float("inf"),
+    ) -> None:
         self.era = UNKNOWN_ERA
         self._expiry_s = EXPIRY_HEARTBEATS * heartbeat_s + EXPIRY_MARGIN_S
         # Until it is known when the era began, the store itself confirms nothing.
@@ -76,19 +97,28 @@
         self.configuration_spec: Any = None
         self.backends: dict[str, Backend] = {}
         self.backends_revision = 0  # store revision of the last known change
+        self.budget = EntryBudget(memory_bytes=memory_bytes)
+        self.refused = OnceLog(logger=LOGGER, event="bad_entry")
+        self.n_given_up = 0
+        self._is_partial = False
         # Digest of the names and revisions of all entries.
-        self.backends_digest = 0
+        self._digest = 0
         self.confirmed_at = -1e9
         self.outage_ended_at = -1e9
         self._trust_s = revoke_s * TRUST_SHARE
-        self._entries: dict[str, tuple[int, Any]] = {}
+        # Revision and reduced spec of the entries that name a server.
+        self._entries: dict[str, tuple[int, dict[str, Any]]] = {}
         # Removed entries: their last revision and the revision of their removal.
         self._removed: dict[str, tuple[int, int]] = {}
         # Revision of the newest removal that is no longer remembered.
         self._forgotten_revision = 0
         self._missing: set[str] = set()
         self._listeners: list[Listener] = []
-        self._bad_entries: set[str] = set()
+
+    @property
+    def backends_digest(self) -> int:
+        """Equal for daemons with the same entries; `PARTIAL_DIGEST` if some lack."""
+        return PARTIAL_DIGEST if self._is_partial else self._digest
 
     def add_listener(self, listener: Listener) -> None:
         """Registers a function to call after each change."""
@@ -143,9 +173,9 @@
             if name not in self._entries  # others have come back since
         }
         self._forgotten_revision = self.backends_revision = CARRIED_OVER
-        self.backends_digest = 0
+        self._digest = 0
         for name in self._entries:
-            self.backends_digest ^= _digest_entry(name, CARRIED_OVER)
+            self._digest ^= _digest_entry(name, CARRIED_OVER)
 
     def is_confirmed(self) -> bool:
         """Tells whether the configuration's keys may still be trusted."""
@@ -193,7 +223,7 @@
             if configuration is not None and newer
             else None,
             "revision": self.backends_revision,
-            "whole": whole,
+            "whole": whole and not self._is_partial,
             "entries": [
                 [name, revision, spec]
                 for name, (revision, spec) in self._entries.items()
@@ -224,6 +254,20 @@
             self._merge_backends(state)
         return before != (self.configuration, self.backends_digest)
 
+    def reduce_entry(self, item: StoredObject) -> StoredObject | None:
+        """Returns an object of the store with what is used of it, None for nothing.
+
+        One that names no backend server has the spec None; it concerns only daemons
+        that know a server of its name.
+        """
+        try:
+            return replace(item, spec=reduce_backend(item.spec), status=None)
+        except InvalidEntryError as error:
+            self.refused.note(item.name, backend=item.name, error=error)
+        if item.name in self._entries or item.name in self.backends:
+            return replace(item, spec=None, status=None)
+        return None
+
     def apply_configuration_list(self, listing: Listing, asked_at: float) -> None:
         """Applies a list of configuration objects, requested at `asked_at`."""
         for item in listing.items:
@@ -312,6 +356,8 @@
             # The listing's own revision is not used, since changes to other kinds raise
             # it too.
             self.backends_revision = max(self.backends_revision, item.revision)
+        self._is_partial = False
+        self._keep_limit()
         self._notify()
 
     def apply_backend_changes(self, changes: Changes) -> None:
@@ -331,6 +377,7 @@
             else:
                 self._set_backend(item.name, item.revision, item.spec)
         self.backends_revision = max(self.backends_revision, changes.revision)
+        self._keep_limit()
         self._notify()
 
     def _merge_backends(self, state: Mapping[str, Any]) -> None:
@@ -353,6 +400,7 @@
             if entry_revision > self._removed.get(name, (-1, 0))[0]:
                 self._set_backend(name, entry_revision, spec)
         self.backends_revision = max(self.backends_revision, revision)
+        self._keep_limit()
         self._notify()
 
     def is_outage_recent(self, within_s: float) -> bool:
@@ -367,22 +415,20 @@
         known = self._entries.get(name)
         if known is not None and known[0] > revision:
             return
-        if known is not None:
-            self.backends_digest ^= _digest_entry(name, known[0])
-        self.backends_digest ^= _digest_entry(name, revision)
-        self._entries[name] = (revision, spec)
-        self._missing.discard(name)
         try:
             backend = decode_backend(name, spec)
-            if revision != CARRIED_OVER and self._withdrawals.withholds(
-                backend, revision
-            ):
-                return
+            spec = reduce_backend(spec)
         except InvalidEntryError as error:
-            if name not in self._bad_entries:
-                self._bad_entries.add(name)
-                log_event(LOGGER, "bad_entry", logging.WARNING, error=error)
-            self.backends.pop(name, None)
+            self.refused.note(name, backend=name, error=error)
+            self._remove_backend(name, revision, keep=False, last=revision)
+            return
+        if known is not None:
+            self._digest ^= _digest_entry(name, known[0])
+        self._digest ^= _digest_entry(name, revision)
+        self._entries[name] = (revision, spec)
+        self.budget.hold(name, spec)
+        self._missing.discard(name)
+        if revision != CARRIED_OVER and self._withdrawals.withholds(backend, revision):
             return
         known_backend = self.backends.get(name)
         self.backends[name] = backend
@@ -442,7 +488,8 @@
             return
         entry = self._entries.pop(name, None)
         if entry is not None:
-            self.backends_digest ^= _digest_entry(name, entry[0])
+            self._digest ^= _digest_entry(name, entry[0])
+            self.budget.release(name)
             self._removed.pop(name, None)
             self._removed[name] = (max(entry[0], last), revision)
             while len(self._removed) > MAX_REMOVED:
@@ -452,6 +499,33 @@
         if self.backends.pop(name, None) is not None:
             log_event(LOGGER, "backend_gone", backend=name)
 
+    def _keep_limit(self) -> None:
+        """Gives up entries if all together take too much memory."""
+        losers = self.budget.choose_losers(self._is_wanted)
+        for name in losers:
+            revision, _ = self._entries.pop(name)
+            self._digest ^= _digest_entry(name, revision)
+            self.budget.release(name)
+            self._missing.discard(name)
+            self.backends.pop(name, None)
+        if losers:
+            self._is_partial = True
+            self.n_given_up += len(losers)
+            log_event(
+                LOGGER,
+                "entries_given_up",
+                logging.ERROR,
+                n_entries=len(losers),
+                n_kept=len(self._entries),
+                limit_bytes=self.budget.limit,
+            )
+
+    def _is_wanted(self, name: str) -> bool:
+        """Tells whether the configuration names the service of an entry."""
+        configuration = self.configuration
+        service = self._entries[name][1].get("Service")
+        return configuration is None or service in configuration.services
+
     def _schedule_removal(self, name: str) -> None:
         """Schedules a check for when the grace period after the outage has ended."""
         passed_s = read_boottime() - self.outage_ended_at
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -23,7 +23,7 @@
 from .buffer_budget import BufferBudget
 from .caller_server import CallerServer
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
-from .catalogue import Catalogue
+from .catalogue import PARTIAL_DIGEST, Catalogue
 from .clock import read_boottime
 from .duties import Duties
 from .engine_notices import ReclaimNoticePoller
@@ -101,7 +101,9 @@
         bounds = settings.bounds
         self.era = StoreEra()
         self.catalogue = Catalogue(
-            revoke_s=bounds.revoke_s, heartbeat_s=bounds.heartbeat_s
+            revoke_s=bounds.revoke_s,
+            heartbeat_s=bounds.heartbeat_s,
+            memory_bytes=settings.memory_bytes,
         )
         self.era.add_listener(self.catalogue.begin_era)
         self.era.add_date_listener(self.catalogue.date_era)
@@ -461,6 +463,7 @@
             "held_parts": self.quarantine.n_held,
             "limited_servers": self.limits.n_limited,
             "brittle_servers": self.brittle.n_limited,
+            "entry_bytes": self.catalogue.budget.n_held,
             "suspect_servers": self.table.count_suspect(),
             "cut_links": self.paths.n_cut,
             "passed_on_connections": self.paths.tunnels.n_open,
@@ -477,6 +480,8 @@
             "passed_on_connects": self.paths.tunnels.n_opened,
             "declined_connects": self.paths.tunnels.n_refused,
             "engine_probes": self.notice_poller.n_queries,
+            "bad_entries": self.catalogue.refused.n_noted,
+            "entries_given_up": self.catalogue.n_given_up,
             **self.front.read_counters(),
         }
         rollout_gauges, rollout_counters = self.rollouts.export_metrics()
@@ -579,6 +584,8 @@
                 member.watch_served
                 and progress.backends_revision == own.backends_revision
                 and progress.backends_digest != own.backends_digest
+                and PARTIAL_DIGEST
+                not in (progress.backends_digest, own.backends_digest)
             )
             if not mismatch:
                 self._mismatch_since.pop(member.name, None)
--- a/berylpost/edge/hold_store.py
+++ b/berylpost/edge/hold_store.py
@@ -17,7 +17,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import ConflictError
+from ..platform.object_wire import ConflictError, reduce_spec
 from ..policy.quarantine import MAX_HOLD_S, Observation, PartRecord
 from .members import Members
 from .model import Endpoint
@@ -104,7 +104,7 @@
             alone_s += 0.0 if self._members.list_alive() else INTERVAL_S
 
     async def _read(self, store: ObjectStore) -> None:
-        listing = await store.list_objects(names.KIND_HOLDS)
+        listing = await store.list_objects(names.KIND_HOLDS, reduce_spec(_StoredHold))
         records = {}
         now = self._members.estimate_wall_clock()
         for item in listing.items:
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -22,6 +22,10 @@
 MAX_ENGINE_ANSWER_BYTES: Final = 256 << 10
 
 
+class OversizedBodyError(LostAnswerError):
+    """The body of an answer is larger than the caller accepts."""
+
+
 class HttpAnswer(NamedTuple):
     """A complete answer, with header names in lower case."""
 
@@ -55,7 +59,7 @@
             self._framing.end_read(len(data))
         except (httptools.HttpParserError, OversizedAnswerError) as error:
             if not self._framing.in_trailers:
-                self._fail(f"malformed answer: {error}")
+                self._fail(LostAnswerError(f"malformed answer: {error}"))
                 self.abort()
         if self._framing.in_trailers:
             # The body is complete; the trailer fields may have no end.
@@ -72,7 +76,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the call that is in progress."""
         self.transport = None
-        self._fail(f"connection lost: {exc}")
+        self._fail(LostAnswerError(f"connection lost: {exc}"))
         # It holds what it has not passed on, in a reference cycle with this protocol.
         del self._parser
 
@@ -106,7 +110,8 @@
         self._framing.add_body()
         self._body += body
         if len(self._body) > self._max_bytes:
-            self._fail(f"answer of more than {self._max_bytes} bytes")
+            detail = f"answer of more than {self._max_bytes} bytes"
+            self._fail(OversizedBodyError(detail))
             self.abort()
 
     def on_message_complete(self) -> None:
@@ -137,9 +142,9 @@
             self.transport.abort()
             self.transport = None
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, error: LostAnswerError) -> None:
         if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(LostAnswerError(reason))
+            self.answer.set_exception(error)
 
 
 def set_socket_options(transport: asyncio.Transport, timeout_s: float) -> None:
--- a/berylpost/edge/members.py
+++ b/berylpost/edge/members.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from ..endpoints import split_endpoint
-from ..logs import log_event
+from ..logs import OnceLog, log_event
 from ..policy.rounds import (
     STANDBY_INTERVAL_S,
     STANDBY_TIMEOUT_S,
@@ -127,7 +127,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._round_queue: list[Member] = []
-        self._bad_entries: set[str] = set()
+        self._bad_entries = OnceLog(logger=LOGGER, event="bad_member")
         self._on_message: dict[bytes, Callable[[bytes, Endpoint], None]] = {}
         self._failure_timeout_s = find_failure_timeout_s(0)
         self._busy_share = 0.0
@@ -274,13 +274,9 @@
         try:
             ip, port = split_endpoint(f"{fields.get('ip')}:{fields.get('port')}")
         except ValueError as error:
-            if name not in self._bad_entries:
-                self._bad_entries.add(name)
-                log_event(
-                    LOGGER, "bad_member", logging.WARNING, member=name, error=error
-                )
+            self._bad_entries.note(name, member=name, error=error)
             return
-        self._bad_entries.discard(name)
+        self._bad_entries.forget(name)
         self._introduce(name, ip, port)
 
     def list_lost(self) -> list[str]:
--- a/berylpost/edge/registration.py
+++ b/berylpost/edge/registration.py
@@ -13,7 +13,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import ConflictError
+from ..platform.object_wire import ConflictError, StoredObject
 from .members import Members
 from .model import EdgeSettings
 from .store_era import StoreEra
@@ -99,9 +99,7 @@
                 if entry_era != self._era.number:
                     await self._write_entry(store, spec)
                     entry_era = self._era.number
-                listing = await store.list_objects(names.KIND_MEMBERS)
-                for item in listing.items:
-                    self._members.introduce_entry(item.name, item.spec)
+                await store.list_objects(names.KIND_MEMBERS, self._introduce)
             except PlatformError as error:
                 log_event(LOGGER, "register_failed", logging.WARNING, error=error)
                 await asyncio.sleep(random.uniform(*RETRY_DELAY_RANGE_S))
@@ -111,6 +109,10 @@
             while self._members.list_alive() and entry_era == self._era.number:
                 await asyncio.sleep(RELIST_INTERVAL_S)
 
+    def _introduce(self, item: StoredObject) -> None:
+        """Introduces a listed daemon; nothing of the list is kept."""
+        self._members.introduce_entry(item.name, item.spec)
+
     async def _write_entry(self, store: ObjectStore, spec: Any) -> None:
         name = self._settings.name
         try:
--- a/berylpost/edge/rollout_holder.py
+++ b/berylpost/edge/rollout_holder.py
@@ -17,7 +17,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import ConflictError
+from ..platform.object_wire import ConflictError, reduce_spec
 from ..platform.rollouts import (
     ACTIVE,
     COMPLETE,
@@ -181,7 +181,9 @@
     async def _take_over(self) -> None:
         """Reads what earlier holders have stored."""
         fence = self._lease.fence
-        listing = await self._store.list_objects(names.KIND_ROLLOUT_RECORDS)
+        listing = await self._store.list_objects(
+            names.KIND_ROLLOUT_RECORDS, reduce_spec(RolloutRecord)
+        )
         records = decode_records(
             (item.spec for item in listing.items), self._read_wall_clock()
         )
--- a/berylpost/edge/rollouts.py
+++ b/berylpost/edge/rollouts.py
@@ -18,8 +18,8 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import HistoryGoneError, StoredObject
-from ..platform.rollouts import decode_order
+from ..platform.object_wire import HistoryGoneError, StoredObject, reduce_spec
+from ..platform.rollouts import decode_order, reduce_order
 from ..policy.rollout import Phase
 from ..policy.rollout_share import ShareCounter, choose_canaries
 from .backend_table import BackendRecord
@@ -324,7 +324,9 @@
         store = self._open_store()
         while True:
             try:
-                listing = await store.list_objects(names.KIND_ROLLOUT_RECORDS)
+                listing = await store.list_objects(
+                    names.KIND_ROLLOUT_RECORDS, reduce_spec(RolloutRecord)
+                )
                 break
             except PlatformError:
                 await asyncio.sleep(random.uniform(*RETRY_RANGE_S))
@@ -373,10 +375,12 @@
         era = self._era.number
         items: list[StoredObject]
         if revision is None:
-            listing = await store.list_objects(names.KIND_ROLLOUTS)
+            listing = await store.list_objects(names.KIND_ROLLOUTS, reduce_order)
             items, revision = list(listing.items), listing.revision
         else:
-            changes = await store.watch(names.KIND_ROLLOUTS, revision, WATCH_WAIT_S)
+            changes = await store.watch(
+                names.KIND_ROLLOUTS, revision, WATCH_WAIT_S, reduce_order
+            )
             items = [c.item for c in changes.changes if not c.removed]
             revision = changes.revision
         if era not in (self._era.number, UNKNOWN_ERA):
--- a/berylpost/edge/store_watch.py
+++ b/berylpost/edge/store_watch.py
@@ -17,7 +17,12 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import Changes, HistoryGoneError
+from ..platform.object_wire import (
+    Changes,
+    HistoryGoneError,
+    Reduce,
+    StoredObject,
+)
 from .catalogue import RETURN_GRACE_S, Catalogue
 from .clock import read_boottime
 from .members import Members
@@ -72,6 +77,10 @@
         self._address = address
         self._catalogue = catalogue
         self._members = members
+        self._reduce: dict[str, Reduce] = {
+            names.KIND_CONFIGURATION: _keep_configuration,
+            names.KIND_BACKENDS: catalogue.reduce_entry,
+        }
         self._should_watch = asyncio.Event()
         self._restart = {kind: asyncio.Event() for kind in _WAITS}
         # Era to which each watch's revision belongs, and watches that must not wait.
@@ -211,7 +220,7 @@
         asked_at = read_boottime()
         self.n_calls += 1
         if revision is None:
-            listing = await store.list_objects(kind)
+            listing = await store.list_objects(kind, self._reduce[kind])
             self._eras[kind] = self._era.number
             self._record_answer(kind)
             if kind == names.KIND_CONFIGURATION:
@@ -237,7 +246,9 @@
         """Waits for a watch's answer; returns None if `restart` ended the watch."""
         restart = self._restart[kind]
         restart.clear()
-        watch = asyncio.ensure_future(store.watch(kind, revision, wait_s))
+        watch = asyncio.ensure_future(
+            store.watch(kind, revision, wait_s, self._reduce[kind])
+        )
         restarted = asyncio.ensure_future(restart.wait())
         try:
             await asyncio.wait((watch, restarted), return_when=asyncio.FIRST_COMPLETED)
@@ -280,6 +291,11 @@
             log_event(LOGGER, "store_lost", logging.WARNING, kind=kind, error=error)
 
 
+def _keep_configuration(item: StoredObject) -> StoredObject | None:
+    """Keeps the configuration; leaves out what other writers store beside it."""
+    return item if item.name == names.CONFIGURATION_NAME else None
+
+
 _WAITS: Final = {
     names.KIND_CONFIGURATION: CONFIGURATION_WAIT_S,
     names.KIND_BACKENDS: BACKENDS_WAIT_S,
--- a/berylpost/edge/stream_store.py
+++ b/berylpost/edge/stream_store.py
@@ -23,7 +23,7 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.object_store import ObjectStore
-from ..platform.object_wire import ConflictError, StoredObject
+from ..platform.object_wire import ConflictError, StoredObject, reduce_spec
 from ..policy.stream_version import merge_versions
 from .members import Members
 from .model import Endpoint
@@ -241,7 +241,9 @@
             PlatformError: the store did not answer or refused.
         """
         began_at = self._now()
-        listing = await self._store.list_objects(names.KIND_STREAMS)
+        listing = await self._store.list_objects(
+            names.KIND_STREAMS, reduce_spec(_StoredVersions, _StoredTable)
+        )
         wall = self._members.estimate_wall_clock()
         versions: dict[str, dict[str, float]] = {}
         tables: list[tuple[Origin, Hashes]] = []
--- a/berylpost/fakes/objects.py
+++ b/berylpost/fakes/objects.py
@@ -1,9 +1,9 @@
 """Fake of the platform's object store: kinds, revisions, conditions and watches.
 
 It serves `/v1/objects/KIND` and `/v1/objects/KIND/NAME`. A page of a list has at most
-`PAGE_ITEMS` objects, and a watch waits at most `MAX_WAIT_S`. The history holds the last
-`N_HISTORY` changes; a watch from before them is answered with 410. `/calls` returns the
-number of calls by operation.
+`PAGE_ITEMS` objects and, with more than one, `PAGE_BYTES`, and a watch waits at most
+`MAX_WAIT_S`. The history holds the last `N_HISTORY` changes; a watch from before them
+is answered with 410. `/calls` returns the number of calls by operation.
 
 `restore` brings it back from an older copy: its era rises, and it gives out the
 revisions since the copy again. Tests in other processes call `/copy` and `/restore`.
@@ -23,6 +23,7 @@
 MAX_VALUE_BYTES: Final = 1 << 20
 MAX_WAIT_S: Final = 30.0
 PAGE_ITEMS: Final = 500
+PAGE_BYTES: Final = 1_000_000
 N_HISTORY: Final = 10_000
 PREFIX: Final = "/v1/objects/"
 
@@ -132,8 +133,15 @@
 
     def _list(self, kind: str, after: str) -> Reply:
         names = sorted(name for name in self.kinds.get(kind, {}) if name > after)
-        items = [self.kinds[kind][name] for name in names[:PAGE_ITEMS]]
-        has_more = len(names) > PAGE_ITEMS
+        items: list[Document] = []
+        n_bytes = 0
+        for name in names[:PAGE_ITEMS]:
+            document = self.kinds[kind][name]
+            n_bytes += len(msgspec.json.encode(document))
+            if items and n_bytes > PAGE_BYTES:
+                break
+            items.append(document)
+        has_more = len(names) > len(items)
         return reply_json(
             {"Items": items, "HasMore": has_more, "StoreRevision": self.revision}
         )
--- a/berylpost/platform/entries.py
+++ b/berylpost/platform/entries.py
@@ -221,6 +221,20 @@
     )
 
 
+def reduce_backend(spec: Any) -> dict[str, Any]:
+    """Returns the fields of a backend server's entry that `decode_backend` reads.
+
+    Raises:
+        InvalidEntryError: a field is missing or has the wrong type.
+    """
+    try:
+        wire = msgspec.convert(spec, _Backend)
+    except msgspec.ValidationError as error:
+        raise InvalidEntryError(str(error)) from error
+    reduced: dict[str, Any] = msgspec.to_builtins(wire)
+    return reduced
+
+
 def decode_backend(name: str, spec: Any) -> Backend:
     """Decodes a backend server's entry.
 
--- a/berylpost/platform/object_store.py
+++ b/berylpost/platform/object_store.py
@@ -9,14 +9,16 @@
 from typing import Any, Final
 
 from ..edge.clock import read_boottime
-from ..edge.http_channel import HttpAnswer, HttpChannel
+from ..edge.http_channel import HttpAnswer, HttpChannel, OversizedBodyError
 from ..edge.model import Endpoint
 from ..errors import LostAnswerError, PlatformError
 from ..logs import log_event
 from . import names
 from .object_wire import (
     Changes,
+    HistoryGoneError,
     Listing,
+    Reduce,
     StoredObject,
     check_status,
     decode_changes,
@@ -25,6 +27,7 @@
     decode_write_response,
     encode_object,
     encode_status,
+    keep_object,
     make_kind_target,
     make_object_target,
     make_status_target,
@@ -57,9 +60,13 @@
             address=address, connect_timeout_s=CONNECT_TIMEOUT_S
         )
 
-    async def list_objects(self, kind: str) -> Listing:
+    async def list_objects(self, kind: str, reduce: Reduce = keep_object) -> Listing:
         """Lists all objects of a kind, page by page.
 
+        Args:
+            kind: the kind.
+            reduce: returns what to keep of an object, None to leave it out.
+
         Raises:
             PlatformError: the store did not answer or refused.
         """
@@ -73,23 +80,35 @@
             era, era_before = self._read_era(answer), era
             if after and era != era_before:
                 raise PlatformError(f"list of {kind}: the store changed its era")
-            page = decode_page(answer.body)
+            page = decode_page(answer.body, reduce)
             items += page.items
             revision = page.revision if revision is None else revision
             after = page.continue_after
             if not after:
                 return Listing(items=tuple(items), revision=revision)
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+    async def watch(
+        self, kind: str, revision: int, wait_s: float, reduce: Reduce = keep_object
+    ) -> Changes:
         """Waits for changes to objects of a kind after a revision.
 
+        Args:
+            kind: the kind.
+            revision: revision after which changes count.
+            wait_s: longest wait for a change, seconds.
+            reduce: returns what to keep of an object, None to leave it out.
+
         Raises:
-            HistoryGoneError: the store no longer has the changes after the revision.
+            HistoryGoneError: the store no longer has the changes after the revision,
+                or more than fit into one answer; list the objects again.
             PlatformError: the store did not answer or refused.
         """
         target = make_watch_target(kind, revision, wait_s)
-        answer = await self._call("GET", target, timeout_s=wait_s + WATCH_SLACK_S)
-        return decode_changes(answer.body)
+        try:
+            answer = await self._call("GET", target, timeout_s=wait_s + WATCH_SLACK_S)
+        except OversizedBodyError as error:
+            raise HistoryGoneError(f"{target}: {error}") from error
+        return decode_changes(answer.body, reduce)
 
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Reads one object; returns None if it does not exist.
--- a/berylpost/platform/object_wire.py
+++ b/berylpost/platform/object_wire.py
@@ -4,8 +4,8 @@
 """
 
 import logging
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
@@ -46,6 +46,10 @@
     status: Any = None
 
 
+# Returns what to keep of an object that was read, None for nothing.
+Reduce = Callable[[StoredObject], StoredObject | None]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listing:
     """All objects of a kind, and the store revision from which to watch for changes."""
@@ -183,36 +187,80 @@
     raise PlatformError(f"{call}: status {status}")
 
 
-def decode_page(body: bytes) -> Page:
+def keep_object(stored: StoredObject) -> StoredObject | None:
+    """Keeps all of an object, for kinds whose objects are small."""
+    return stored
+
+
+def reduce_spec(
+    *spec_types: type[msgspec.Struct],
+) -> Callable[[StoredObject], StoredObject]:
+    """Makes a function that keeps the fields of one of several types of specs.
+
+    The spec of an object is None if it has none of them.
+    """
+
+    def reduce(stored: StoredObject) -> StoredObject:
+        for spec_type in spec_types:
+            try:
+                spec = msgspec.convert(stored.spec, spec_type)
+            except msgspec.ValidationError:
+                continue
+            return replace(stored, spec=msgspec.to_builtins(spec))
+        return replace(stored, spec=None)
+
+    return reduce
+
+
+def decode_page(body: bytes, reduce: Reduce = keep_object) -> Page:
     """Decodes one page of a listing; leaves out what names no object.
 
+    Args:
+        body: the response.
+        reduce: returns what to keep of an object, None to leave it out; called for
+            each object before the next one is decoded.
+
     Raises:
         LostAnswerError: the response is not a page.
     """
     page = _decode(body, _WirePage, PAGE_DEPTH)
-    parsed = [_parse_object(item) for item in page.items or ()]
-    items = tuple(item for item in parsed if item is not None)
-    if page.has_more and not items:
-        log_event(LOGGER, "page_without_names", logging.ERROR, n_items=len(parsed))
+    items = []
+    last_name = ""
+    for document in page.items or ():
+        stored = _parse_object(document)
+        if stored is None:
+            continue
+        last_name = stored.name
+        kept = reduce(stored)
+        if kept is not None:
+            items.append(kept)
+    if page.has_more and not last_name:
+        n_items = len(page.items or ())
+        log_event(LOGGER, "page_without_names", logging.ERROR, n_items=n_items)
     return Page(
-        items=items,
+        items=tuple(items),
         revision=page.revision,
-        continue_after=items[-1].name if page.has_more and items else "",
+        continue_after=last_name if page.has_more else "",
     )
 
 
-def decode_changes(body: bytes) -> Changes:
+def decode_changes(body: bytes, reduce: Reduce = keep_object) -> Changes:
     """Decodes the response to a watch; leaves out what names no object.
 
+    Args:
+        body: the response.
+        reduce: as for `decode_page`.
+
     Raises:
         LostAnswerError: the response is not a list of changes.
     """
     document = _decode(body, _WireChanges, CHANGES_DEPTH)
     changes = []
     for event in document.events or ():
-        item = _parse_object(event.object)
-        if item is not None:
-            changes.append(Change(item=item, removed=bool(event.removed)))
+        stored = _parse_object(event.object)
+        kept = reduce(stored) if stored is not None else None
+        if kept is not None:
+            changes.append(Change(item=kept, removed=bool(event.removed)))
     return Changes(changes=tuple(changes), revision=document.revision)
 
 
--- a/berylpost/platform/rollouts.py
+++ b/berylpost/platform/rollouts.py
@@ -1,13 +1,13 @@
 """Orders to move a service's traffic to a version of its servers."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 import msgspec
 
 from ..logs import log_event
-from .object_wire import StoredObject
+from .object_wire import StoredObject, reduce_spec
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -27,6 +27,9 @@
     to: str = ""
 
 
+_reduce_order_spec: Final = reduce_spec(_WireSpec)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutOrder:
     """An order as stored.
@@ -49,6 +52,16 @@
     state: str
 
 
+def reduce_order(item: StoredObject) -> StoredObject:
+    """Returns an order with the fields that `decode_order` reads."""
+    try:
+        status = msgspec.to_builtins(msgspec.convert(item.status, _WireStatus))
+    except msgspec.ValidationError:
+        status = None
+    reduced = _reduce_order_spec(item)
+    return replace(reduced, status=status)
+
+
 def decode_order(item: StoredObject) -> RolloutOrder | None:
     """Decodes an order; returns None if it is malformed."""
     try:
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -100,5 +100,25 @@
       | a list                   |
       | reports of another form  |
 
+  # Daemons kept all that other writers stored, and passed `MemoryMb` within seconds.
+  Scenario Outline: Large entries of another writer that <what> stay within a daemon's memory
+    Given 2 entry daemons and 1 servers
+    When another writer stores 40 entries of 1 MB that <what>
+    Then a server and a configuration that are stored later are in force within 4 s
+    And a daemon that starts later knows them within its memory
+    And no daemon keeps or passes on more of the entries than a quarter of its memory
+    And every daemon that watches the store counts the entries that it <verb>
+
+    Examples:
+      | what                         | verb    |
+      | name no server               | refuses |
+      | name servers with long texts | gives up |
+
+  Scenario: Entries of servers beyond the memory give way to those that are named
+    Given 2 entry daemons and 1 servers
+    When another writer stores 14000 entries of a service without a route
+    Then the daemons use the first server
+    And no daemon keeps or passes on more of the entries than a quarter of its memory
+
   Scenario: No drawn text in an entry hides the entries beside it
     Then for 500 drawn lists with odd entries the sound entries are read
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -4,6 +4,7 @@
 import base64
 import logging
 import time
+import tracemalloc
 
 import msgspec
 from behave import given, then, when
@@ -198,6 +199,84 @@
     watch.close()
 
 
+SAMPLE = {"t": 1}
+# An entry without an address and a state, and one of a server at any address.
+LARGE = {
+    "name no server": {"Service": "app", "Samples": [SAMPLE] * 120_000},
+    "name servers with long texts": {"Zone": "a" * 500_000, "Version": "v" * 500_000},
+}
+SOUND = msgspec.json.decode(ENTRY % b'"leaves_ms": null') | {"Service": "app"}
+
+
+@when("another writer stores {n:d} entries of 1 MB that {what}")
+def step_store_large(context: Context, n: int, what: str) -> None:
+    async def store():
+        for number in range(n):
+            # A watch with more than fits into one answer has to be read as a list.
+            await context.world.store.put("servers", f"aa-{number}", spec)
+            if number % 4 == 0:
+                await asyncio.sleep(0.1)
+
+    spec = LARGE[what] if "no server" in what else SOUND | LARGE[what]
+    spec = msgspec.Raw(msgspec.json.encode(spec))
+    assert 900_000 < len(spec) < 1 << 20
+    context.world.run(store(), timeout_s=60)
+
+
+@when("another writer stores {n:d} entries of a service without a route")
+def step_store_unnamed(context: Context, n: int) -> None:
+    async def store():
+        spec = SOUND | {"Service": "unnamed"}
+        for number in range(n):
+            await context.world.store.put("servers", f"aa-{number}", spec)
+
+    context.world.run(store(), timeout_s=60)
+    for daemon in context.world.daemons.values():
+        wait_for(10, lambda daemon=daemon: daemon.catalogue.n_given_up > 0)
+
+
+@then("the daemons use the first server")
+def step_check_first(context: Context) -> None:
+    for daemon in context.world.daemons.values():
+        wait_for(3, lambda daemon=daemon: "r-0" in daemon.table.records)
+
+
+@then("a daemon that starts later knows them within its memory")
+def step_check_late_memory(context: Context) -> None:
+    limit = context.world.make_settings(7).memory_bytes
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        daemon = context.world.run(context.world.start_daemon(7))
+        wait_for(6, lambda: is_current(daemon))
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak - before < limit, peak - before
+
+
+@then("no daemon keeps or passes on more of the entries than a quarter of its memory")
+def step_check_kept(context: Context) -> None:
+    for daemon in context.world.daemons.values():
+        state = daemon.catalogue.export_state()
+        n_bytes = len(msgspec.json.encode(state["entries"]))
+        limit = daemon.settings.memory_bytes / 4
+        assert n_bytes <= limit, (n_bytes, limit)
+        assert daemon.catalogue.budget.n_held <= limit
+
+
+@then("every daemon that watches the store counts the entries that it {verb}")
+def step_check_counted(context: Context, verb: str) -> None:
+    watching = [d for d in context.world.daemons.values() if d.watch.is_watching]
+    assert len(watching) >= 2
+    for daemon in watching:
+        counts = {
+            "refuses": daemon.catalogue.refused.n_noted,
+            "gives up": daemon.catalogue.n_given_up,
+        }
+        assert counts[verb] >= 20, counts
+
+
 @when("another writer overwrites the lease with {oddity}")
 def step_overwrite_lease(context: Context, oddity: str) -> None:
     world = context.world
