Count what callers make the control addresses hold

Cause: only the front address had a budget; the control addresses took any number of bodies of 4 MiB and any number of connections.

Change: they share the budget and the limits of the front address, and each may have a tenth of the callers' connections; who lost a place there is counted.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -52,7 +52,9 @@
     Args:
         handler: serves one request; it must finish or abort the answer.
         read_limits: returns the limits for callers that currently apply.
-        buffers: counts the bodies that are held; None for few small ones.
+        buffers: counts what callers make the process hold; None for trusted callers.
+        connection_share: part of the connections of all callers that this server may
+            have open.
 
     Attributes:
         leaving: whether to close each connection after its next answer.
@@ -66,6 +68,7 @@
         handler: Handler,
         read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
         buffers: BufferBudget | None = None,
+        connection_share: float = 1.0,
     ) -> None:
         self.handler = handler
         self.buffers = buffers or BufferBudget(memory_bytes=float("inf"))
@@ -73,9 +76,10 @@
         self.leaving = False
         self.connections: set[CallerConnection] = set()
         self.counts: Counter[str] = Counter()
-        self.max_connections = limit_connections(
+        n_connections = limit_connections(
             read_descriptor_limit(), self.buffers.request_limit
         )
+        self.max_connections = max(1, int(n_connections * connection_share))
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._logged_at = float("-inf")
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -75,6 +75,8 @@
 MIN_LEAVE_S: Final = 4.5
 EXIT_MARGIN_S: Final = 0.7  # between the planned exit and SIGKILL
 LAST_ANSWERS_S: Final = 0.2  # to answer what is unfinished at the planned exit
+# Part of the callers' connections that each control address may have open.
+CONTROL_SHARE: Final = 0.1
 # How long idle callers' connections stay open after shutdown begins.
 IDLE_CLOSE_S: Final = 2.5
 
@@ -305,7 +307,12 @@
             else:
                 handler(request, caller)
 
-        server = CallerServer(handler=answer)
+        server = CallerServer(
+            handler=answer,
+            read_limits=self._read_limits,
+            buffers=self.buffers,
+            connection_share=CONTROL_SHARE,
+        )
         await server.start(*address)
         self._control_servers.append(server)
 
@@ -483,6 +490,8 @@
             "bad_entries": self.catalogue.refused.n_noted,
             "entries_given_up": self.catalogue.n_given_up,
             **self.front.read_counters(),
+            "control_connections_displaced": self._count_control("closed"),
+            "control_connections_rejected": self._count_control("rejected"),
         }
         rollout_gauges, rollout_counters = self.rollouts.export_metrics()
         body = render_metrics(
@@ -490,6 +499,9 @@
         )
         caller.answer(200, b"", ((b"content-type", b"text/plain"),), body)
 
+    def _count_control(self, name: str) -> int:
+        return sum(server.counts[name] for server in self._control_servers)
+
     def _answer_json(self, caller: CallerConnection, document: Any) -> None:
         body = msgspec.json.encode(document)
         caller.answer(200, b"", ((b"content-type", b"application/json"),), body)
--- a/features/client_limits.feature
+++ b/features/client_limits.feature
@@ -35,6 +35,15 @@
     And its memory stayed below 100 MB
     And it never held more than three quarters of its 1638 descriptors
 
+  # Only the front address counted what callers make a daemon hold.
+  Scenario: An entry daemon withstands 60 clients with large bodies at its directory
+    Given an entry daemon process with 100 MB of memory and 1638 descriptors
+    When 60 clients play the load "large bodies" at the directory for 4 s
+    Then the process lives and one ordinary request is answered
+    And its memory stayed below 100 MB
+    And it never held more than three quarters of its 1638 descriptors
+    And the directory answers
+
   # The incomplete event of a stream, up to 1 MiB, counted nowhere.
   Scenario: An entry daemon withstands events without end on 200 streams
     Given an entry daemon process with 100 MB of memory and 1638 descriptors
