Bound the prompt parts and the ids that callers choose

Prompts with long ids of parts kept a daemon's gossip from all others for as long as they came (new, found by looking for relatives).

Cause: what is known of the engines' KV caches was bounded by tokens, not by the number of parts. Ids of parts went into gossip whole; a datagram of over 64 KB is never sent. Ids of attempts were kept whole, up to 16 KB each, for 20,000 streams. Malformed headers of servers were kept whole.

Change: known parts take a tenth of MemoryMb at most; beyond that, engines with the most lose those used least recently. Ids of over 64 characters are not reported, and such streams are named by a hash. Of a malformed header 40 bytes are kept.

--- a/berylpost/edge/backend_table.py
+++ b/berylpost/edge/backend_table.py
@@ -50,6 +50,16 @@
 # Maximum number of parts in one datagram, 1.5 KB; a daemon sends up to 40 parts per
 # second.
 MAX_REPORTED_PARTS: Final = 64
+# Longer ids are not reported, so that no caller's text fills a datagram.
+MAX_REPORTED_ID_CHARS: Final = 64
+# Share of the process's memory for the parts in all engines' KV caches. On a machine of
+# 160 MB it holds 60,000 parts.
+PART_SHARE: Final = 0.1
+# Bytes of memory for a part beside its id.
+PART_BYTES: Final = 256
+PARTS_LOG_S: Final = 1.0  # between two log lines about parts that were given up
+# Part of an engine's known parts that is given up at once.
+GIVE_UP_SHARE: Final = 0.125
 # A server that is still listed as ready this long after its announced shutdown is
 # taken to have restarted.
 RESTART_AFTER_S: Final = 5.0
@@ -72,6 +82,7 @@
         cached_parts: tokens of the prompt parts in the engine's KV cache, by part id,
             least recently used first.
         n_cached_tokens: sum of the tokens in `cached_parts`.
+        n_part_bytes: memory that `cached_parts` takes.
         shutdown_at: boot-time clock at which a leaving server shuts down, else None.
         has_known_end: whether the server named that time itself.
         leaving: set once the server is known to be leaving.
@@ -99,6 +110,7 @@
         self.mean_answer_s = 0.0
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
         self.n_cached_tokens = 0
+        self.n_part_bytes = 0
         self.shutdown_at: float | None = None
         self.has_known_end = False
         self.leaving = asyncio.Event()
@@ -120,6 +132,11 @@
         count_members: returns how many daemons share the servers' connections.
         round_duration_s: returns the seconds of a gossip round, in which each daemon
             sends to every other one once.
+        memory_bytes: memory that the process may use.
+
+    Attributes:
+        n_parts_given_up: prompt parts forgotten since all take too much memory.
+        n_part_bytes: memory that the prompt parts in all engines' KV caches take.
     """
 
     def __init__(
@@ -130,8 +147,13 @@
         drain_s: float,
         count_members: Callable[[], int],
         round_duration_s: Callable[[], float],
+        memory_bytes: float,
     ) -> None:
         self.records: dict[str, BackendRecord] = {}
+        self.n_parts_given_up = 0
+        self.n_part_bytes = 0
+        self._parts_logged_at = float("-inf")
+        self._part_limit = memory_bytes * PART_SHARE
         self._zone = zone
         self._paths = paths
         self._drain_s = drain_s
@@ -140,7 +162,9 @@
         self._by_service: dict[str, list[BackendRecord]] = {}
         self._reports: dict[str, tuple[float, Mapping[str, Any]]] = {}
         self._services: Mapping[str, Service] = {}
-        self._sent_parts: deque[tuple[float, str, PromptPart]] = deque()
+        self._sent_parts: deque[tuple[float, str, PromptPart]] = deque(
+            maxlen=MAX_REPORTED_PARTS
+        )
         self._is_leaving: Callable[[Backend], bool] = lambda _backend: False
 
     def bind_leaving(self, is_leaving: Callable[[Backend], bool]) -> None:
@@ -366,17 +390,17 @@
         """Records a prompt sent to an engine, to be reported to the other daemons."""
         self._record_cached_parts(record, parts)
         now = read_boottime()
-        for part in parts[:-1]:
-            self._sent_parts.append((now, record.backend.id, part))
+        self._sent_parts.extend(
+            (now, record.backend.id, part)
+            for part in parts[:-1]
+            if len(part.id) <= MAX_REPORTED_ID_CHARS
+        )
 
     def export_parts(self) -> dict[str, list[PromptPart]]:
         """Returns recently sent shared parts by engine, for the other daemons."""
         report_s = max(PARTS_REPORT_S, PARTS_REPORT_ROUNDS * self._round_duration_s())
         horizon = read_boottime() - report_s
-        while self._sent_parts and (
-            self._sent_parts[0][0] < horizon
-            or len(self._sent_parts) > MAX_REPORTED_PARTS
-        ):
+        while self._sent_parts and self._sent_parts[0][0] < horizon:
             self._sent_parts.popleft()
         reported: dict[str, list[PromptPart]] = {}
         for _, backend, part in self._sent_parts:
@@ -399,16 +423,44 @@
         service = self._services.get(record.backend.service)
         if service is None or service.engine is None:
             return
+        n_bytes_before = record.n_part_bytes
         for part in parts:
             if part.id in record.cached_parts:
                 record.cached_parts.move_to_end(part.id)
             else:
                 record.cached_parts[part.id] = part.n_tokens
                 record.n_cached_tokens += part.n_tokens
+                record.n_part_bytes += PART_BYTES + len(part.id)
         bound = service.engine.kv_tokens * CACHE_SHARE
         while record.n_cached_tokens > bound and record.cached_parts:
-            _, n_tokens = record.cached_parts.popitem(last=False)
-            record.n_cached_tokens -= n_tokens
+            _evict_part(record)
+        self.n_part_bytes += record.n_part_bytes - n_bytes_before
+        if self.n_part_bytes > self._part_limit:
+            self._keep_part_limit()
+
+    def _keep_part_limit(self) -> None:
+        """Forgets parts of the engines with the most, if all take too much memory."""
+        self._sum_part_bytes()
+        while self.n_part_bytes > self._part_limit:
+            largest = max(self.records.values(), key=lambda r: r.n_part_bytes)
+            n_bytes_before = largest.n_part_bytes
+            n_parts = 1 + int(len(largest.cached_parts) * GIVE_UP_SHARE)
+            for _ in range(n_parts):
+                _evict_part(largest)
+            self.n_parts_given_up += n_parts
+            self.n_part_bytes += largest.n_part_bytes - n_bytes_before
+        now = read_boottime()
+        if now - self._parts_logged_at >= PARTS_LOG_S:
+            self._parts_logged_at = now
+            log_event(
+                LOGGER,
+                "parts_given_up",
+                n_parts=self.n_parts_given_up,
+                limit_bytes=self._part_limit,
+            )
+
+    def _sum_part_bytes(self) -> None:
+        self.n_part_bytes = sum(r.n_part_bytes for r in self.records.values())
 
     def note_success(self, record: BackendRecord, answer_s: float | None) -> None:
         """Records an answer; `answer_s` is its duration, None if not comparable."""
@@ -490,6 +542,7 @@
     def sweep(self) -> None:
         """Closes idle connections, updates connection limits, drops old reports."""
         now = read_boottime()
+        self._sum_part_bytes()
         for record in self.records.values():
             record.pool.sweep()
             service = self._services.get(record.backend.service)
@@ -510,3 +563,10 @@
             record.mean_answer_s for record in records if record.mean_answer_s
         )
         return answer_times[len(answer_times) // 2] if answer_times else 0.0
+
+
+def _evict_part(record: BackendRecord) -> None:
+    """Forgets the part of an engine that was used least recently."""
+    part_id, n_tokens = record.cached_parts.popitem(last=False)
+    record.n_cached_tokens -= n_tokens
+    record.n_part_bytes -= PART_BYTES + len(part_id)
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -157,6 +157,7 @@
             drain_s=bounds.drain_s,
             count_members=self.members.count_members,
             round_duration_s=self.members.round_duration_s,
+            memory_bytes=settings.memory_bytes,
         )
         self.notice_poller = ReclaimNoticePoller(
             table=self.table, read_store_age=self.catalogue.read_confirmation_age
@@ -471,6 +472,7 @@
             "limited_servers": self.limits.n_limited,
             "brittle_servers": self.brittle.n_limited,
             "entry_bytes": self.catalogue.budget.n_held,
+            "part_bytes": self.table.n_part_bytes,
             "suspect_servers": self.table.count_suspect(),
             "cut_links": self.paths.n_cut,
             "passed_on_connections": self.paths.tunnels.n_open,
@@ -489,6 +491,7 @@
             "engine_probes": self.notice_poller.n_queries,
             "bad_entries": self.catalogue.refused.n_noted,
             "entries_given_up": self.catalogue.n_given_up,
+            "parts_given_up": self.table.n_parts_given_up,
             **self.front.read_counters(),
             "control_connections_displaced": self._count_control("closed"),
             "control_connections_rejected": self._count_control("rejected"),
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -69,6 +69,7 @@
 # Wait for the end of a server whose answer without a length has ended. Callers wait as
 # long for it; such an answer is short, so that few are cut by a process that ends.
 ANSWER_CLOSING_S: Final = 0.05
+MAX_BAD_VALUE_BYTES: Final = 40  # kept and logged of a malformed header
 # Failures of an attempt after which the server may have ended.
 BREAKS: Final = frozenset({Failure.RESET, Failure.CUT})
 
@@ -450,9 +451,14 @@
         rate = parse_rate_limit(value)
         if rate is not None or not value:
             self._limits.note_answer(record, rate)
-        elif record.bad_limit != value:
-            record.bad_limit = value
-            log_event(LOGGER, "bad_limit", backend=record.backend.id, value=value[:40])
+        elif record.bad_limit != value[:MAX_BAD_VALUE_BYTES]:
+            record.bad_limit = value[:MAX_BAD_VALUE_BYTES]
+            log_event(
+                LOGGER,
+                "bad_limit",
+                backend=record.backend.id,
+                value=value[:MAX_BAD_VALUE_BYTES],
+            )
 
     def _note_brittle(self, record: BackendRecord, head: AnswerHead) -> None:
         """Records whether a server says that it is brittle."""
@@ -461,10 +467,13 @@
         if n_allowed is not None or not value:
             rate = None if n_allowed is None else find_risk_rate(n_allowed)
             self._brittle.note_answer(record, rate)
-        elif record.bad_brittle != value:
-            record.bad_brittle = value
+        elif record.bad_brittle != value[:MAX_BAD_VALUE_BYTES]:
+            record.bad_brittle = value[:MAX_BAD_VALUE_BYTES]
             log_event(
-                LOGGER, "bad_brittle", backend=record.backend.id, value=value[:40]
+                LOGGER,
+                "bad_brittle",
+                backend=record.backend.id,
+                value=value[:MAX_BAD_VALUE_BYTES],
             )
 
     def _note_leaving(self, record: BackendRecord, head: AnswerHead) -> None:
@@ -480,10 +489,13 @@
                 started_ms=record.backend.started_ms,
             )
             self._leaving.note(record)
-        elif leaves is None and record.bad_leaving != value:
-            record.bad_leaving = value
+        elif leaves is None and record.bad_leaving != value[:MAX_BAD_VALUE_BYTES]:
+            record.bad_leaving = value[:MAX_BAD_VALUE_BYTES]
             log_event(
-                LOGGER, "bad_leaving", backend=record.backend.id, value=value[:40]
+                LOGGER,
+                "bad_leaving",
+                backend=record.backend.id,
+                value=value[:MAX_BAD_VALUE_BYTES],
             )
 
     def _note_break(
--- a/berylpost/edge/stream_origins.py
+++ b/berylpost/edge/stream_origins.py
@@ -36,7 +36,7 @@
 from .store_era import StoreEra
 from .stream_messages import Answer, Inquiry, Query, Records
 from .stream_store import StreamStore, Versions
-from .stream_tables import Origin, hash_attempt
+from .stream_tables import Origin, hash_attempt, name_stream
 from .work import RequestContext, make_refusal
 
 LOGGER: Final = logging.getLogger(__name__)
@@ -182,6 +182,7 @@
     def record(self, attempt: str, service: str, version: str) -> None:
         """Records the version of a stream whose first event has arrived."""
         origin = Origin(service, version)
+        attempt = name_stream(attempt)
         self._keep(attempt, origin)
         self._keep_own(attempt, origin)
         if self._is_mixed(service):
@@ -197,7 +198,7 @@
         Raises:
             BerylpostError: the version is not known; the request has not run.
         """
-        attempt = context.head.resumed_id
+        attempt = name_stream(context.head.resumed_id)
         known = self._origins.get(attempt)
         inquiry = Inquiry(n_asked=0)
         if known is None:
--- a/berylpost/edge/stream_tables.py
+++ b/berylpost/edge/stream_tables.py
@@ -13,6 +13,8 @@
 
 from ..hashing import hash_text
 
+# Callers choose the ids of their attempts; those of the platform have 16 characters.
+MAX_ATTEMPT_CHARS: Final = 64
 NATIVE_IS_STORED: Final = sys.byteorder == "little"
 
 Hashes: TypeAlias = "array[int]"
@@ -25,6 +27,13 @@
     version: str
 
 
+def name_stream(attempt: str) -> str:
+    """Returns by which text daemons name a stream; long attempt ids are hashed."""
+    if len(attempt) <= MAX_ATTEMPT_CHARS:
+        return attempt
+    return f"#{hash_text(attempt):016x}"
+
+
 def hash_attempt(attempt: str) -> int:
     """Computes the hash by which tables name a stream."""
     return hash_text(attempt)
--- a/features/client_limits.feature
+++ b/features/client_limits.feature
@@ -44,6 +44,14 @@
     And it never held more than three quarters of its 1638 descriptors
     And the directory answers
 
+  # What is known of the engines' KV caches was bounded by tokens, not by parts.
+  Scenario: An entry daemon withstands prompts of 1,500 parts of one token
+    Given an entry daemon process with 100 MB of memory and 1638 descriptors
+    And its servers are engines with a KV cache of 50000000 tokens
+    When 8 clients send prompts of 1500 parts of one token for 8 s
+    Then the process lives and one ordinary request is answered
+    And its memory stayed below 100 MB
+
   # The incomplete event of a stream, up to 1 MiB, counted nowhere.
   Scenario: An entry daemon withstands events without end on 200 streams
     Given an entry daemon process with 100 MB of memory and 1638 descriptors
@@ -57,6 +65,13 @@
     Then a body of 4194304 bytes is answered
     And a header section of 16384 bytes with the shortest lines is answered
 
+  # A datagram of over 64 KB is never sent, so the daemon was taken for lost.
+  Scenario: Long ids of prompt parts and streams keep no datagram from other daemons
+    Given 2 entry daemons and 2 servers
+    When clients send for 4 s streams with ids of 500 and 11 prompt parts of 1200 characters
+    Then meanwhile each daemon heard from the other within 1 s
+    And no daemon keeps more than 64 characters of the id of a stream
+
   Scenario Outline: A daemon of the own interface withstands <n> clients with <load>
     Given a daemon process of the own interface with 8 threads and <descriptors> descriptors
     When <n> clients play the load "<load>" for 4 s
