Free a closed connection at once again, and let the tests' transports pause

The reader that takes turns held the connection in a reference cycle: "A closed connection keeps nothing of an answer without end" failed since. Closing it drops its owner now.

The stand-in transports of the parsers' tests could not be paused, and delivered on while a connection waited for its turn; they wait now, as an event loop does. The bounds of the checks are as before.

--- a/berylpost/edge/paced_reader.py
+++ b/berylpost/edge/paced_reader.py
@@ -116,8 +116,10 @@
         self._update_reading()
 
     def close(self) -> None:
-        """Drops what is not parsed; the connection is lost."""
+        """Drops what is not parsed, and the owner, which would not be freed at once."""
         self._transport = None
+        self._parse = lambda _data: None
+        self._find_slice = lambda: 0
         self._unparsed = b""
         self.n_unparsed = 0
 
--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -40,7 +40,15 @@
 
 
 class _Flow(_Transport):
-    """Records whether the parser closes the connection."""
+    """Records whether the parser closes the connection, or reads no more for now."""
+
+    is_paused = False
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
 
     def get_write_buffer_size(self):
         return 0
@@ -49,30 +57,41 @@
         self.closing = True
 
 
-def feed_connection(pieces):
+async def deliver(protocol, transport, pieces, is_over):
+    """Delivers pieces while the protocol reads, as an event loop does."""
+    for piece in pieces:
+        while transport.is_paused and not is_over():
+            await asyncio.sleep(0.001)
+        if not is_over():
+            protocol.data_received(piece)
+
+
+async def feed_connection(pieces):
     connection = Connection(backend_id="r", on_closed=lambda _connection: None)
     transport = _Flow()
     connection.connection_made(transport)
     connection.send(b"request", Exchange(attempt_id=b"", has_body=True))
-    for piece in pieces:
-        if not transport.closing:
-            connection.data_received(piece)
+    await deliver(connection, transport, pieces, lambda: transport.closing)
     return connection
 
 
-def feed_channel(pieces):
+async def feed_channel(pieces):
     protocol = _AnswerProtocol()
-    protocol.connection_made(_Flow())
-    protocol.answer = asyncio.get_running_loop().create_future()
-    for piece in pieces:
-        if protocol.transport is not None and not protocol.answer.done():
-            protocol.data_received(piece)
+    transport = _Flow()
+    protocol.connection_made(transport)
+    answer = protocol.answer = asyncio.get_running_loop().create_future()
+    await deliver(
+        protocol,
+        transport,
+        pieces,
+        lambda: protocol.transport is None or answer.done(),
+    )
     if protocol.answer.done():
         protocol.answer.exception()
     return protocol
 
 
-def feed_upstream(pieces):
+async def feed_upstream(pieces):
     upstream = Upstream(
         address="127.0.0.1:9", path="/", body=b"", request_id="", now=0.0
     )
@@ -89,16 +108,14 @@
     return upstream
 
 
-def feed_caller(pieces):
+async def feed_caller(pieces):
     async def handle(_request, _connection):
         """Nothing is answered."""
 
     transport = _Flow()
     connection = CallerConnection(server=CallerServer(handler=handle))
     connection.connection_made(transport)
-    for piece in pieces:
-        if not transport.closing:
-            connection.data_received(piece)
+    await deliver(connection, transport, pieces, lambda: transport.closing)
     return connection
 
 
@@ -119,7 +136,7 @@
         return len(data)
 
 
-def feed_pool(pieces):
+async def feed_pool(pieces):
     class _Socket:
         def makefile(self, _mode):
             return io.BufferedReader(_Pieces(pieces))
@@ -162,7 +179,7 @@
             pieces = cut_pieces(PARSERS[feed] + head, unit, n_read_bytes)
             tracemalloc.start()
             try:
-                kept = feed(pieces)
+                kept = await feed(pieces)
                 n_bytes, _ = tracemalloc.get_traced_memory()
             finally:
                 tracemalloc.stop()
@@ -235,7 +252,7 @@
     check()
 
 
-def feed(protocol, end, pieces, n_needed):
+async def feed(protocol, transport, end, pieces, n_needed):
     """Feeds pieces until the answer ends, which must not be before `n_needed` bytes."""
     n_fed = 0
     for piece in pieces:
@@ -244,23 +261,27 @@
         protocol.data_received(piece)
         n_fed += len(piece)
         assert n_fed >= n_needed or not end.done(), (n_fed, n_needed)
+        while transport.is_paused and not end.done():
+            await asyncio.sleep(0.001)
 
 
 async def check_connection(pieces, body, n_needed, has_stale):
     connection = Connection(backend_id="r", on_closed=lambda _connection: None)
-    connection.connection_made(_Flow())
+    transport = _Flow()
+    connection.connection_made(transport)
     attempt = b"own" if has_stale else b""
     exchange = Exchange(attempt_id=attempt, has_body=True)
     connection.send(b"request", exchange)
-    feed(connection, exchange.end, pieces, n_needed)
+    await feed(connection, transport, exchange.end, pieces, n_needed)
     assert exchange.end.exception() is None and bytes(exchange.body) == body
 
 
 async def check_channel(pieces, body, n_needed):
     protocol = _AnswerProtocol()
-    protocol.connection_made(_Flow())
+    transport = _Flow()
+    protocol.connection_made(transport)
     protocol.answer = asyncio.get_running_loop().create_future()
-    feed(protocol, protocol.answer, pieces, n_needed)
+    await feed(protocol, transport, protocol.answer, pieces, n_needed)
     assert protocol.answer.result().body == body
 
 
