Take no reset upload for whole and no invalid status for an answer

What callers saw: a service that answers a long upload with a 200 without a length and resets it gave part of its body as a complete answer, in 10 of 20 calls of our own interface; its relay took the events of an answer with the status 000. The entry daemon failed all 20 uploads, but waited after a 000 until the time was over.

Cause: urllib3 passes over a reset while it writes, the kernel reports it once, and the next read finds an orderly end. Statuses below 200 were taken for interim answers.

Change: an answer without a length is broken off if writing its request met an error; all four parsers refuse statuses outside 100 to 599.

--- a/berylpost/answer_framing.py
+++ b/berylpost/answer_framing.py
@@ -19,10 +19,29 @@
 MAX_CHUNK_HEAD_BYTES: Final = 64 << 10
 
 
+# Other statuses are invalid (RFC 9110, section 15).
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
+
+
 class OversizedAnswerError(Exception):
     """A part of an answer is larger than the bound given in the message."""
 
 
+class InvalidStatusError(Exception):
+    """The status of an answer is none of HTTP's."""
+
+
+def check_status(status: int) -> None:
+    """Checks the status of an answer.
+
+    Raises:
+        InvalidStatusError: it is not between 100 and 599.
+    """
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise InvalidStatusError(f"status {status:03d} is not valid")
+
+
 class AnswerFraming:
     """Which part of an answer arrives on a connection, and how large it is.
 
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from ..answer_framing import AnswerFraming, OversizedAnswerError
+from ..answer_framing import AnswerFraming, OversizedAnswerError, check_status
 from ..errors import LostAnswerError, PlatformError
 from .model import Endpoint
 from .open_paths import NotConnectedError, OpenPath
@@ -112,6 +112,7 @@
 
     def on_headers_complete(self) -> None:
         """Notes whether the answer ends with its connection."""
+        check_status(self._parser.get_status_code())
         if self._parser.get_status_code() >= 200:
             self._framing.end_head()
         self._unframed = (
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -18,6 +18,7 @@
     MAX_REASON_BYTES,
     AnswerFraming,
     OversizedAnswerError,
+    check_status,
 )
 from ..event_stream import CONTENT_TYPE, OversizedEventError
 from ..logs import log_event
@@ -363,6 +364,7 @@
     def on_headers_complete(self) -> None:
         """Checks the head of the answer and passes it to the exchange."""
         status = self._parser.get_status_code()
+        check_status(status)
         exchange = self._exchange
         if exchange is None or status < 200:
             self._discarding = True
--- a/berylpost/http_pools.py
+++ b/berylpost/http_pools.py
@@ -6,6 +6,10 @@
 
 The standard library takes a head that breaks off for a whole one: the answer then has
 the status of its first line, no length and, once the server has closed, an empty body.
+A server may reset the connection amid its answer while the request is still written.
+urllib3 passes over that error. The kernel reports it once, so the next read finds an orderly
+end; an answer without a length is then broken off, not whole.
+
 A faulty server may write a refusal once more on a kept connection. Answers have no ids
 by which it could be told from the answer to the next request, so a connection is not
 used again after a refusal.
@@ -20,6 +24,8 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from .answer_framing import InvalidStatusError, check_status
+
 # Statuses by which servers refuse a request.
 _REFUSALS: Final = frozenset({408, 421, 429, 503})
 # What ends a head; the standard library accepts both.
@@ -37,7 +43,7 @@
 
 
 class BrokenHeadError(http.client.HTTPException):
-    """The server closed the connection inside the head of its answer."""
+    """The head of an answer is not whole, or not valid."""
 
 
 class OversizedPartError(http.client.HTTPException):
@@ -45,7 +51,7 @@
 
 
 class BrokenBodyError(http.client.HTTPException):
-    """The server's process ended amid an answer that ends with its connection."""
+    """The server broke off an answer that ends with its connection."""
 
 
 class _BoundedFile:
@@ -54,14 +60,18 @@
     Args:
         file: the connection.
         address: address of the server; None if it need not run on after its answer.
+        was_reset: whether the connection was reset while the request was written.
 
     Attributes:
         last_line: the last line that was read.
         ends_with_connection: whether nothing else marks the end of the body.
     """
 
-    def __init__(self, file: Any, address: tuple[str, int] | None) -> None:
+    def __init__(
+        self, file: Any, address: tuple[str, int] | None, *, was_reset: bool
+    ) -> None:
         self.file = file
+        self._was_reset = was_reset
         self.ends_with_connection = False
         self._address = address
         self.last_line = b""
@@ -116,7 +126,7 @@
 
         Raises:
             OversizedPartError: the answer exceeds the bound.
-            BrokenBodyError: the server's process has ended before the body did.
+            BrokenBodyError: the server has broken the body off.
         """
         most = MAX_ANSWER_BYTES - self._n_bytes + 1
         # The file allocates as much as is asked for, whatever a length promises.
@@ -132,7 +142,7 @@
 
         Raises:
             OversizedPartError: the answer exceeds the bound.
-            BrokenBodyError: the server's process has ended before the body did.
+            BrokenBodyError: the server has broken the body off.
         """
         n_bytes = int(self.file.readinto(buffer))
         self._count(n_bytes)
@@ -143,6 +153,8 @@
     def _check_end(self) -> None:
         """Checks a body that its connection has ended."""
         address = self._address
+        if self.ends_with_connection and self._was_reset:
+            raise BrokenBodyError("connection reset while the request was written")
         if self.ends_with_connection and address and not _is_serving(address):
             raise BrokenBodyError("connection closed as the server ended")
 
@@ -187,47 +199,68 @@
 
     Args:
         address: address of the server; None if it need not run on after its answer.
+        was_reset: whether the connection was reset while the request was written.
     """
 
     def __init__(
-        self, *args: Any, address: tuple[str, int] | None = None, **options: Any
+        self,
+        *args: Any,
+        address: tuple[str, int] | None = None,
+        was_reset: bool = False,
+        **options: Any,
     ) -> None:
         super().__init__(*args, **options)
         self._address = address
+        self._was_reset = was_reset
 
     def begin(self) -> None:
         """Reads the head.
 
         Raises:
-            BrokenHeadError: the connection was closed before the head ended.
+            BrokenHeadError: the connection was closed before the head ended, or the
+                status is none of HTTP's.
         """
-        bounded = _BoundedFile(self.fp, self._address)
+        bounded = _BoundedFile(self.fp, self._address, was_reset=self._was_reset)
         self.fp = bounded  # type: ignore[assignment]
         super().begin()
         if bounded.last_line not in _HEAD_ENDS:
             raise BrokenHeadError("connection closed inside the head of the answer")
+        try:
+            check_status(self.status)
+        except InvalidStatusError as error:
+            raise BrokenHeadError(str(error)) from error
         bounded.ends_with_connection = self.length is None and not self.chunked
 
 
 class _Connection(HTTPConnection):
     _has_refused = False
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        # The address is known to the connection even when the server has reset it.
-        self.response_class = functools.partial(  # type: ignore[assignment]
-            _WholeHeadResponse, address=(self.host, self.port)
-        )
+    _was_reset = False
 
     def request(self, *args: Any, **options: Any) -> None:
-        """Sends a request, on a new connection after a refusal."""
+        """Sends a request, on a new connection after a refusal.
+
+        Raises:
+            OSError: the server has closed or reset the connection; urllib3 reads the
+                response all the same.
+        """
         if self._has_refused:
             self.close()
             self._has_refused = False
-        super().request(*args, **options)
+        self._was_reset = False
+        try:
+            super().request(*args, **options)
+        except OSError:
+            self._was_reset = True
+            raise
 
     def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
         """Returns the response to the request."""
+        # The address is known to the connection even when the server has reset it.
+        self.response_class = functools.partial(  # type: ignore[assignment]
+            _WholeHeadResponse,
+            address=(self.host, self.port),
+            was_reset=self._was_reset,
+        )
         response = super().getresponse()
         self._has_refused = response.status in _REFUSALS
         return response
--- a/berylpost/upstream.py
+++ b/berylpost/upstream.py
@@ -12,7 +12,7 @@
 import httptools
 import msgspec
 
-from .answer_framing import AnswerFraming, OversizedAnswerError
+from .answer_framing import AnswerFraming, OversizedAnswerError, check_status
 from .endpoints import split_endpoint
 
 READ_BYTES: Final = 65_536
@@ -159,6 +159,7 @@
     def on_headers_complete(self) -> None:
         """Reports an error status as a refusal."""
         status = self._parser.get_status_code()
+        check_status(status)
         if status < 200:
             return  # an interim answer
         self._framing.end_head()
--- a/features/entry_faulty_servers.feature
+++ b/features/entry_faulty_servers.feature
@@ -78,6 +78,28 @@
       | serves on | ends  | whole   |
       | is killed | fails | broken  |
 
+  # urllib3 reads on after a reset that ended the writing of a request, and the kernel
+  # reports a reset once: the next read finds an orderly end.
+  Scenario: A service that resets a long upload amid an answer without a length is not whole
+    When a service answers a long upload at once, without a length, and resets it 20 times
+    Then no call is a success
+
+  Scenario: A server that resets a long upload amid an answer without a length is not whole
+    Given 1 entry daemons and 2 servers
+    And every server answers a long upload at once, without a length, and resets it
+    When callers send 20 uploads of 4000000 bytes
+    Then no answer is a success
+
+  Scenario Outline: An answer with the status <status> is no answer
+    Then no parser takes an answer with the status "<status>" for one
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+
   # Garbage is collected by the number of objects, however large they are.
   Scenario: A closed connection keeps nothing of an answer without end
     Then a connection that is closed amid a field is freed at once
--- a/features/steps/entry_faulty_server_steps.py
+++ b/features/steps/entry_faulty_server_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import re
 import socket
+import struct
 import threading
 import time
 import weakref
@@ -20,8 +21,10 @@
 from steps.shared import DETERMINISTIC
 
 from berylpost.answer_framing import MAX_INTERIM_ANSWERS, MAX_TRAILER_FIELDS
+from berylpost.edge.http_channel import _AnswerProtocol
 from berylpost.edge.upstream import Connection, Exchange, UpstreamError
 from berylpost.http_pools import make_pool
+from berylpost.upstream import Token, Upstream
 
 NOT_RUN = {408, 421, 429, 503}
 _numbers = itertools.count()
@@ -224,6 +227,7 @@
     "chunk extensions": (HEAD + b"\r\n2\r\nok\r\n2;a=", b"b"),
 }
 MAX_PIECES = 200
+UPLOAD_BYTES = 8_000_000
 
 
 @when("a service sends {part} without end, a piece each 0.2 s")
@@ -265,6 +269,176 @@
     call_service(context, listener)
 
 
+def reset(sock):
+    """Closes a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@when(
+    "a service answers a long upload at once, without a length, and resets it {n:d} "
+    "times"
+)
+def step_reset_uploads(context: Context, n: int) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+
+    def serve():
+        for _ in range(n):
+            connection, _ = listener.accept()
+            connection.recv(100)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\npart of a body")
+            time.sleep(0.02)
+            reset(connection)
+
+    threading.Thread(target=serve, daemon=True).start()
+    host, port = listener.getsockname()
+    context.calls = []
+    for _ in range(n):
+        try:
+            answer = make_pool(retries=False, timeout=5.0).request(
+                "POST", f"http://{host}:{port}/", body=b"x" * UPLOAD_BYTES
+            )
+            context.calls.append((answer.status, answer.data))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            context.calls.append(error)
+
+
+@then("no call is a success")
+def step_check_calls(context: Context) -> None:
+    successes = [call for call in context.calls if isinstance(call, tuple)]
+    assert not successes, (len(successes), successes[:2])
+
+
+@given("every server answers a long upload at once, without a length, and resets it")
+def step_set_resets(context: Context) -> None:
+    def reset_upload(replica):
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = dict(
+                line.split(b": ", 1) for line in head.split(b"\r\n")[1:] if line
+            )
+            attempt = {k.lower(): v for k, v in lines.items()}[
+                b"x-berylpost-attempt-id"
+            ]
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Berylpost-Replica-Signature: s\r\n"
+                b"X-Berylpost-Attempt-Id: %b\r\n\r\npart of a body" % attempt
+            )
+            await asyncio.sleep(0.02)
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        return serve
+
+    async def start():
+        for replica in context.world.replicas:
+            await replica.stop()
+            server = await asyncio.start_server(
+                reset_upload(replica), replica.ip, replica.port, limit=65_536
+            )
+            context.add_cleanup(server.close)
+
+    context.world.run(start())
+
+
+@when("callers send {n:d} uploads of {size:d} bytes")
+def step_send_uploads(context: Context, n: int, size: int) -> None:
+    async def send():
+        answers = {}
+        for number in range(n):
+            (daemon,) = list_daemons(context)
+            name = f"upload-{number}"
+            answers[name] = await send_request(
+                daemon, make_request_line("book"), name, body=b"x" * size
+            )
+        return answers
+
+    context.answers = context.world.run(send(), timeout_s=60)
+
+
+ANSWER = b"HTTP/1.1 %b Status\r\nContent-Length: 2\r\n\r\nok"
+EVENT = b'data: {"choices":[{"text":"word","finish_reason":"stop"}]}\n\n'
+EVENTS = (
+    b"HTTP/1.1 %b Status\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n" + b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+)
+
+
+def take_by_connection(data):
+    async def receive():
+        connection = Connection(backend_id="r", on_closed=lambda _connection: None)
+        connection.connection_made(_Transport())
+        exchange = Exchange(attempt_id=b"", has_body=True)
+        connection.send(b"request", exchange)
+        connection.data_received(data)
+        assert exchange.head.done() and exchange.end.done(), "no verdict"
+        return exchange.head.exception() is None
+
+    return asyncio.run(receive())
+
+
+def take_by_channel(data):
+    async def receive():
+        protocol = _AnswerProtocol()
+        protocol.connection_made(_Transport())
+        protocol.answer = asyncio.get_running_loop().create_future()
+        protocol.data_received(data)
+        assert protocol.answer.done(), "no verdict"
+        return protocol.answer.exception() is None
+
+    return asyncio.run(receive())
+
+
+def take_by_relay(data):
+    ours, theirs = socket.socketpair()
+    upstream = Upstream(
+        address="127.0.0.1:9", path="/", body=b"", request_id="", now=0.0
+    )
+    upstream.close()
+    upstream.socket = ours
+    with ours, theirs:
+        theirs.sendall(data)
+        events = upstream.on_readable(0.0)
+    assert events, "no verdict"
+    return any(isinstance(event, Token) for event in events)
+
+
+def take_by_pool(data):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(data)
+
+        threading.Thread(target=serve, daemon=True).start()
+        host, port = listener.getsockname()
+        try:
+            make_pool(retries=False, timeout=5.0).request(
+                "GET", f"http://{host}:{port}/"
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return True
+
+
+@then('no parser takes an answer with the status "{status}" for one')
+def step_check_status(context: Context, status: str) -> None:
+    takers = {
+        take_by_connection: ANSWER,
+        take_by_channel: ANSWER,
+        take_by_pool: ANSWER,
+        take_by_relay: EVENTS,
+    }
+    for take, data in takers.items():
+        assert take(data.replace(b"%b", b"200")), take
+        assert not take(data.replace(b"%b", status.encode())), (take, status)
+
+
 def call_service(context, listener):
     """Calls a service as our own interface does; stores how the call ended."""
     host, port = listener.getsockname()
--- a/features/steps/entry_size_steps.py
+++ b/features/steps/entry_size_steps.py
@@ -198,7 +198,7 @@
     pieces = itertools.chain([head], itertools.repeat(b"x" * 65_536))
     tracemalloc.start()
     try:
-        feed_pool(pieces)
+        assert asyncio.run(feed_pool(pieces))
         _, peak_bytes = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
