--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -34,6 +34,8 @@
 # Connections are kept this much longer than callers may leave them idle, so that no
 # request is sent while its connection is being closed.
 IDLE_MARGIN_S: Final = 2.0
+# Part of the callers' connections that each control address may have open.
+CONTROL_SHARE: Final = 0.1
 SWEEP_S: Final = 1.0
 LOG_S: Final = 1.0  # between two log lines about connections; they come in bursts
 
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -21,7 +21,7 @@
 from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
 from .buffer_budget import BufferBudget
-from .caller_server import CallerServer
+from .caller_server import CONTROL_SHARE, CallerServer
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
 from .catalogue import Catalogue
 from .clock import read_boottime
@@ -72,8 +72,6 @@
 MIN_LEAVE_S: Final = 4.5
 EXIT_MARGIN_S: Final = 0.7  # between the planned exit and SIGKILL
 LAST_ANSWERS_S: Final = 0.2  # to answer what is unfinished at the planned exit
-# Part of the callers' connections that each control address may have open.
-CONTROL_SHARE: Final = 0.1
 # How long idle callers' connections stay open after shutdown begins.
 IDLE_CLOSE_S: Final = 2.5
 
--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -11,9 +11,15 @@
 
 import msgspec
 
+from .edge.backend_table import MAX_REPORTED_ID_CHARS, PART_BYTES, PART_SHARE
 from .edge.buffer_budget import BUFFER_SHARE, REQUEST_SHARE
+from .edge.caller_server import CONTROL_SHARE
 from .edge.callers import MAX_PIPELINED
+from .edge.entry_budget import ENTRY_BYTES, ENTRY_SHARE, MAX_TEXT_COPIES
+from .edge.paced_reader import PACED_SHARE, TURN_S
 from .errors import ERROR_RESPONSES, ErrorKind
+from .event_stream import MAX_EVENT_BYTES
+from .logs import MAX_VALUE_CHARS
 from .metrics import REGISTRY
 from .policy.client_limits import (
     CALLER_DESCRIPTOR_SHARE,
@@ -208,14 +214,57 @@
         f"{CONNECTION_BYTES} bytes each",
         "787 connections with 1,638 descriptors and 160 MB; an idle one makes way",
     ),
+    (
+        "connections to each control address of an entry daemon",
+        f"{CONTROL_SHARE:g} of those of callers",
+        "78 connections with 1,638 descriptors; an idle one makes way",
+    ),
+    (
+        "processor time for which a connection is parsed before others have a turn",
+        f"{TURN_S * 1_000:g} ms; all that had more take {PACED_SHARE:g} of the time "
+        "together",
+        "whoever sends bodies and heads in pieces of some size; others are read later",
+    ),
+    (
+        "incomplete event of a stream",
+        f"{MAX_EVENT_BYTES} bytes, counted with the answers",
+        "servers that end their events",
+    ),
     (
         "threads of the own interface that wait for the rest of requests",
         f"{INCOMPLETE_THREAD_SHARE:g} of `listen.threads`",
         "requests up to 64 KiB that arrive as a whole",
     ),
 )
+# What other writers of the store and callers' words may take, and what goes first.
+ENTRY_LIMITS: Final = (
+    (
+        "entries of backend servers",
+        f"{ENTRY_SHARE:g} of `Limits.MemoryMb`, {ENTRY_BYTES} bytes each beside "
+        f"{MAX_TEXT_COPIES} times their text",
+        "those of services without a route, then the largest (`entries_given_up`)",
+    ),
+    (
+        "parts of prompts in engines' KV caches",
+        f"{PART_SHARE:g} of `Limits.MemoryMb`, {PART_BYTES} bytes each beside its id",
+        "the least recently used of the engine with the most (`parts_given_up`)",
+    ),
+    (
+        "ids of prompt parts in gossip, ids of streams",
+        f"{MAX_REPORTED_ID_CHARS} characters",
+        "longer ones are not reported, or named by a hash",
+    ),
+    ("one value in a log line", f"{MAX_VALUE_CHARS} characters", "the rest of it"),
+)
 # The entry daemon keeps its settings and metrics apart from those of this interface.
 ENTRY_SETTINGS: Final = (
+    "",
+    "What other writers of the store and the words of callers may take in an entry "
+    "daemon:",
+    "",
+    "| limit | default | what goes first |",
+    "|---|---|---|",
+    *(f"| {' | '.join(row)} |" for row in ENTRY_LIMITS),
     "",
     "The entry daemon reads the platform's settings file. For rollouts it uses:",
     "",
@@ -246,6 +295,20 @@
     "of the last orders; begins anew with an order. |",
     "| `berylpost_edge_rollout_bad_answers` | counter | Their bad answers. |",
     "| `berylpost_edge_rollout_statuses` | counter | Statuses written here. |",
+    "| `berylpost_edge_bad_entries` | counter | Entries of backend servers that name "
+    "no server, each time one is read. |",
+    "| `berylpost_edge_entries_given_up` | counter | Entries of backend servers given "
+    "up since all together take too much memory. |",
+    "| `berylpost_edge_entry_bytes` | gauge | Memory counted for the entries of "
+    "backend servers. |",
+    "| `berylpost_edge_parts_given_up` | counter | Prompt parts forgotten since all "
+    "together take too much memory. |",
+    "| `berylpost_edge_part_bytes` | gauge | Memory counted for the prompt parts in "
+    "all engines' KV caches. |",
+    "| `berylpost_edge_control_connections_displaced` | counter | Connections to "
+    "control addresses closed for new ones. |",
+    "| `berylpost_edge_control_connections_rejected` | counter | Connections to "
+    "control addresses rejected. |",
 )
 
 
