Count callers' requests and how each of them ended

A daemon did not say how many connections it accepted or requests it read, so none of the four hypotheses could be told from the others.

RequestAccount counts connections, whole requests and their ends; a request that the daemon itself loses gets a line with its id and phase. Connections that are closed while bytes wait in them are counted with the bytes. A planned stop logs the time of each of its steps, and the last line of a process is flushed after its tasks were cancelled; lines of handlers that end there were lost before.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -20,10 +20,12 @@
     choose_connection,
     limit_connections,
 )
+from ..policy.connection_end import Phase
 from .buffer_budget import BufferBudget
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
 from .clock import read_boottime
 from .model import CallerLimits
+from .request_account import RequestAccount, RequestEnd
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -57,11 +59,13 @@
         buffers: counts what callers make the process hold; None for trusted callers.
         connection_share: part of the connections of all callers that this server may
             have open.
+        name: name of the address in log lines.
 
     Attributes:
         leaving: whether to close each connection after its next answer.
         max_connections: connections that callers may have open at once.
         counts: how many connections were closed for new ones, and rejected.
+        account: counts connections and requests, and how they ended.
     """
 
     def __init__(
@@ -71,8 +75,10 @@
         read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
         buffers: BufferBudget | None = None,
         connection_share: float = 1.0,
+        name: str = "",
     ) -> None:
         self.handler = handler
+        self.account = RequestAccount(name=name)
         self.buffers = buffers or BufferBudget(memory_bytes=float("inf"))
         self.read_limits = read_limits
         self.leaving = False
@@ -124,6 +130,7 @@
         """Returns what callers make the daemon hold, as metrics by name."""
         return {
             "busy_connections": self.count_busy(),
+            "caller_requests_open": self.account.n_open,
             "caller_connections": len(self.connections),
             "caller_bytes": self.buffers.n_held + self.buffers.n_connection_bytes,
         }
@@ -136,8 +143,18 @@
             "unread_answers_dropped": self.buffers.counts["unread"],
             "caller_connections_displaced": self.counts["closed"],
             "caller_connections_rejected": self.counts["rejected"],
+            **{f"caller_{k}": n for k, n in self.account.export_counts().items()},
         }
 
+    def note_unfinished(self) -> None:
+        """Counts and names the requests that the end of the process leaves open."""
+        for connection in self.connections:
+            for request_id, phase in connection.list_unfinished():
+                if phase is Phase.UNSENT:
+                    self.account.note_unsent(request_id)
+                else:
+                    self.account.note_end(RequestEnd.UNFINISHED, request_id, phase)
+
     def close(self) -> None:
         """Stops listening and closes all connections, busy ones after their request."""
         self.stop_listening()
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -20,10 +20,12 @@
 from ..platform import names
 from ..platform.headers import MAX_DIGITS, Header, is_number
 from ..policy.client_limits import cost_request
+from ..policy.connection_end import CloseReason, Phase, may_close
 from .caller_memory import CallerMemory
 from .clock import read_boottime
 from .model import CallerLimits
 from .paced_reader import PacedReader
+from .request_account import RequestEnd, count_unread
 
 if TYPE_CHECKING:
     from .caller_server import CallerServer
@@ -119,7 +121,26 @@
         self._arrived_at = 0.0
         self._chunked = False
         self._request: CallerRequest | None = None
+        # Id of the last request whose answer was completed.
+        self._answered_id = ""
         self.answer_started = False
+        self._answer_complete = False
+        self._aborted = False
+
+    @property
+    def phase(self) -> Phase:
+        """What the connection is busy with."""
+        if self._task is not None:
+            return Phase.ANSWERING if self.answer_started else Phase.RUNNING
+        if self._queue:
+            return Phase.QUEUED
+        if self._read_unsent():
+            return Phase.UNSENT
+        if self._reader.n_unparsed:
+            return Phase.UNPARSED
+        if self._cost_incomplete():
+            return Phase.INCOMPLETE
+        return Phase.IDLE if self.has_served else Phase.NEW
 
     @property
     def is_busy(self) -> bool:
@@ -141,6 +162,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and registers with the server."""
         self._transport = cast(asyncio.Transport, transport)
+        self._server.account.n_accepted += 1
         self._reader.attach(self._transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -192,7 +214,9 @@
         self._transport = None
         self._reader.close()
         self.memory.count_unsent(0)
-        self._drop_unserved()
+        self._drop_unserved(
+            RequestEnd.UNSERVED if self._closing else RequestEnd.CALLER_LEFT
+        )
         self._server.remove(self)
         if self._task is not None:
             self._task.cancel()
@@ -280,6 +304,7 @@
         self._drop_incomplete()
         self.memory.n_expected = 0
         self.memory.complete()
+        self._server.account.n_read += 1
         self._queue.append(request)
         self._start_next()
 
@@ -332,6 +357,7 @@
         """Marks the end of a complete answer."""
         if self._chunked:
             self._write(b"0\r\n\r\n")
+        self._answer_complete = True
 
     def answer(
         self, status: int, reason: bytes, headers: Iterable[Header], body: bytes
@@ -341,6 +367,7 @@
         request = self._request
         if request is None or request.method != b"HEAD":
             self._write(body)
+        self._answer_complete = True
 
     def answer_error(self, error: BerylpostError) -> None:
         """Sends an error of this daemon as a complete answer."""
@@ -353,10 +380,18 @@
 
     def abort(self) -> None:
         """Aborts the connection so that the answer cannot be taken as complete."""
-        self._closing = True
+        self._closing = self._aborted = True
         if self._transport is not None:
+            if self.phase is Phase.UNSENT and not self._transport.is_closing():
+                self._server.account.note_unsent(self._answered_id)
+            self._count_unread()
             self._transport.abort()
 
+    def may_close(self, reason: CloseReason) -> bool:
+        """Tells whether the connection may be closed without losing a request."""
+        silent_s = read_boottime() - self.active_at
+        return may_close(reason, self.phase, silent_s=silent_s)
+
     def end_requests(self) -> asyncio.Task[None] | None:
         """Cancels the request in progress, whose handler is still to answer.
 
@@ -372,7 +407,36 @@
         """Closes the connection after pending writes and the request in progress."""
         self._closing = True
         if self._transport is not None and self._task is None:
-            self._transport.close()
+            self._close_transport()
+
+    def list_unfinished(self) -> list[tuple[str, Phase]]:
+        """Lists ids and phases of the requests that have not ended."""
+        listed = [self._request] if self._request is not None else []
+        listed += self._queue
+        unfinished = [(_read_id(r), self.phase) for r in listed]
+        if self.phase is Phase.UNSENT:
+            unfinished.append((self._answered_id, Phase.UNSENT))
+        return unfinished
+
+    def read_descriptor(self) -> int:
+        """Returns the number of the socket; -1 if the connection is closed."""
+        transport = self._transport
+        sock = transport.get_extra_info("socket") if transport is not None else None
+        return sock.fileno() if sock is not None else -1
+
+    def _close_transport(self) -> None:
+        assert self._transport is not None
+        if not self._transport.is_closing():
+            self._count_unread()
+        self._transport.close()
+
+    def _count_unread(self) -> None:
+        """Counts bytes that wait in the socket of a connection to be closed."""
+        descriptor = self.read_descriptor()
+        n_bytes = count_unread(descriptor) if descriptor >= 0 else 0
+        n_bytes += self._reader.n_unparsed
+        if n_bytes:
+            self._server.account.note_unread(n_bytes)
 
     def _count_overhead(self, n_bytes: int) -> None:
         """Counts bytes of a request besides its body."""
@@ -406,10 +470,12 @@
         self._overhead_bytes = 0
         self._body = bytearray()
 
-    def _drop_unserved(self) -> None:
-        """Drops the incomplete request and the queued ones."""
+    def _drop_unserved(self, end: RequestEnd) -> None:
+        """Drops the incomplete request and the queued ones, which end as given."""
         self._drop_incomplete()
         self.memory.drop_unserved()
+        for request in self._queue:
+            self._server.account.note_end(end, _read_id(request), Phase.QUEUED)
         self._queue.clear()
 
     def _reject(
@@ -427,7 +493,7 @@
             lines += [f"{name}: {value}" for name, value in headers]
             lines += [f"Content-Length: {len(body)}", "Connection: close"]
             self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        self._drop_unserved()
+        self._drop_unserved(RequestEnd.UNSERVED)
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
@@ -443,7 +509,7 @@
             return  # the caller is to read its answers first
         self._request = self._queue.popleft()
         self.memory.begin(self._request.n_held)
-        self.answer_started = False
+        self.answer_started = self._answer_complete = False
         n_held = self._request.n_held
         self._task = asyncio.create_task(self._run(self._request))
         # Also if it is cancelled before it begins.
@@ -465,6 +531,7 @@
                 kind = ErrorKind.INTERNAL
                 self.answer_error(BerylpostError(kind, "see this daemon's log"))
         finally:
+            self._note_end(request)
             self._task = None
             self._request = None  # an idle connection must not keep its headers
             self.has_served = True
@@ -472,10 +539,23 @@
             self.active_at = read_boottime()
             if self._transport is not None:
                 if self._closing or self._rejected:
-                    self._transport.close()
+                    self._close_transport()
                 else:
                     self._start_next()
 
+    def _note_end(self, request: CallerRequest) -> None:
+        """Counts how the request in progress has ended."""
+        end = RequestEnd.ANSWERED
+        if not self._answer_complete:
+            has_left = self._transport is None and not self._aborted
+            end = RequestEnd.CALLER_LEFT if has_left else RequestEnd.BROKEN_OFF
+        self._answered_id = _read_id(request)
+        self._server.account.note_end(end, self._answered_id, self.phase)
+
+
+def _read_id(request: CallerRequest) -> str:
+    return request.find(names.ATTEMPT_ID).decode("latin-1")
+
 
 def _find_phrase(status: int) -> bytes:
     try:
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -235,6 +235,7 @@
             handler=self.forwarder.serve,
             read_limits=self._read_limits,
             buffers=self.buffers,
+            name="front",
         )
         self.members.role.has_callers = lambda: bool(self.front.connections)
         self._random = random.Random()
@@ -312,6 +313,7 @@
             read_limits=self._read_limits,
             buffers=self.buffers,
             connection_share=CONTROL_SHARE,
+            name=next(iter(paths)),
         )
         await server.start(*address)
         self._control_servers.append(server)
@@ -329,6 +331,7 @@
         if self.duties is not None:
             await self.duties.stop()
         await self.registration.deregister()
+        log_event(LOGGER, "platform_left", after_s=read_boottime() - began_at)
         while read_boottime() < ends_at:
             elapsed_s = read_boottime() - began_at
             if elapsed_s > IDLE_CLOSE_S:
@@ -337,6 +340,13 @@
             if elapsed_s > MIN_LEAVE_S and not n_busy:
                 break
             await asyncio.sleep(0.1)
+        log_event(
+            LOGGER,
+            "callers_left",
+            after_s=read_boottime() - began_at,
+            n_busy=self.front.count_busy(),
+            n_passed_on=self.paths.tunnels.n_open,
+        )
         await self.front.end_requests(LAST_ANSWERS_S)
         self.watch.stop()
         self.state.stop()
@@ -354,7 +364,15 @@
         self.members.stop()
         for task in self._tasks:
             task.cancel()
-        log_event(LOGGER, "daemon_stopped", n_busy=self.front.count_busy())
+        self.front.note_unfinished()
+        log_event(
+            LOGGER,
+            "daemon_stopped",
+            n_busy=self.front.count_busy(),
+            after_s=read_boottime() - began_at,
+            requests_open=self.front.account.n_open,
+            **self.front.account.export_counts(),
+        )
         self.front.close()
         if self._log_stream is not None:
             self._log_stream.flush_lines()
@@ -631,4 +649,7 @@
     with asyncio.Runner(loop_factory=lambda: make_loop(meter)) as runner:
         daemon = EdgeDaemon(settings=settings, log_stream=log_stream, loop_meter=meter)
         runner.run(daemon.run())
+    # Handlers that the end of the loop has cancelled have logged since.
+    log_event(LOGGER, "process_ends")
+    log_stream.flush_lines()
     return 0
--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -17,6 +17,7 @@
 from .edge.callers import MAX_PIPELINED
 from .edge.entry_budget import ENTRY_BYTES, ENTRY_SHARE, MAX_TEXT_COPIES
 from .edge.paced_reader import PACED_SHARE, TURN_S
+from .edge.request_account import RequestEnd
 from .errors import ERROR_RESPONSES, ErrorKind
 from .event_stream import MAX_EVENT_BYTES
 from .logs import MAX_VALUE_CHARS
@@ -37,6 +38,15 @@
 
 DOCS_DIR: Final = Path(__file__).parent.parent / "docs"
 
+REQUEST_ENDS: Final[dict[RequestEnd, str]] = {
+    RequestEnd.ANSWERED: "Those with a complete answer.",
+    RequestEnd.CALLER_LEFT: "Those whose caller closed the connection before.",
+    RequestEnd.BROKEN_OFF: "Those whose answer had begun and could not be completed.",
+    RequestEnd.UNSENT: "Those of whose complete answer a part was dropped.",
+    RequestEnd.UNSERVED: "Those that were dropped before they were passed on.",
+    RequestEnd.UNFINISHED: "Those that the end of the process left open.",
+}
+
 # Unit and meaning of each key. Types and defaults are taken from the code.
 SETTING_DESCRIPTIONS: Final[dict[str, str]] = {
     "daemon.id": "unique name of this daemon",
@@ -305,6 +315,18 @@
     "together take too much memory. |",
     "| `berylpost_edge_part_bytes` | gauge | Memory counted for the prompt parts in "
     "all engines' KV caches. |",
+    "| `berylpost_edge_caller_connections_accepted` | counter | Connections that "
+    "callers opened. |",
+    "| `berylpost_edge_caller_requests_read` | counter | Requests that arrived as a "
+    "whole. |",
+    "| `berylpost_edge_caller_requests_open` | gauge | Those that have not ended. |",
+    *(
+        f"| `berylpost_edge_caller_requests_{end}` | counter | {text} |"
+        for end, text in REQUEST_ENDS.items()
+    ),
+    "| `berylpost_edge_caller_closes_unread` | counter | Connections that the daemon "
+    "closed while bytes of the caller waited in them. |",
+    "| `berylpost_edge_caller_bytes_unread` | counter | Number of these bytes. |",
     "| `berylpost_edge_control_connections_displaced` | counter | Connections to "
     "control addresses closed for new ones. |",
     "| `berylpost_edge_control_connections_rejected` | counter | Connections to "
