Do not close a connection whose answer is not sent yet for a new one

Cause: the connection that makes way for a new one was chosen among those without a request in progress. A complete answer that waits to be sent ends the request, so the connection counted as idle, and the one with the oldest answer went first.

policy/connection_end states for each reason to close a connection in which phases no request is open on it; the choice for a new connection and the idle time-out use it. A new connection that finds none to close gets 503, as before.

entry_exit.feature, "An unread answer is not dropped for a new connection": before, 4 of 4 callers had status 200 and an incomplete answer; after, 0 of 4.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -20,7 +20,7 @@
     choose_connection,
     limit_connections,
 )
-from ..policy.connection_end import Phase
+from ..policy.connection_end import CloseReason, Phase
 from .buffer_budget import BufferBudget
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
 from .clock import read_boottime
@@ -196,7 +196,7 @@
         chosen = choose_connection(
             IdleConnection(key=c, active_at=c.active_at, has_served=c.has_served)
             for c in self.connections
-            if not c.is_busy
+            if c.may_close(CloseReason.DISPLACED)
         )
         if chosen is None:
             return False
@@ -228,7 +228,7 @@
                 if memory.n_unsent:
                     if memory.unread_since < idle_before:
                         connection.abort()
-                elif not connection.is_busy:
+                elif connection.may_close(CloseReason.IDLE_TIMEOUT):
                     connection.close_when_written()
 
 
