End a leaving daemon only when no caller waits for anything

What callers saw: a request that reached a daemon just before the end of its planned stop was reset without an answer; an answer of 3.9 MB that was passed on from a server and read slowly ended in the middle; a request whose last byte came at 4.7 s after SIGTERM had no answer. No log named any of them but the second, which looked answered.

Cause: a leaving daemon ended as soon as no connection had a parsed request in progress. It did not count connections in the kernel's queue or accepted in the last rounds of its event loop, bytes in sockets, incomplete requests, and answers that were written and not sent. asyncio's server leaves a connection without a transport if it is closed between accept and the connection's task.

The daemon now ends when no connection is in a phase in which a request may be open, none waits to be accepted and no byte waits in a socket. It looks and closes in the same step of the event loop. After the last answers it looks again until its grace is over. `listener` accepts connections, so that each accepted one gets its protocol. The control addresses take part.

Requests on connections that were open before had an answer before, too: their bytes are read first.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -8,7 +8,6 @@
 import asyncio
 import logging
 import resource
-import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -24,15 +23,12 @@
 from .buffer_budget import BufferBudget
 from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
 from .clock import read_boottime
+from .listener import Listener, is_readable
 from .model import CallerLimits
 from .request_account import RequestAccount, RequestEnd
 
 LOGGER: Final = logging.getLogger(__name__)
 
-BACKLOG: Final = 1_024  # room for a burst of new connections while the loop is busy
-# Connections accepted in one round of the event loop. They are counted up to three
-# rounds later, and must not take the descriptors that a daemon keeps for itself.
-ACCEPTED_AT_ONCE: Final = 8
 # Connections are kept this much longer than callers may leave them idle, so that no
 # request is sent while its connection is being closed.
 IDLE_MARGIN_S: Final = 2.0
@@ -88,7 +84,7 @@
             read_descriptor_limit(), self.buffers.request_limit
         )
         self.max_connections = max(1, int(n_connections * connection_share))
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._logged_at = float("-inf")
 
@@ -98,19 +94,15 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        sock = _bind(ip, port)
-        self._server = await loop.create_server(
-            lambda: CallerConnection(server=self), sock=sock, backlog=ACCEPTED_AT_ONCE
+        self._listener = Listener(
+            ip=ip, port=port, make_protocol=lambda: CallerConnection(server=self)
         )
-        # asyncio uses one figure for the queue and for what it accepts in one round.
-        sock.listen(BACKLOG)
         self._sweeper = asyncio.create_task(self._close_idle())
 
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones continue."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     async def end_requests(self, timeout_s: float) -> None:
         """Ends the requests in progress and waits until their handlers have answered.
@@ -155,6 +147,27 @@
                 else:
                     self.account.note_end(RequestEnd.UNFINISHED, request_id, phase)
 
+    def close_idle(self, idle_s: float) -> None:
+        """Closes the connections of a leaving daemon that were idle for some time."""
+        idle_since = read_boottime() - idle_s
+        for connection in list(self.connections):
+            if connection.active_at < idle_since and connection.may_close(
+                CloseReason.LEAVING
+            ):
+                connection.close_when_written()
+
+    def has_unfinished(self) -> bool:
+        """Tells whether the end of the process would leave a request unanswered.
+
+        Counts what the kernel holds: connections to accept, and bytes to read.
+        """
+        if self._listener is not None and self._listener.has_pending():
+            return True
+        if not all(c.may_close(CloseReason.EXIT) for c in self.connections):
+            return True
+        descriptors = [c.read_descriptor() for c in self.connections]
+        return is_readable([d for d in descriptors if d >= 0])
+
     def close(self) -> None:
         """Stops listening and closes all connections, busy ones after their request."""
         self.stop_listening()
@@ -230,15 +243,3 @@
                         connection.abort()
                 elif connection.may_close(CloseReason.IDLE_TIMEOUT):
                     connection.close_when_written()
-
-
-def _bind(ip: str, port: int) -> socket.socket:
-    """Binds a socket to listen on."""
-    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((ip, port))
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -71,6 +71,8 @@
 # Few callers still use a directory answer that is older than this.
 MIN_LEAVE_S: Final = 4.5
 EXIT_MARGIN_S: Final = 0.7  # between the planned exit and SIGKILL
+LEAVE_CHECK_S: Final = 0.1  # between two checks whether all callers are answered
+LAST_CHECK_S: Final = 0.01  # the same after the last answers were ordered
 LAST_ANSWERS_S: Final = 0.2  # to answer what is unfinished at the planned exit
 # How long idle callers' connections stay open after shutdown begins.
 IDLE_CLOSE_S: Final = 2.5
@@ -322,10 +324,12 @@
         """Stops taking callers, finishes running requests and ends before SIGKILL."""
         began_at = read_boottime()
         grace_s = self.settings.bounds.grace_s
-        ends_at = began_at + grace_s - EXIT_MARGIN_S - LAST_ANSWERS_S
+        closes_at = began_at + grace_s - EXIT_MARGIN_S
+        ends_at = closes_at - LAST_ANSWERS_S
         log_event(LOGGER, "daemon_leaving", n_busy=self.front.count_busy())
         self.members.leaving = True
-        self.front.leaving = True
+        for server in (self.front, *self._control_servers):
+            server.leaving = True
         self.forwarder.admission.shutdown_at = ends_at
         self.members.announce(everyone=True)
         if self.duties is not None:
@@ -335,11 +339,10 @@
         while read_boottime() < ends_at:
             elapsed_s = read_boottime() - began_at
             if elapsed_s > IDLE_CLOSE_S:
-                self._close_idle()
-            n_busy = self.front.count_busy() + self.paths.tunnels.n_open
-            if elapsed_s > MIN_LEAVE_S and not n_busy:
+                self.front.close_idle(IDLE_CLOSE_S)
+            if elapsed_s > MIN_LEAVE_S and not self._has_unfinished():
                 break
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LEAVE_CHECK_S)
         log_event(
             LOGGER,
             "callers_left",
@@ -348,6 +351,12 @@
             n_passed_on=self.paths.tunnels.n_open,
         )
         await self.front.end_requests(LAST_ANSWERS_S)
+        while read_boottime() < closes_at and self._has_unfinished():
+            await asyncio.sleep(LAST_CHECK_S)
+        # Nothing may arrive between the last check and this.
+        for server in (self.front, *self._control_servers):
+            server.note_unfinished()
+            server.close()
         self.watch.stop()
         self.state.stop()
         self.notice_poller.stop()
@@ -364,7 +373,6 @@
         self.members.stop()
         for task in self._tasks:
             task.cancel()
-        self.front.note_unfinished()
         log_event(
             LOGGER,
             "daemon_stopped",
@@ -373,7 +381,6 @@
             requests_open=self.front.account.n_open,
             **self.front.account.export_counts(),
         )
-        self.front.close()
         if self._log_stream is not None:
             self._log_stream.flush_lines()
 
@@ -400,11 +407,10 @@
         for server in (self.front, *self._control_servers):
             server.kill()
 
-    def _close_idle(self) -> None:
-        horizon = read_boottime() - IDLE_CLOSE_S
-        for connection in list(self.front.connections):
-            if not connection.is_busy and connection.active_at < horizon:
-                connection.close_when_written()
+    def _has_unfinished(self) -> bool:
+        """Tells whether the end of the process would leave a request unanswered."""
+        servers = (self.front, *self._control_servers)
+        return self.paths.tunnels.n_open > 0 or any(s.has_unfinished() for s in servers)
 
     def _handle_sighup(self) -> None:
         """Logs a settings change; addresses and identity change only by a restart."""
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -1,5 +1,34 @@
 Feature: An entry daemon leaves no request without an answer
 
+  Scenario: A request that arrives just before the process ends is answered
+    Given an entry daemon process
+    When it is stopped
+    And the processor is taken away while it is about to end
+    And 20 callers connect and send "read" requests meanwhile
+    Then each caller gets a complete answer
+
+  Scenario: A request on an open connection that arrives just before the process ends is answered
+    Given an entry daemon process
+    When it is stopped
+    And 20 callers connect after 4 s
+    And the processor is taken away while it is about to end
+    And they send "book" requests meanwhile
+    Then each caller gets a complete answer
+
+  Scenario: An answer that its caller reads slowly is sent before the process ends
+    Given an entry daemon process
+    And every server answers with 3900000 bytes
+    When 4 callers send "read" requests and read nothing
+    And it is stopped
+    And they read 5 s later
+    Then each caller gets a complete answer
+
+  Scenario: A request whose last bytes come late is answered before the process ends
+    Given an entry daemon process
+    When it is stopped
+    And 4 callers send all but the last byte of "book" requests after 4.3 s, and that byte 0.4 s later
+    Then each caller gets a complete answer
+
   Scenario: An unread answer is not dropped for a new connection
     Given an entry daemon process with 128 descriptors
     And every server answers with 3900000 bytes
