Answer the requests behind another on a connection of a leaving daemon

What callers saw: of three requests sent at once on one connection, the first was answered when the daemon was stopped; the others, read as a whole, ended with the connection.

Cause: a leaving daemon closes each connection after its next answer, also if requests are queued behind it. Now the last queued one bears `Connection: close`.

A handler that had not begun when the last requests were ended was cancelled and never ran, so its request had neither an answer nor a line. Such a handler now begins and refuses its request, since the daemon's time is over. This second way is by reading; no run showed it.

entry_exit.feature, "Requests behind another on one connection ...": before, 4 of 4 callers got 1 of 3 answers; after, all 3.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -121,6 +121,7 @@
         self._arrived_at = 0.0
         self._chunked = False
         self._request: CallerRequest | None = None
+        self._has_begun = False
         # Id of the last request whose answer was completed.
         self._answered_id = ""
         self.answer_started = False
@@ -331,7 +332,8 @@
             return
         self.answer_started = True
         self._chunked = length is None
-        if self._server.leaving or not request.keep_alive:
+        is_last = self._server.leaving and not self._queue
+        if is_last or not request.keep_alive:
             self._closing = True
         phrase = reason or _find_phrase(status)
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
@@ -399,7 +401,8 @@
             The task of the handler; None if no request is in progress.
         """
         self._closing = True
-        if self._task is not None:
+        # One that is cancelled before it begins never runs; it will refuse by itself.
+        if self._task is not None and self._has_begun:
             self._task.cancel()
         return self._task
 
@@ -509,16 +512,23 @@
             return  # the caller is to read its answers first
         self._request = self._queue.popleft()
         self.memory.begin(self._request.n_held)
-        self.answer_started = self._answer_complete = False
+        self.answer_started = self._answer_complete = self._has_begun = False
         n_held = self._request.n_held
         self._task = asyncio.create_task(self._run(self._request))
-        # Also if it is cancelled before it begins.
-        self._task.add_done_callback(lambda _task: self.memory.release(n_held))
+        self._task.add_done_callback(lambda _task: self._end_task(n_held))
         if len(self._queue) == MAX_PIPELINED:
             self._reader.proceed()
             self._count_held()
 
+    def _end_task(self, n_held: int) -> None:
+        """Releases a request of `n_held` bytes, also one that was never served."""
+        self.memory.release(n_held)
+        if not self._has_begun and self._request is not None:
+            self._note_end(self._request)
+            self._task = self._request = None
+
     async def _run(self, request: CallerRequest) -> None:
+        self._has_begun = True
         try:
             await self._server.handler(request, self)
         except asyncio.CancelledError:
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -36,3 +36,10 @@
     And 40 other callers send "read" requests and keep their connections
     And they read 0 s later
     Then each caller gets a complete answer
+
+  Scenario: Requests behind another on one connection are answered in a planned stop
+    Given an entry daemon process
+    And every server takes 0.4 s for a request
+    When 4 callers send 3 "book" requests at once
+    And it is stopped
+    Then each caller gets 3 complete answers
--- a/features/steps/entry_exit_steps.py
+++ b/features/steps/entry_exit_steps.py
@@ -28,9 +28,13 @@
     """What a caller received."""
 
     status: int = 0
-    complete: bool = False
+    n_complete: int = 0
     error: str = ""
 
+    @property
+    def complete(self):
+        return self.n_complete > 0
+
 
 class RawCaller:
     """A caller with a blocking socket, which reads in a thread when it is told to."""
@@ -44,14 +48,14 @@
         self.outcome.status = self._parser.get_status_code()
 
     def on_message_complete(self):
-        self.outcome.complete = True
+        self.outcome.n_complete += 1
 
     def send(self, kind, *, body=b"x"):
         self.sock.sendall(render(kind, body))
 
-    def read(self):
+    def read(self, n=1):
         try:
-            while not self.outcome.complete:
+            while self.outcome.n_complete < n:
                 data = self.sock.recv(READ_BYTES)
                 if not data:
                     self.outcome.error = "closed"
@@ -74,8 +78,8 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def read_all(callers):
-    threads = [threading.Thread(target=caller.read) for caller in callers]
+def read_all(callers, n=1):
+    threads = [threading.Thread(target=c.read, args=(n,)) for c in callers]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -165,6 +169,14 @@
     time.sleep(0.5)  # until the daemon has the answers
 
 
+@when('{n:d} callers send {k:d} "{kind}" requests at once')
+def step_send_pipelined(context: Context, n: int, k: int, kind: str) -> None:
+    context.callers = open_callers(context, n)
+    for caller in context.callers:
+        caller.sock.sendall(b"".join(render(kind) for _ in range(k)))
+    time.sleep(0.2)  # until the first of them is passed on
+
+
 @when('{n:d} other callers send "{kind}" requests and keep their connections')
 def step_send_others(context: Context, n: int, kind: str) -> None:
     for replica in context.world.replicas:
@@ -199,6 +211,13 @@
     read_all(context.callers)
 
 
+@then("each caller gets {k:d} complete answers")
+def step_check_many(context: Context, k: int) -> None:
+    read_all(context.callers, k)
+    lost = [c.outcome for c in context.callers if c.outcome.n_complete < k]
+    assert not lost, (len(lost), lost, context.world.log.read_text()[-1_500:])
+
+
 @then("each caller gets a complete answer")
 def step_check(context: Context) -> None:
     lost = [c.outcome for c in context.callers if not c.outcome.complete]
