Soak: report what the proxy saw of a request that had no answer

The proxy records of each connection whether the daemon's address accepted it, the bytes each way and how the daemon ended it. A "cut" line has these, whether the connection was new, and how often the request ran. The check is unchanged.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 
 from berylpost.fakes.entry_world import HOST
 
+from .proxy import Passage
 from .world import PORT, Daemon, World
 
 REQUEST_KINDS: Final = ("read", "book", "stream", "stream/once", "open")
@@ -52,6 +53,7 @@
         received: Events of that stream that were received before.
         part: Shared part of the prompt besides the first one; empty without a prompt.
         bad_request: Name of the request that crashes servers; empty for others.
+        passage: What the proxy before the daemon has seen of the connection.
     """
 
     id: str
@@ -72,6 +74,7 @@
     received: bytes = b""
     part: str = ""
     bad_request: str = ""
+    passage: Passage | None = None
 
     @property
     def path(self) -> str:
@@ -149,6 +152,8 @@
             received=lost.events if lost is not None else b"",
             part=self._choose_part(kind, lost),
         )
+        port = writer.get_extra_info("sockname")[1]
+        record.passage = daemon.front.passages.get(port)
         writer.write(_render(record))
         abandon_after_s = None
         if self._random.random() < ABANDON_SHARE:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -357,7 +357,9 @@
             record.id,
             f"{record.kind} at {record.daemon} had no complete answer, sent at "
             f"{datetime.fromtimestamp(sent_at).time()}, ended "
-            f"{record.ended_at - record.sent_at:.3f} s later",
+            f"{record.ended_at - record.sent_at:.3f} s later; sent on a "
+            f"{'kept' if record.reused else 'new'} connection; ran {n_runs} times; "
+            f"{record.passage}",
         )
 
     def _check_configuration_order(self) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 import struct
+import time
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -39,12 +40,47 @@
 }
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class Passage:
+    """What became of a client's connection; times are monotonic seconds.
+
+    Attributes:
+        accepted_at: when the proxy accepted it.
+        refusal: why the server's address did not take it; empty if it did.
+        n_up: bytes passed on to the server.
+        n_down: bytes passed on to the client.
+        server_end: how the server ended it; empty if it has not.
+        server_ended_at: when it did.
+    """
+
+    accepted_at: float
+    refusal: str = ""
+    n_up: int = 0
+    n_down: int = 0
+    server_end: str = ""
+    server_ended_at: float = 0.0
+
+    def note_server_end(self, end: str) -> None:
+        """Records how the server ended the connection."""
+        if not self.server_end:
+            self.server_end, self.server_ended_at = end, time.monotonic()
+
+    def __str__(self) -> str:
+        """Describes it for a report."""
+        if self.refusal:
+            return f"not accepted by the server's address: {self.refusal}"
+        seconds = self.server_ended_at - self.accepted_at
+        end = f"{self.server_end} after {seconds:.3f} s" if self.server_end else "open"
+        return f"{self.n_up} bytes up, {self.n_down} down, server's end: {end}"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProxiedConnection:
     """Both sides of a proxied connection."""
 
     client: asyncio.StreamWriter
     server: asyncio.StreamWriter
+    passage: Passage
 
 
 class Proxy:
@@ -53,6 +89,9 @@
     Args:
         listen: Address (IP, port) to listen on.
         target: Address (IP, port) to connect to.
+
+    Attributes:
+        passages: The last connections, by the client's port.
     """
 
     def __init__(self, *, listen: tuple[str, int], target: tuple[str, int]) -> None:
@@ -63,6 +102,7 @@
         self._changed = asyncio.Event()
         self._connections: set[ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
+        self.passages: dict[int, Passage] = {}
 
     async def start(self) -> None:
         """Starts listening."""
@@ -89,18 +129,27 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        passage = Passage(accepted_at=time.monotonic())
+        self.passages[writer.get_extra_info("peername")[1]] = passage
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 upstream = await asyncio.open_connection(*self.target)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            passage.refusal = repr(error)
             _reset_connection(writer)
             return
-        connection = ProxiedConnection(client=writer, server=upstream[1])
+        connection = ProxiedConnection(
+            client=writer, server=upstream[1], passage=passage
+        )
         self._connections.add(connection)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._forward(reader, upstream[1], to_server=True))
-                group.create_task(self._forward(upstream[0], writer, to_server=False))
+                for is_up in (True, False):
+                    group.create_task(
+                        self._forward(
+                            reader if is_up else upstream[0], connection, is_up=is_up
+                        )
+                    )
         except* (OSError, asyncio.CancelledError):
             # One side was reset, so the other is reset too.
             _reset_connection(writer)
@@ -113,20 +162,33 @@
     async def _forward(
         self,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        connection: ProxiedConnection,
         *,
-        to_server: bool,
+        is_up: bool,
     ) -> None:
+        passage = connection.passage
+        writer = connection.server if is_up else connection.client
         while True:
-            data = await reader.read(READ_BYTES)
-            while IS_HELD_BACK.get((self.mode, to_server), False):
+            try:
+                data = await reader.read(READ_BYTES)
+            except OSError as error:
+                if not is_up:
+                    passage.note_server_end(repr(error))
+                raise
+            while IS_HELD_BACK.get((self.mode, is_up), False):
                 await self._changed.wait()
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
             if not data:
+                if not is_up:
+                    passage.note_server_end("closed")
                 with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
+            if is_up:
+                passage.n_up += len(data)
+            else:
+                passage.n_down += len(data)
             writer.write(data)
             await writer.drain()
 
