Let the exit scenarios run on the daemon of an earlier commit

`behave -D build=COMMIT features/entry_exit.feature` says which landings had a fault. Requests on connections that were open before are lost in some plays only: which the event loop handles first after a pause, its timer or the sockets, is chance.

--- a/features/steps/entry_exit_steps.py
+++ b/features/steps/entry_exit_steps.py
@@ -1,4 +1,7 @@
-"""Steps for requests that are under way when the process of their daemon ends."""
+"""Steps for requests that are under way when the process of their daemon ends.
+
+`behave -D build=COMMIT` runs them against the daemon of an earlier commit.
+"""
 
 import itertools
 import threading
@@ -12,6 +15,7 @@
 from steps.entry_steps import make_request_line
 
 from berylpost.fakes.entry_world import API_KEY, HOST
+from soak.builds import extract_build
 
 # The shortest time from SIGTERM to the end of a daemon that has nothing to do.
 ENDS_AFTER_S = 4.5
@@ -94,6 +98,9 @@
 
 
 def start(context, **options):
+    commit = context.config.userdata.get("build")
+    if commit:
+        options["build"] = extract_build(commit)
     context.world = EntryProcess(**options)
     context.add_cleanup(context.world.__exit__)
     context.world.__enter__()
