Answer the whole requests before a malformed one on their connection

What callers saw: three whole requests and then bytes that are no request, sent at once: the first was answered, the other two ended with the connection.

Cause: what cannot be read dropped all that was queued before it. Now only a lack of memory does. The rejection comes after the answers, in its place.

entry_exit.feature, "Requests before a malformed one on their connection are answered": before, 4 of 4 callers got 1 of 3 answers; after, all 3. entry, entry_limits, loop_time and client_limits: 164 scenarios passed.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -102,6 +102,7 @@
         self._task: asyncio.Task[None] | None = None
         self._closing = False
         self._rejected = False
+        self._rejection = b""
         self._target = b""
         self._headers: list[Header] = []
         # Bytes of headers, trailer fields and heads of chunks.
@@ -448,9 +449,6 @@
         if self._overhead_bytes > limit and not self._rejected:
             self._reject(ErrorKind.BAD_REQUEST, f"headers of more than {limit} bytes")
 
-    def _reject_overload(self) -> None:
-        self._reject(ErrorKind.OVERLOADED, "too much is held at once", BUSY_RETRY_S)
-
     def _read_unsent(self) -> int:
         transport = self._transport
         return transport.get_write_buffer_size() if transport is not None else 0
@@ -484,19 +482,23 @@
     def _reject(
         self, kind: ErrorKind, detail: str, retry_after_s: float | None = None
     ) -> None:
-        """Rejects a malformed or too large request and closes the connection."""
+        """Rejects what arrives; the whole requests before it are served first."""
         self._rejected = True
         log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
-        if self._task is None and not self._queue:
-            status, headers, body = render_problem(
-                BerylpostError(kind, detail, retry_after_s=retry_after_s),
-                whole_seconds=False,
-            )
-            lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-            lines += [f"{name}: {value}" for name, value in headers]
-            lines += [f"Content-Length: {len(body)}", "Connection: close"]
-            self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        error = BerylpostError(kind, detail, retry_after_s=retry_after_s)
+        self._rejection = _render_rejection(error)
+        self._drop_incomplete()
+        self.memory.take(0)
+        if not self.is_busy:
+            self._send_rejection()
+
+    def _reject_overload(self) -> None:
+        """Rejects what arrives and drops the queued requests, which hold memory."""
         self._drop_unserved(RequestEnd.UNSERVED)
+        self._reject(ErrorKind.OVERLOADED, "too much is held at once", BUSY_RETRY_S)
+
+    def _send_rejection(self) -> None:
+        self._write(self._rejection)
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
@@ -548,8 +550,10 @@
             self.on_writable = None
             self.active_at = read_boottime()
             if self._transport is not None:
-                if self._closing or self._rejected:
+                if self._closing:
                     self._close_transport()
+                elif self._rejected and not self._queue:
+                    self._send_rejection()
                 else:
                     self._start_next()
 
@@ -567,6 +571,15 @@
     return request.find(names.ATTEMPT_ID).decode("latin-1")
 
 
+def _render_rejection(error: BerylpostError) -> bytes:
+    """Renders the answer to what is not read, after which the connection closes."""
+    status, headers, body = render_problem(error, whole_seconds=False)
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines += [f"Content-Length: {len(body)}", "Connection: close"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 def _find_phrase(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -43,3 +43,9 @@
     When 4 callers send 3 "book" requests at once
     And it is stopped
     Then each caller gets 3 complete answers
+
+  Scenario: Requests before a malformed one on their connection are answered
+    Given an entry daemon process
+    And every server takes 0.2 s for a request
+    When 4 callers send 3 "book" requests at once, and then no request
+    Then each caller gets 3 complete answers
--- a/features/steps/entry_exit_steps.py
+++ b/features/steps/entry_exit_steps.py
@@ -176,14 +176,23 @@
     time.sleep(0.5)  # until the daemon has the answers
 
 
-@when('{n:d} callers send {k:d} "{kind}" requests at once')
-def step_send_pipelined(context: Context, n: int, k: int, kind: str) -> None:
+def send_pipelined(context, n, k, kind, rest=b""):
     context.callers = open_callers(context, n)
     for caller in context.callers:
-        caller.sock.sendall(b"".join(render(kind) for _ in range(k)))
+        caller.sock.sendall(b"".join(render(kind) for _ in range(k)) + rest)
+
+
+@when('{n:d} callers send {k:d} "{kind}" requests at once')
+def step_send_pipelined(context: Context, n: int, k: int, kind: str) -> None:
+    send_pipelined(context, n, k, kind)
     time.sleep(0.2)  # until the first of them is passed on
 
 
+@when('{n:d} callers send {k:d} "{kind}" requests at once, and then no request')
+def step_send_malformed(context: Context, n: int, k: int, kind: str) -> None:
+    send_pipelined(context, n, k, kind, rest=b"\0\r\n\r\n")
+
+
 @when('{n:d} other callers send "{kind}" requests and keep their connections')
 def step_send_others(context: Context, n: int, kind: str) -> None:
     for replica in context.world.replicas:
