Close what was accepted last when an address stops listening

A connection whose task had not begun when the listener closed was still joined to a protocol, by reading; only a daemon that has used up its grace can meet this.

--- a/berylpost/edge/listener.py
+++ b/berylpost/edge/listener.py
@@ -95,7 +95,10 @@
             self._loop.add_reader(self._socket.fileno(), self._accept)
 
     async def _join(self, connection: socket.socket) -> None:
-        """Connects an accepted socket to a protocol."""
+        """Connects an accepted socket to a protocol, or closes it after `close`."""
+        if not self.is_open:
+            connection.close()
+            return
         try:
             await self._loop.connect_accepted_socket(self._make_protocol, connection)
         except OSError as error:
