Soak: check the daemons' own account of their planned stops

A request that a leaving daemon loses was found only if a caller of the soak sent it and waited. Now each planned stop is checked by the lines of its daemon, too: daemon_stopped has requests_open=0; requests_unsent, requests_unserved and requests_unfinished are 0 and no request_lost follows daemon_leaving, unless an unplanned disturbance of that daemon overlaps the stop; a daemon that ended by itself has logged process_ends. A process that a signal ended before it logged anything is left out: none of its code had run.

The schedule draws two SIGTERMs up to 5 s apart, and SIGHUP followed by SIGTERM.

The check completes what callers see and does not replace it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.argv_input import ArgvInput
 
+from .accounts import list_faults
 from .callers import REQUEST_KINDS, Caller, RequestRecord
 from .faults import FaultSchedule
 from .judge import DutyHolderChecker, GuaranteeChecker
@@ -99,6 +100,8 @@
     checker.check_all()
     _check_recovery(checker, recovered_at)
     _check_logs(checker, folder)
+    checker.violations += [f"account: {line}" for line in list_faults(world)]
+    checker.counts["stops checked"] = len(world.stops)
     return checker, Counter(disturbance.kind for disturbance in world.disturbances)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,7 @@
 BRITTLE_S: Final = (2.0, 5.0)
 FAULT_INTERVAL_S: Final = (0.1, 1.2)
 QUIET_INTERVAL_S: Final = (0.4, 1.6)
+SECOND_SIGNAL_S: Final = (0.0, 5.0)  # from a SIGTERM to the next one
 DAEMON_START_S: Final = 3.0  # from the start of a daemon until it serves
 MIN_BACKENDS: Final = 2
 LIMIT_RATES: Final = (0.5, 1.0, 4.0)  # requests a second; each server gets 20 or more
@@ -73,6 +74,8 @@
             self.fault_actions[name] = action
         self.planned_actions: dict[str, Action] = {
             "stop": self._restart,
+            "stop_twice": self._restart_by_two_signals,
+            "stop_after_hup": self._restart_after_sighup,
             "stop_in_turn": self._restart_in_turn,
             "hup": self._send_sighup,
             "configuration": self._update_configuration,
@@ -210,6 +213,25 @@
         await asyncio.sleep(self._random.uniform(0.1, 0.8))
         await self._world.start_daemon(daemon)
 
+    async def _restart_by_two_signals(self) -> None:
+        daemon = self._pick_daemon()
+        if daemon is None or daemon.process is None:
+            return
+        process = daemon.process
+        self._world.record_disturbance("stop_twice", daemon.name, planned=True)
+        restart = asyncio.ensure_future(self._restart_daemon(daemon))
+        await asyncio.sleep(self._random.uniform(*SECOND_SIGNAL_S))
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+        await restart
+
+    async def _restart_after_sighup(self) -> None:
+        daemon = self._pick_daemon()
+        if daemon is not None and daemon.process is not None:
+            self._world.record_disturbance("stop_after_hup", daemon.name, planned=True)
+            daemon.process.send_signal(signal.SIGHUP)
+            await self._restart_daemon(daemon)
+
     async def _restart_in_turn(self) -> None:
         for daemon in list(self._world.daemons):
             if daemon.is_up and self._random.random() < 0.6:
--- a/soak/periods.py
+++ b/soak/periods.py
@@ -1,6 +1,7 @@
 """Periods of disturbances, on the monotonic clock in seconds."""
 
 from dataclasses import dataclass
+from pathlib import Path
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +32,32 @@
     planned: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlannedStop:
+    """Time from SIGTERM to a daemon until its process has ended.
+
+    Attributes:
+        daemon: Name of the daemon.
+        started_at: When SIGTERM was sent.
+        ended_at: When the process had ended.
+        status: Exit status; negative if a signal ended the process.
+        log: File with the lines of all starts of the daemon.
+        log_range: Where the lines of this start begin and end in it.
+    """
+
+    daemon: str
+    started_at: float
+    ended_at: float
+    status: int
+    log: Path
+    log_range: tuple[int, int]
+
+    def read_log(self) -> str:
+        """Returns what this start of the daemon has logged."""
+        first, last = self.log_range
+        return self.log.read_bytes()[first:last].decode(errors="replace")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LapsePeriod:
     """Outage of the store in which the entries of all backend servers expire.
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,7 +16,7 @@
 from berylpost.fakes.entry_world import make_configuration, make_route
 from berylpost.fakes.objects import ObjectStore, StoreCopy
 
-from .periods import CutPeriod, Disturbance, LapsePeriod
+from .periods import CutPeriod, Disturbance, LapsePeriod, PlannedStop
 from .proxy import Proxy
 
 ROOT: Final = Path(__file__).parent.parent
@@ -48,6 +48,7 @@
         store: Proxy from the daemon to the store.
         cloud: Proxy from the daemon to the cloud API.
         log: File that receives the output of the process.
+        log_from: Length of this file when the current process was started.
         settings: Path of the settings file.
         process: Current process; None before the first start.
         n_starts: Number of starts so far.
@@ -64,6 +65,7 @@
     cloud: Proxy
     log: IO[bytes]
     settings: Path
+    log_from: int = 0
     process: asyncio.subprocess.Process | None = None
     n_starts: int = 0
     stopping: bool = False
@@ -77,6 +79,10 @@
         running = self.process is not None and self.process.returncode is None
         return running and not self.stopping and not self.paused
 
+    def read_log_length(self) -> int:
+        """Returns how many bytes its processes have logged."""
+        return os.fstat(self.log.fileno()).st_size
+
 
 @dataclass(slots=True, kw_only=True)
 class Backend:
@@ -142,6 +148,7 @@
         builds: Folders of the builds that the daemons run at first, in turn.
 
     Attributes:
+        stops: Planned stops of daemons that have ended.
         unexpected_exits: One line for each daemon that exited unexpectedly or too late.
         revoked: When the store had removed an API key, by key, monotonic seconds.
         configuration_number: Number of the latest configuration.
@@ -174,6 +181,7 @@
         self.daemons: list[Daemon] = []
         self.backends: list[Backend] = []
         self.disturbances: list[Disturbance] = []
+        self.stops: list[PlannedStop] = []
         self.unexpected_exits: list[str] = []
         self.keys = ["key-0", "key-1"]
         self.revoked: dict[str, float] = {}
@@ -350,6 +358,7 @@
     async def start_daemon(self, daemon: Daemon) -> None:
         """Starts a daemon that is not running and records an unexpected exit."""
         environment = {**os.environ, "BERYLPOST_BOOT": str(daemon.settings)}
+        daemon.log_from = daemon.read_log_length()
         daemon.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -405,16 +414,27 @@
         """Sends a signal and waits for the exit; kills the daemon after `GRACE_S`."""
         assert daemon.process is not None
         daemon.stopping = True
+        started_at = time.monotonic()
         daemon.process.send_signal(signal_number)
         try:
             async with asyncio.timeout(GRACE_S):
-                await daemon.process.wait()
+                status = await daemon.process.wait()
         except TimeoutError:
             self.unexpected_exits.append(
                 f"{daemon.name} did not exit within its grace period"
             )
             daemon.process.kill()
-            await daemon.process.wait()
+            status = await daemon.process.wait()
+        if signal_number is signal.SIGTERM:
+            stop = PlannedStop(
+                daemon=daemon.name,
+                started_at=started_at,
+                ended_at=time.monotonic(),
+                status=status,
+                log=Path(daemon.log.name),
+                log_range=(daemon.log_from, daemon.read_log_length()),
+            )
+            self.stops.append(stop)
 
     def read_peak_mb(self, daemon: Daemon) -> float:
         """Reads the peak resident memory of a daemon, in megabytes; 0 if it exited."""
