Soak: let callers see when a daemon's address refuses their connection

The proxy before each daemon accepted its caller first and reset the connection if the daemon's address refused. A caller without a proxy sees a refused connection, knows that nothing was read, and goes on to its next address; the soak reported a lost request.

The proxy now opens the connection to the daemon before that of its caller, and the refusal reaches the caller. Nothing else is excused. A new check stands beside it: a caller that all its addresses refuse is a violation if any daemon had served since it was stopped last. Refused connections are counted in the output.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -19,3 +19,18 @@
     Given a planned stop whose daemon logged "event=daemon_stopped requests_open=1 requests_unsent=1;event=process_ends"
     When its account is checked, disturbed
     Then the soak reports "requests_open=1"
+
+  Scenario: A client of the soak's proxy sees that the server's address refuses
+    Given a proxy of the soak before an address that refuses
+    When a client connects through it
+    Then its connection is refused
+
+  Scenario Outline: Callers that are refused everywhere are reported while a daemon serves
+    Given daemons "a, b", of which "<stopped>" are in planned stops
+    When a caller is refused by "a"
+    Then the soak reports "<fault>"
+
+    Examples:
+      | stopped | fault                                     |
+      | a       | refused by ('a',), but ['b'] served       |
+      | a, b    |                                           |
--- a/features/steps/soak_check_steps.py
+++ b/features/steps/soak_check_steps.py
@@ -1,12 +1,21 @@
 """Steps for the checks of the soak test itself."""
 
+import asyncio
+import socket
 import tempfile
+import time
 from pathlib import Path
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from soak.accounts import find_faults
-from soak.periods import PlannedStop
+from soak.periods import Disturbance, PlannedStop, Refusal
+from soak.proxy import Proxy
+from soak.refusals import list_unreachable
+from soak.world import World
+
+IP = "127.29.7.1"
 
 
 @given('a planned stop whose daemon logged "{lines}"')
@@ -41,3 +50,62 @@
 @then('the soak reports ""')
 def check_no_fault(context):
     assert context.faults == [], context.faults
+
+
+@given("a proxy of the soak before an address that refuses")
+def make_proxy(context):
+    with socket.socket() as sock:
+        sock.bind((IP, 0))
+        port = sock.getsockname()[1]
+    context.proxy = Proxy(listen=(IP, port), target=(IP, port + 1))
+
+
+@when("a client connects through it")
+def connect(context):
+    async def run():
+        await context.proxy.start()
+        try:
+            _reader, writer = await context.proxy.connect()
+            writer.close()
+        except OSError as error:
+            context.error = error
+        await context.proxy.stop()
+
+    context.error = None
+    asyncio.run(run())
+
+
+@then("its connection is refused")
+def check_refused(context):
+    assert isinstance(context.error, ConnectionRefusedError), context.error
+    assert context.proxy.n_refused == 1
+
+
+@given('daemons "{names}", of which "{stopped}" are in planned stops')
+def make_world(context, names, stopped):
+    world = World(address_prefix="127.29", folder=Path(), on_run=lambda *_: None)
+    world.daemons = [SimpleNamespace(name=name) for name in names.split(", ")]
+    began_at = time.monotonic() - 5.0
+    world.disturbances = [
+        Disturbance(
+            kind="stop",
+            target=name,
+            started_at=began_at,
+            ended_at=began_at,
+            planned=True,
+        )
+        for name in stopped.split(", ")
+    ]
+    context.world = world
+    # Each has answered something since it was started.
+    context.records = [
+        SimpleNamespace(daemon=name, status=200, sent_at=began_at, ended_at=began_at)
+        for name in names.split(", ")
+    ]
+
+
+@when('a caller is refused by "{name}"')
+def refuse(context, name):
+    refusal = Refusal(at=time.monotonic(), daemons=(name,))
+    context.world.refusals.append(refusal)
+    context.faults = list_unreachable(context.world, context.records)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from .callers import REQUEST_KINDS, Caller, RequestRecord
 from .faults import FaultSchedule
 from .judge import DutyHolderChecker, GuaranteeChecker
+from .refusals import list_unreachable
 from .world import World
 
 N_CALLERS: Final = 10
@@ -101,6 +102,13 @@
     _check_recovery(checker, recovered_at)
     _check_logs(checker, folder)
     checker.violations += [f"account: {line}" for line in list_faults(world)]
+    checker.violations += [
+        f"unreachable: {line}" for line in list_unreachable(world, checker.records)
+    ]
+    checker.counts["refused connections"] = sum(
+        daemon.front.n_refused for daemon in world.daemons
+    )
+    checker.counts["callers without a daemon"] = len(world.refusals)
     checker.counts["stops checked"] = len(world.stops)
     return checker, Counter(disturbance.kind for disturbance in world.disturbances)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 
 from berylpost.fakes.entry_world import HOST
 
+from .periods import Refusal
 from .proxy import Passage
 from .world import PORT, Daemon, World
 
@@ -224,15 +225,20 @@
     async def _open(
         self,
     ) -> tuple[Daemon, int, asyncio.StreamReader, asyncio.StreamWriter] | None:
+        refused = []
         for address in await self._resolve():
             daemon = next(d for d in self._world.daemons if d.ip == address)
             n_starts = daemon.n_starts
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    connection = await asyncio.open_connection(*daemon.front.listen)
+                    connection = await daemon.front.connect()
             except (OSError, TimeoutError):
+                refused.append(daemon.name)
                 continue
             return daemon, n_starts, *connection
+        if refused:
+            refusal = Refusal(at=time.monotonic(), daemons=tuple(refused))
+            self._world.refusals.append(refusal)
         return None
 
     async def _resolve(self) -> list[str]:
--- a/soak/periods.py
+++ b/soak/periods.py
@@ -32,6 +32,19 @@
     planned: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """A caller that reached none of the daemons to which it was sent.
+
+    Attributes:
+        at: When the last one refused its connection.
+        daemons: Names of these daemons.
+    """
+
+    at: float
+    daemons: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlannedStop:
     """Time from SIGTERM to a daemon until its process has ended.
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,6 +15,9 @@
 
 READ_BYTES: Final = 65_536
 CONNECT_TIMEOUT_S: Final = 5.0
+CLIENT_IP: Final = "127.0.0.1"
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class Mode(StrEnum):
@@ -92,6 +95,7 @@
 
     Attributes:
         passages: The last connections, by the client's port.
+        n_refused: Connections that the server's address did not take.
     """
 
     def __init__(self, *, listen: tuple[str, int], target: tuple[str, int]) -> None:
@@ -103,6 +107,8 @@
         self._connections: set[ProxiedConnection] = set()
         self._server: asyncio.Server | None = None
         self.passages: dict[int, Passage] = {}
+        self.n_refused = 0
+        self._dialled: dict[int, Streams] = {}
 
     async def start(self) -> None:
         """Starts listening."""
@@ -126,14 +132,46 @@
             for writer in (connection.client, connection.server):
                 _reset_connection(writer)
 
+    async def connect(self) -> Streams:
+        """Opens a client's connection after the one to the server.
+
+        A client without a proxy sees whether the server's address takes it.
+
+        Raises:
+            OSError: the server's address refuses connections.
+        """
+        try:
+            upstream = await asyncio.open_connection(*self.target)
+        except OSError:
+            self.n_refused += 1
+            raise
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.bind((CLIENT_IP, 0))
+        port = sock.getsockname()[1]
+        self.passages[port] = Passage(accepted_at=time.monotonic())
+        self._dialled[port] = upstream
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, self.listen)
+            return await asyncio.open_connection(sock=sock)
+        except BaseException:
+            sock.close()
+            if self._dialled.pop(port, None) is not None:
+                upstream[1].close()
+            raise
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        passage = Passage(accepted_at=time.monotonic())
-        self.passages[writer.get_extra_info("peername")[1]] = passage
+        port = writer.get_extra_info("peername")[1]
+        upstream = self._dialled.pop(port, None)
+        if upstream is None:
+            self.passages[port] = Passage(accepted_at=time.monotonic())
+        passage = self.passages[port]
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                upstream = await asyncio.open_connection(*self.target)
+            if upstream is None:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    upstream = await asyncio.open_connection(*self.target)
         except (OSError, TimeoutError) as error:
             passage.refusal = repr(error)
             _reset_connection(writer)
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,7 +16,7 @@
 from berylpost.fakes.entry_world import make_configuration, make_route
 from berylpost.fakes.objects import ObjectStore, StoreCopy
 
-from .periods import CutPeriod, Disturbance, LapsePeriod, PlannedStop
+from .periods import CutPeriod, Disturbance, LapsePeriod, PlannedStop, Refusal
 from .proxy import Proxy
 
 ROOT: Final = Path(__file__).parent.parent
@@ -149,6 +149,7 @@
 
     Attributes:
         stops: Planned stops of daemons that have ended.
+        refusals: Callers that reached none of the daemons to which they were sent.
         unexpected_exits: One line for each daemon that exited unexpectedly or too late.
         revoked: When the store had removed an API key, by key, monotonic seconds.
         configuration_number: Number of the latest configuration.
@@ -182,6 +183,7 @@
         self.backends: list[Backend] = []
         self.disturbances: list[Disturbance] = []
         self.stops: list[PlannedStop] = []
+        self.refusals: list[Refusal] = []
         self.unexpected_exits: list[str] = []
         self.keys = ["key-0", "key-1"]
         self.revoked: dict[str, float] = {}
