Soak: take the ports of callers' connections from the soak's own addresses

Since callers see refusals, the soak bound their connections to a free port of 127.0.0.1. They are bound to the address of the proxy now, which only this soak uses.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,7 +15,6 @@
 
 READ_BYTES: Final = 65_536
 CONNECT_TIMEOUT_S: Final = 5.0
-CLIENT_IP: Final = "127.0.0.1"
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -147,7 +146,8 @@
             raise
         sock = socket.socket()
         sock.setblocking(False)
-        sock.bind((CLIENT_IP, 0))
+        # Ports of an address that others use too may run out.
+        sock.bind((self.listen[0], 0))
         port = sock.getsockname()[1]
         self.passages[port] = Passage(accepted_at=time.monotonic())
         self._dialled[port] = upstream
