Let the handlers of callers that left end before a leaving daemon does

No caller lost anything.

Cause: a caller that closes its connection while its request is served takes the connection out of the server's set at once and cancels the handler, which ends one or more rounds later. A daemon that looks in between has no unfinished connection and one open request. If the process ends then, its line does not add up, and what the handler has to report may be missing.

A server now has something unfinished as long as a request is open by its account.

entry_exit.feature, "A handler whose caller has left ends before the process does": before, 1 request was open; after, none.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -163,6 +163,8 @@
         """
         if self._listener is not None and self._listener.has_pending():
             return True
+        if self.account.n_open:
+            return True  # also one whose caller has just left
         if not all(c.may_close(CloseReason.EXIT) for c in self.connections):
             return True
         descriptors = [c.read_descriptor() for c in self.connections]
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -23,6 +23,11 @@
     And they read 5 s later
     Then each caller gets a complete answer
 
+  Scenario: A handler whose caller has left ends before the process does
+    Given a server whose handlers take 0.1 s to end after their caller has left
+    When a caller sends a request and leaves
+    Then no request is open once the server has nothing unfinished
+
   Scenario: A request whose last bytes come late is answered before the process ends
     Given an entry daemon process
     When it is stopped
--- a/features/steps/entry_exit_steps.py
+++ b/features/steps/entry_exit_steps.py
@@ -3,6 +3,7 @@
 `behave -D build=COMMIT` runs them against the daemon of an earlier commit.
 """
 
+import asyncio
 import itertools
 import threading
 import time
@@ -14,7 +15,8 @@
 from steps.entry_process import EntryProcess
 from steps.entry_steps import make_request_line
 
-from berylpost.fakes.entry_world import API_KEY, HOST
+from berylpost.edge.caller_server import CallerServer
+from berylpost.fakes.entry_world import API_KEY, HOST, EntryWorld
 from soak.builds import extract_build
 
 # The shortest time from SIGTERM to the end of a daemon that has nothing to do.
@@ -227,6 +229,44 @@
     read_all(context.callers)
 
 
+@given("a server whose handlers take {seconds} s to end after their caller has left")
+def step_make_server(context: Context, seconds: str) -> None:
+    async def handle(request, caller):
+        try:
+            await asyncio.sleep(DEADLINE_MS / 1_000)
+        finally:
+            await asyncio.sleep(float(seconds))
+
+    context.handle = handle
+
+
+@when("a caller sends a request and leaves")
+def step_leave(context: Context) -> None:
+    async def run():
+        server = CallerServer(handler=context.handle)
+        world = EntryWorld(n_daemons=1)
+        ip, port = world.make_settings(0).front
+        await server.start(ip, port)
+        _, writer = await asyncio.open_connection(ip, port)
+        writer.write(render("read", b"x"))
+        while not server.account.n_read:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        while server.connections:
+            await asyncio.sleep(0.001)
+        while server.has_unfinished():
+            await asyncio.sleep(0.001)
+        context.n_open = server.account.n_open
+        server.kill()
+
+    asyncio.run(run())
+
+
+@then("no request is open once the server has nothing unfinished")
+def step_check_open(context: Context) -> None:
+    assert context.n_open == 0, context.n_open
+
+
 @then("each caller gets {k:d} complete answers")
 def step_check_many(context: Context, k: int) -> None:
     read_all(context.callers, k)
