--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -20,6 +20,8 @@
 ROOT = Path(__file__).parent.parent.parent
 READY_TIMEOUT_S = 20.0
 GRACE_S = 8.0
+CONNECT_TIMEOUT_S = 10.0
+_DEFAULT = object()
 
 
 class EntryProcess(EntryWorld):
@@ -28,10 +30,26 @@
     Args:
         build: folder of the daemon's code.
         n_descriptors: descriptors that the process may open.
+        services: service of each backend server.
+        configuration: the configuration; None for none.
+
+    Attributes:
+        configuration: what is stored at the start.
     """
 
-    def __init__(self, *, build=ROOT, n_descriptors=1_024):
-        super().__init__(n_daemons=1)
+    def __init__(
+        self,
+        *,
+        build=ROOT,
+        n_descriptors=1_024,
+        services=("app", "app"),
+        configuration=_DEFAULT,
+    ):
+        super().__init__(n_daemons=1, versions=("v1",) * len(services))
+        self._services = services
+        self.configuration = configuration
+        if configuration is _DEFAULT:
+            self.configuration = make_configuration()
         self.settings = self.make_settings(0)
         self._folder = tempfile.TemporaryDirectory(prefix="entry-process-")
         self.log = Path(self._folder.name) / "entry.log"
@@ -41,6 +59,11 @@
 
     def __enter__(self):
         """Starts everything and waits until the daemon is ready."""
+        self.start()
+        return self
+
+    def start(self, *, wait_ready=True):
+        """Starts everything and waits until the daemon is ready, or accepts callers."""
         super().__enter__()
         path = Path(self._folder.name) / "entry.json"
         settings = self.settings
@@ -66,8 +89,10 @@
                 stdout=output,
                 stderr=output,
             )
-        self.await_ready()
-        return self
+        if wait_ready:
+            self.await_ready()
+        else:
+            self.await_listener()
 
     def __exit__(self, *error):
         """Kills the process and stops the fakes."""
@@ -89,6 +114,16 @@
             time.sleep(0.05)
         raise AssertionError(self.log.read_text())
 
+    def await_listener(self):
+        """Waits until the daemon accepts callers."""
+        ends_at = time.monotonic() + CONNECT_TIMEOUT_S
+        while time.monotonic() < ends_at:
+            with contextlib.suppress(ConnectionRefusedError):
+                self.open_socket().close()
+                return
+            time.sleep(0.005)
+        raise AssertionError(self.log.read_text())
+
     def open_socket(self, *, receive_bytes=0):
         """Opens a caller's connection, with a receive buffer of a given size if any."""
         sock = socket.socket()
@@ -114,7 +149,8 @@
     async def _start(self):
         await self.store.server.start()
         await self.duty_api.server.start()
-        for replica in self.replicas:
+        for replica, service in zip(self.replicas, self._services, strict=True):
             await replica.start()
-            await self.put_replica(replica)
-        await self.put_configuration(make_configuration())
+            await self.put_replica(replica, Service=service)
+        if self.configuration is not None:
+            await self.put_configuration(self.configuration)
