Do not end the next request on a connection in place of the one that was answered

What callers saw: of three or more requests at once on one connection, two of which are refused at once (404, 401, 503), the third got a body without a head, and the connection could not be used any more. It needs no planned stop.

Cause: ends a request whose handler was cancelled before it began when its task is done. It asked whether the request in progress had begun; by then that may be the next one, which has not. The account then counted its end twice.

The check of the daemon's account counted answers to what was rejected before it was read as a whole (413), which the account does not; they are now taken from the log.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -517,15 +517,16 @@
         self.answer_started = self._answer_complete = self._has_begun = False
         n_held = self._request.n_held
         self._task = asyncio.create_task(self._run(self._request))
-        self._task.add_done_callback(lambda _task: self._end_task(n_held))
+        self._task.add_done_callback(lambda task: self._end_task(task, n_held))
         if len(self._queue) == MAX_PIPELINED:
             self._reader.proceed()
             self._count_held()
 
-    def _end_task(self, n_held: int) -> None:
+    def _end_task(self, task: asyncio.Task[None], n_held: int) -> None:
         """Releases a request of `n_held` bytes, also one that was never served."""
         self.memory.release(n_held)
-        if not self._has_begun and self._request is not None:
+        # Otherwise it has begun, and the next request may be the one in progress.
+        if self._task is task and self._request is not None:
             self._note_end(self._request)
             self._task = self._request = None
 
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -49,3 +49,8 @@
     And every server takes 0.2 s for a request
     When 4 callers send 3 "book" requests at once, and then no request
     Then each caller gets 3 complete answers
+
+  Scenario: Requests behind others that are refused at once are answered
+    Given an entry daemon process
+    When 4 callers send 3 "nowhere" requests at once
+    Then each caller gets 3 complete answers
--- a/features/entry_request_phases.feature
+++ b/features/entry_request_phases.feature
@@ -37,13 +37,13 @@
       | SIGTERM and a loop 0.05 s late             |
       | SIGTERM and a loop 0.3 s late              |
       | SIGTERM and a loop 1 s late                |
-
-    @known_red
-    Examples: Known red
-      | ending                                     |
       | SIGTERM and no configuration               |
       | configurations                             |
       | configurations and SIGTERM                 |
       | SIGTERM and no store                       |
       | SIGTERM and a slow store                   |
+
+    @known_red
+    Examples: Known red
+      | ending                                     |
       | SIGTERM and work for longer than the grace |
--- a/features/steps/entry_request_phases_steps.py
+++ b/features/steps/entry_request_phases_steps.py
@@ -391,10 +391,12 @@
 def step_check_account(context: Context) -> None:
     rig = context.rig
     assert rig.process.poll() == 0, (rig.process.poll(), rig.log.read_text()[-1_500:])
-    (line,) = re.findall(r".*event=daemon_stopped.*", rig.log.read_text())
+    log = rig.log.read_text()
+    (line,) = re.findall(r".*event=daemon_stopped.*", log)
     account = {k: float(v) for k, v in re.findall(r"(\w+)=(-?[\d.]+)(?=\s|$)", line)}
     callers = context.phase_callers
-    n_answers = sum(len(c.statuses) for c in callers)
+    n_rejected = log.count("event=request_unreadable")  # not read as a whole
+    n_answers = sum(len(c.statuses) for c in callers) - n_rejected
     assert account["after_s"] < GRACE_S, line
     lost = ["open", "unsent", "unserved", "unfinished", "caller_left"]
     if not context.ending.may_break:
