Wait a second for the first bytes on a connection before a daemon ends

Cause: 0.25 s after it was accepted, a connection on which nothing had arrived counted as one that its caller does not use. A caller whose first segment is lost needs longer: the same initial retransmission time-out of TCP for which the rest of a request is waited for. The promise is kept either way, nothing had reached the daemon; but a caller cannot tell that from a lost request.

New connections have the same second now. It counts from the connection's opening, so connections that are opened early and kept unused do not delay the end.

entry_exit.feature, "A caller whose first bytes come late is answered before the process ends": before, 4 of 4 callers had no answer; after, 0 of 4.

--- a/berylpost/policy/connection_end.py
+++ b/berylpost/policy/connection_end.py
@@ -11,11 +11,9 @@
 from enum import StrEnum
 from typing import Final
 
-# A caller that sends the rest of a request more slowly than this has stalled; it covers
-# the initial retransmission time-out of TCP.
+# A caller that sends a request, or the rest of it, more slowly than this has stalled;
+# it covers the initial retransmission time-out of TCP.
 STALL_S: Final = 1.0
-# The first bytes of a request follow its connection within a few round trips.
-FIRST_BYTES_S: Final = 0.25
 ALWAYS_S: Final = 0.0
 
 
@@ -72,12 +70,12 @@
         Phase.INCOMPLETE: ALWAYS_S,
     },
     CloseReason.LEAVING: {
-        Phase.NEW: FIRST_BYTES_S,
+        Phase.NEW: STALL_S,
         Phase.IDLE: ALWAYS_S,
         Phase.INCOMPLETE: STALL_S,
     },
     CloseReason.EXIT: {
-        Phase.NEW: FIRST_BYTES_S,
+        Phase.NEW: STALL_S,
         Phase.IDLE: ALWAYS_S,
         Phase.INCOMPLETE: STALL_S,
     },
--- a/features/entry_exit.feature
+++ b/features/entry_exit.feature
@@ -23,6 +23,12 @@
     And they read 5 s later
     Then each caller gets a complete answer
 
+  Scenario: A caller whose first bytes come late is answered before the process ends
+    Given an entry daemon process
+    When it is stopped
+    And 4 callers connect after 4.3 s and send "read" requests 0.6 s later
+    Then each caller gets a complete answer
+
   Scenario: A handler whose caller has left ends before the process does
     Given a server whose handlers take 0.1 s to end after their caller has left
     When a caller sends a request and leaves
--- a/features/steps/entry_exit_steps.py
+++ b/features/steps/entry_exit_steps.py
@@ -229,6 +229,21 @@
     read_all(context.callers)
 
 
+@when('{n:d} callers connect after {first} s and send "{kind}" requests {then} s later')
+def step_connect_early(
+    context: Context, n: int, first: str, kind: str, then: str
+) -> None:
+    sleep_until(context, float(first))
+    context.callers = open_callers(context, n)
+    time.sleep(float(then))
+    for caller in context.callers:
+        try:
+            caller.send(kind)
+        except OSError as error:
+            caller.outcome.error = repr(error)
+    read_all(context.callers)
+
+
 @given("a server whose handlers take {seconds} s to end after their caller has left")
 def step_make_server(context: Context, seconds: str) -> None:
     async def handle(request, caller):
