Soak: do not stop a daemon twice at once

By the log a process of entry-4 had started at 16:40:01.1, after one planned stop, and another one failed to listen at 16:40:02.6, while the first went on.

Cause: a restart marks its daemon when its task first runs. Another action that is drawn before that chooses the same daemon; both wait for the one exit and both start a process.

The daemon is marked when it is chosen. soak_checks.feature, "A daemon that the soak is about to stop is not stopped a second time": before, the daemon was still up in both rows; after, in neither.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -34,3 +34,13 @@
       | stopped | fault                                     |
       | a       | refused by ('a',), but ['b'] served       |
       | a, b    |                                           |
+
+  Scenario Outline: A daemon that the soak is about to stop is not stopped a second time
+    Given a schedule of the soak with 3 daemons
+    When the soak begins to "<action>"
+    Then each daemon that it stops is not up for other actions
+
+    Examples:
+      | action       |
+      | stop_in_turn |
+      | stop_twice   |
--- a/features/steps/soak_check_steps.py
+++ b/features/steps/soak_check_steps.py
@@ -1,6 +1,7 @@
 """Steps for the checks of the soak test itself."""
 
 import asyncio
+import random
 import socket
 import tempfile
 import time
@@ -10,10 +11,11 @@
 from behave import given, then, when
 
 from soak.accounts import find_faults
+from soak.faults import FaultSchedule
 from soak.periods import Disturbance, PlannedStop, Refusal
 from soak.proxy import Proxy
 from soak.refusals import list_unreachable
-from soak.world import World
+from soak.world import Daemon, World
 
 IP = "127.29.7.1"
 
@@ -109,3 +111,46 @@
     refusal = Refusal(at=time.monotonic(), daemons=(name,))
     context.world.refusals.append(refusal)
     context.faults = list_unreachable(context.world, context.records)
+
+
+@given("a schedule of the soak with {n:d} daemons")
+def make_schedule(context, n):
+    process = SimpleNamespace(returncode=None)
+    parts = dict.fromkeys(("front", "store", "cloud", "log", "settings"))
+    world = World(address_prefix="127.29", folder=Path(), on_run=lambda *_: None)
+    world.daemons = [
+        Daemon(name=f"entry-{number}", ip=IP, process=process, **parts)
+        for number in range(n)
+    ]
+    context.world = world
+    context.schedule = FaultSchedule(world=world, random_state=random.Random(7))
+
+
+@when('the soak begins to "{action}"')
+def begin_action(context, action):
+    """Runs an action until it first waits; the tasks it makes have not begun then."""
+
+    async def run():
+        context.stopped = []
+        context.world.record_disturbance = lambda kind, name, **_: (
+            context.stopped.append(name)
+        )
+        restart = context.schedule._restart_daemon
+
+        def note_restart(daemon):
+            context.stopped.append(daemon.name)
+            return restart(daemon)
+
+        context.schedule._restart_daemon = note_restart
+        context.schedule.planned_actions[action]().send(None)
+        context.up = {d.name for d in context.world.daemons if d.is_up}
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+@then("each daemon that it stops is not up for other actions")
+def check_up(context):
+    assert context.stopped
+    assert not context.up & set(context.stopped), (context.up, context.stopped)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -213,13 +213,20 @@
         await asyncio.sleep(self._random.uniform(0.1, 0.8))
         await self._world.start_daemon(daemon)
 
+    def _begin_restart(self, daemon: Daemon) -> asyncio.Task[None]:
+        daemon.stopping = True  # before the task runs, so that no other one begins
+        task = asyncio.ensure_future(self._restart_daemon(daemon))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     async def _restart_by_two_signals(self) -> None:
         daemon = self._pick_daemon()
         if daemon is None or daemon.process is None:
             return
         process = daemon.process
         self._world.record_disturbance("stop_twice", daemon.name, planned=True)
-        restart = asyncio.ensure_future(self._restart_daemon(daemon))
+        restart = self._begin_restart(daemon)
         await asyncio.sleep(self._random.uniform(*SECOND_SIGNAL_S))
         if process.returncode is None:
             process.send_signal(signal.SIGTERM)
@@ -235,10 +242,7 @@
     async def _restart_in_turn(self) -> None:
         for daemon in list(self._world.daemons):
             if daemon.is_up and self._random.random() < 0.6:
-                self._tasks.add(
-                    task := asyncio.ensure_future(self._restart_daemon(daemon))
-                )
-                task.add_done_callback(self._tasks.discard)
+                self._begin_restart(daemon)
                 await asyncio.sleep(self._random.uniform(0.5, 1.5))
 
     async def _send_sighup(self) -> None:
