Pass on the removals that are held back after an outage of the store

All daemons were killed at 14 s, the store's history was gone, and a server's entry was removed at 14.506 s. A stream reached that server 2.10 to 2.12 s later, at a daemon that does not watch the store.

Cause: entries that vanish within 2 s of the store's return are kept until these 2 s are over, since their servers may register again. The daemons that watch removed it at 16.00 s; the others had asked for their state at 14.6 s, which did not tell of the removal that was held back, and learned of it 0.4 to 0.8 s after the watchers, at 16.4 to 16.8 s.

A daemon's state now names what it holds back, with the revision of the entry, and a neighbour holds it back until the same time. Earlier builds ignore the field and send none.

entry_outages.feature, "A removal that is held back after an outage ...": before, the neighbour knew the server still; after, neither does.

--- a/berylpost/edge/catalogue.py
+++ b/berylpost/edge/catalogue.py
@@ -234,6 +234,8 @@
                 for name, (last, end) in self._removed.items()
                 if end > since
             ],
+            # Kept here until the grace period of an outage has ended.
+            "missing": [[name, self._entries[name][0]] for name in self._missing],
         }
 
     def import_state(self, state: Mapping[str, Any]) -> bool:
@@ -403,6 +405,10 @@
             if known is not None and is_gone(known[0], as_of=last):
                 # The list excludes servers that the peer keeps because of an outage.
                 self._remove_backend(name, end, keep=False, last=last)
+        for name, last in state.get("missing", ()):  # earlier builds send none
+            known = self._entries.get(name)
+            if known is not None and known[0] <= last and self._is_outage_recent():
+                self._remove_backend(name, revision, keep=True)
         for name, entry_revision, spec in state["entries"]:
             if entry_revision > self._removed.get(name, (-1, 0))[0]:
                 self._set_backend(name, entry_revision, spec)
--- a/features/entry_outages.feature
+++ b/features/entry_outages.feature
@@ -27,6 +27,12 @@
     When a watch shows the daemon that the server is gone since revision 8
     Then neither it nor the neighbour that asks it for changes knows the server
 
+  Scenario: A removal that is held back after an outage is held back no longer by neighbours
+    # Guards against requests to a server that left just after the store returned.
+    Given two daemons that knew a server when the store returned 0.5 s ago
+    When a watch shows one of them that it is gone, and the other one asks it for its state
+    Then neither knows the server 2.2 s after the store returned
+
   Scenario Outline: A fleet keeps its size over an outage of <outage_s> s at <n> servers
     Given a fleet of <n> servers at a load that needs them
     When requests are refused for <outage_s> s because the store is away
--- a/features/steps/entry_outage_steps.py
+++ b/features/steps/entry_outage_steps.py
@@ -60,6 +60,41 @@
         asyncio.run(call())
 
 
+@given("two daemons that knew a server when the store returned 0.5 s ago")
+def step_returned(context: Context) -> None:
+    context.catalogues = [make_catalogue(), make_catalogue()]
+
+
+@when(
+    "a watch shows one of them that it is gone, and the other one asks it for its state"
+)
+def step_hold_back(context: Context) -> None:
+    watcher, neighbour = context.catalogues
+    entry = make_entry(0, 5)
+    removal = Change(item=entry, removed=True)
+
+    async def play():
+        returned_at = catalogue_module.read_boottime() - 0.5
+        for catalogue in context.catalogues:
+            catalogue.outage_ended_at = catalogue.confirmed_at = returned_at
+            catalogue.apply_backend_list(Listing(items=(entry,), revision=5))
+        watcher.apply_backend_changes(Changes(changes=(removal,), revision=9))
+        neighbour.import_state(watcher.export_state(backends_since=5))
+        kept = [set(c.backends) for c in context.catalogues]
+        for catalogue in context.catalogues:
+            catalogue.confirmed_at = returned_at + 2.0
+        await asyncio.sleep(1.7)
+        return kept
+
+    context.kept = asyncio.run(play())
+
+
+@then("neither knows the server 2.2 s after the store returned")
+def step_check_gone(context: Context) -> None:
+    assert context.kept == [{"r-0"}, {"r-0"}], context.kept
+    assert [set(c.backends) for c in context.catalogues] == [set(), set()]
+
+
 @given("a daemon whose {n:d} servers registered again after their entries expired")
 def step_registered_again(context: Context, n: int) -> None:
     """Registers at revisions 1 to n, expires up to 20 + n, and registers at 40."""
