Play planned stops of daemons of which one passes connections on

Three daemon processes, the first cut off from all servers, with requests under way in four phases and callers on new and on kept connections: nine endings of the passing daemon, the asking one, both, all, and each in turn.

While all daemons leave at once, the cut one refuses new requests as not run.

--- /dev/null
+++ b/features/entry_tunnel_stops.feature
@@ -0,0 +1,20 @@
+Feature: A planned stop of a daemon loses no request that passes through two daemons
+
+  Scenario Outline: Requests of a cut daemon are answered when <ending>
+    Given 3 entry daemon processes, the first cut off from all servers
+    When requests in all phases are passed on by the second one
+    And then <ending>
+    Then each request ends with its answer, or is refused as not run
+    And the daemons that were stopped passed nothing on at their end
+
+    Examples:
+      | ending                                                      |
+      | the passing one stops                                       |
+      | the asking one stops                                        |
+      | both stop at once                                           |
+      | all stop at once                                            |
+      | the asking one stops 1 s after the passing one              |
+      | the passing one stops 0.5 s after the asking one            |
+      | the passing one stops and is paused around its end          |
+      | the passing one stops while the asking one is paused        |
+      | all stop and start again in turn                            |
