Answer daemons that ask a leaving one for a connection just before its end

What was seen: a daemon that asked a leaving one to pass a connection on, just before the end of its process, had its connection reset or left open and unread instead of being told to go elsewhere. Nothing is sent over such a connection, so its callers lost time, not requests.

Cause: the end of the process waited for connections that are passed on, not for those in the kernel's queue, accepted or being answered; and asyncio's server leaves a connection without a transport if it is closed between accept and the connection's task. Now `listener` accepts them, and the daemon ends when no other daemon's connection is open or waits.

--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -410,7 +410,8 @@
     def _has_unfinished(self) -> bool:
         """Tells whether the end of the process would leave a request unanswered."""
         servers = (self.front, *self._control_servers)
-        return self.paths.tunnels.n_open > 0 or any(s.has_unfinished() for s in servers)
+        tunnels = self.paths.tunnels
+        return tunnels.has_unfinished() or any(s.has_unfinished() for s in servers)
 
     def _handle_sighup(self) -> None:
         """Logs a settings change; addresses and identity change only by a restart."""
--- a/berylpost/edge/tunnel_server.py
+++ b/berylpost/edge/tunnel_server.py
@@ -7,6 +7,7 @@
 
 from ..logs import log_event
 from ..policy.paths import Refusal
+from .listener import Listener
 from .model import Endpoint
 from .tunnels import (
     CONNECT_TIMEOUT_S,
@@ -36,6 +37,8 @@
     Attributes:
         n_opened: connections passed on so far.
         n_refused: connections not passed on.
+        near_sides: connections from other daemons.
+        tunnels: those that are passed on or about to be.
     """
 
     def __init__(
@@ -48,8 +51,9 @@
         self.note_connected = note_connected
         self.n_opened = 0
         self.n_refused = 0
+        self.near_sides: set[_NearSide] = set()
         self.tunnels: set[_NearSide] = set()
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
     @property
     def n_open(self) -> int:
@@ -62,17 +66,21 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _NearSide(server=self), ip, port, reuse_address=True
+        self._listener = Listener(
+            ip=ip, port=port, make_protocol=lambda: _NearSide(server=self)
         )
 
+    def has_unfinished(self) -> bool:
+        """Tells whether another daemon may wait for an answer, or for a server's."""
+        has_pending = self._listener is not None and self._listener.has_pending()
+        return has_pending or bool(self.near_sides)
+
     def stop(self) -> None:
         """Stops listening and resets all connections."""
-        if self._server is not None:
-            self._server.close()
-        for tunnel in list(self.tunnels):
-            tunnel.reset()
+        if self._listener is not None:
+            self._listener.close()
+        for side in list(self.near_sides):
+            side.reset()
 
 
 class Side(asyncio.Protocol):
@@ -161,6 +169,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits a limited time for the request."""
         super().connection_made(transport)
+        self._server.near_sides.add(self)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HEAD_TIMEOUT_S, self.reset)
 
@@ -181,6 +190,7 @@
         if self._task is not None:
             self._task.cancel()
         self._server.tunnels.discard(self)
+        self._server.near_sides.discard(self)
         super().connection_lost(exc)
 
     def _cancel_timer(self) -> None:
--- a/features/entry_tunnel_stops.feature
+++ b/features/entry_tunnel_stops.feature
@@ -18,3 +18,8 @@
       | the passing one stops and is paused around its end          |
       | the passing one stops while the asking one is paused        |
       | all stop and start again in turn                            |
+
+  Scenario: A daemon that asks a leaving one for a connection just before its end is answered
+    Given 3 entry daemon processes, the first cut off from all servers
+    When daemons ask the passing one for connections while it is about to end
+    Then each of them is told that none is passed on
--- a/features/steps/entry_tunnel_stop_steps.py
+++ b/features/steps/entry_tunnel_stop_steps.py
@@ -17,6 +17,8 @@
 from steps.entry_processes import EntryProcesses
 from steps.entry_steps import Caller, make_request_line
 
+from berylpost.edge.model import Endpoint
+from berylpost.edge.tunnels import render_request
 from berylpost.fakes.entry_world import make_configuration, make_route
 from soak.builds import extract_build
 
@@ -27,6 +29,10 @@
 BODY_BYTES = 1_000_000
 RECEIVE_BYTES = 4_096
 DEADLINE_MS = 12_000
+# The shortest time from SIGTERM to the end of a daemon that has nothing to do.
+ENDS_AFTER_S = 4.5
+PAUSE_S = 0.6  # for which the processor is taken away around that time
+N_ASKERS = 20
 N_CALLERS = 3  # of each phase
 LOAD_PAUSE_S = 0.02
 KEPT_PAUSE_S = 0.1
@@ -305,3 +311,45 @@
         log = context.world.logs[number].read_text()
         line = next(x for x in log.splitlines() if "event=callers_left" in x)
         assert " n_passed_on=0" in line, log[-1_500:]
+
+
+def ask(context):
+    """Asks the passing daemon for a connection to a server, as the asking one would."""
+    world, replica = context.world, context.world.replicas[0]
+    peer = world.make_settings(PASSING).peer
+    sock = socket.socket()
+    context.add_cleanup(sock.close)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    sock.settimeout(GRACE_S + 4.0)
+    sock.bind((world.make_settings(ASKING).ip, 0))
+    sock.connect((peer.ip, peer.port + 1))
+    sock.sendall(render_request(replica.id, Endpoint(replica.ip, replica.port)))
+    return sock
+
+
+def receive(sock):
+    """Reads until the connection ends; returns all bytes and an error, if any."""
+    data = b""
+    try:
+        while part := sock.recv(65_536):
+            data += part
+    except OSError as error:
+        return data, repr(error)
+    return data, ""
+
+
+@when("daemons ask the passing one for connections while it is about to end")
+def step_ask_late(context: Context) -> None:
+    stop(context, PASSING)
+    time.sleep(ENDS_AFTER_S - PAUSE_S / 2)
+    context.world.send_signal(PASSING, "STOP")
+    context.askers = [ask(context) for _ in range(N_ASKERS)]
+    time.sleep(PAUSE_S)
+    context.world.send_signal(PASSING, "CONT")
+
+
+@then("each of them is told that none is passed on")
+def step_check_told(context: Context) -> None:
+    answers = [receive(asker) for asker in context.askers]
+    odd = [a for a in answers if not a[0].startswith(b"HTTP/1.1 503 ")]
+    assert not odd, (len(odd), len(answers), odd[:3])
