Let what a daemon has sent arrive when it stops to pass connections on

What was seen: an answer of 300 kB that a leaving daemon had passed on whole, and that the asking daemon was slow to read, broke off at the end of the grace.

Cause: at its end a daemon reset the connections that it passed on, and a reset drops what the kernel has not delivered. It was there to keep an answer without a length from looking complete; the frames tell this since they exist. Now the connection to the asking daemon is closed, without the mark of the server's end; the one to the server is still reset. What is larger than the kernel's buffers still breaks off.

entry_tunnel_stops.feature, "An answer that was sent ...": before, 6,144 bytes came and then a reset (two plays); after, all. This scenario, the one for late askers and two of the rows passed on this code.

--- a/berylpost/edge/tunnel_server.py
+++ b/berylpost/edge/tunnel_server.py
@@ -76,11 +76,11 @@
         return has_pending or bool(self.near_sides)
 
     def stop(self) -> None:
-        """Stops listening and resets all connections."""
+        """Stops listening and closes all connections."""
         if self._listener is not None:
             self._listener.close()
         for side in list(self.near_sides):
-            side.reset()
+            side.close()
 
 
 class Side(asyncio.Protocol):
@@ -166,6 +166,17 @@
         super().write(FRAME_HEAD.pack(0))
         super().end()
 
+    def close(self) -> None:
+        """Closes without the mark of the server's end.
+
+        The asking daemon receives what was sent and takes the rest for a reset.
+        """
+        far, self.other = self.other, None
+        if far is not None:
+            far.other = None
+            far.reset()
+        super().end()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits a limited time for the request."""
         super().connection_made(transport)
--- a/features/entry_tunnel_stops.feature
+++ b/features/entry_tunnel_stops.feature
@@ -19,6 +19,12 @@
       | the passing one stops while the asking one is paused        |
       | all stop and start again in turn                            |
 
+  Scenario: An answer that was sent to the asking daemon arrives after the passing one has ended
+    Given 3 entry daemon processes, the first cut off from all servers
+    When an answer of 300000 bytes is passed on that the asking daemon does not read
+    And the passing daemon is stopped and has ended
+    Then the asking daemon receives all 300000 bytes
+
   Scenario: A daemon that asks a leaving one for a connection just before its end is answered
     Given 3 entry daemon processes, the first cut off from all servers
     When daemons ask the passing one for connections while it is about to end
--- a/features/steps/entry_tunnel_stop_steps.py
+++ b/features/steps/entry_tunnel_stop_steps.py
@@ -338,6 +338,31 @@
     return data, ""
 
 
+@when("an answer of {n:d} bytes is passed on that the asking daemon does not read")
+def step_ask_unread(context: Context, n: int) -> None:
+    for replica in context.world.replicas:
+        replica.answer_bytes = n
+    context.asker = ask(context)
+    assert context.asker.recv(1_024).startswith(b"HTTP/1.1 200 ")
+    expected = context.world.replicas[0].id.encode()
+    head = b"GET /read/a HTTP/1.1\r\nX-Berylpost-Expect-Replica: " + expected
+    context.asker.sendall(head + b"\r\n\r\n")
+    time.sleep(0.5)  # until the answer has come
+
+
+@when("the passing daemon is stopped and has ended")
+def step_stop_passing(context: Context) -> None:
+    stop(context, PASSING)
+    assert context.world.processes[PASSING].wait(GRACE_S) == 0
+
+
+@then("the asking daemon receives all {n:d} bytes")
+def step_check_received(context: Context, n: int) -> None:
+    data, error = receive(context.asker)
+    log = context.world.logs[PASSING].read_text()
+    assert len(data) > n, (len(data), error, log[-900:])
+
+
 @when("daemons ask the passing one for connections while it is about to end")
 def step_ask_late(context: Context) -> None:
     stop(context, PASSING)
