Count the connections that a daemon passes on, and how they ended

A daemon that stopped did not say how many connections of other daemons it had accepted, passed on or declined, who ended them, and what was open when it closed them. `tunnels_stopped` says it, beside `daemon_stopped`. The ends add up to the accepted ones.

entry_tunnel_stops.feature checks this in each row, and that nothing was ended by the daemon there; and that the one connection that is open at the end of the grace is counted with its bytes.

--- a/berylpost/edge/tunnel_server.py
+++ b/berylpost/edge/tunnel_server.py
@@ -1,14 +1,20 @@
 """Passes connections of other daemons on to backend servers; see `tunnels`."""
 
+import array
 import asyncio
+import fcntl
 import logging
+import termios
+from collections import Counter
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Final, cast
 
 from ..logs import log_event
 from ..policy.paths import Refusal
 from .listener import Listener
 from .model import Endpoint
+from .request_account import count_unread
 from .tunnels import (
     CONNECT_TIMEOUT_S,
     END_OF_HEAD,
@@ -26,6 +32,24 @@
 HEAD_TIMEOUT_S: Final = 1.0
 
 
+class TunnelEnd(StrEnum):
+    """How a connection that another daemon opened has ended.
+
+    Attributes:
+        DECLINED: it was not passed on, for a reason of this daemon.
+        FAILED: the server was not reached.
+        BY_ASKER: the daemon that asked closed it.
+        BY_SERVER: the server closed it.
+        BY_US: this daemon ended and closed it.
+    """
+
+    DECLINED = "declined"
+    FAILED = "failed"
+    BY_ASKER = "ended_by_asker"
+    BY_SERVER = "ended_by_server"
+    BY_US = "ended_by_us"
+
+
 class TunnelServer:
     """Passes connections of other daemons on to backend servers.
 
@@ -37,6 +61,10 @@
     Attributes:
         n_opened: connections passed on so far.
         n_refused: connections not passed on.
+        n_accepted: connections accepted.
+        n_ended: connections that ended, by how they did.
+        n_open_bytes: bytes that were neither read nor received when this daemon closed
+            connections.
         near_sides: connections from other daemons.
         tunnels: those that are passed on or about to be.
     """
@@ -51,6 +79,9 @@
         self.note_connected = note_connected
         self.n_opened = 0
         self.n_refused = 0
+        self.n_accepted = 0
+        self.n_ended: Counter[TunnelEnd] = Counter()
+        self.n_open_bytes = 0
         self.near_sides: set[_NearSide] = set()
         self.tunnels: set[_NearSide] = set()
         self._listener: Listener | None = None
@@ -81,6 +112,16 @@
             self._listener.close()
         for side in list(self.near_sides):
             side.close()
+        log_event(LOGGER, "tunnels_stopped", **self.export_counts())
+
+    def export_counts(self) -> dict[str, int]:
+        """Returns all counts by name."""
+        return {
+            "accepted": self.n_accepted,
+            "opened": self.n_opened,
+            **{str(end): self.n_ended[end] for end in TunnelEnd},
+            "open_bytes": self.n_open_bytes,
+        }
 
 
 class Side(asyncio.Protocol):
@@ -125,6 +166,14 @@
         if other is not None and not other.is_closing():
             other.resume_reading()
 
+    def count_open_bytes(self) -> int:
+        """Counts the bytes that were not read here, or not received from here."""
+        if self.transport is None:
+            return 0
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        n_buffered = self.transport.get_write_buffer_size()
+        return n_buffered + _count_unsent(descriptor) + count_unread(descriptor)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the other side in the same way: orderly, or by a reset."""
         self.transport = None
@@ -156,6 +205,7 @@
         self._head = b""
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._has_ended = False
 
     def write(self, data: bytes) -> None:
         """Sends bytes of the server in one frame."""
@@ -163,16 +213,25 @@
 
     def end(self) -> None:
         """Marks the end of what the server sent, then closes."""
+        self._note_end(TunnelEnd.BY_SERVER)
         super().write(FRAME_HEAD.pack(0))
         super().end()
 
+    def reset(self) -> None:
+        """Resets both connections."""
+        self._note_end(TunnelEnd.BY_SERVER)
+        super().reset()
+
     def close(self) -> None:
         """Closes without the mark of the server's end.
 
         The asking daemon receives what was sent and takes the rest for a reset.
         """
+        self._note_end(TunnelEnd.BY_US)
+        self._server.n_open_bytes += self.count_open_bytes()
         far, self.other = self.other, None
         if far is not None:
+            self._server.n_open_bytes += far.count_open_bytes()
             far.other = None
             far.reset()
         super().end()
@@ -180,9 +239,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits a limited time for the request."""
         super().connection_made(transport)
+        self._server.n_accepted += 1
         self._server.near_sides.add(self)
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(HEAD_TIMEOUT_S, self.reset)
+        self._timer = loop.call_later(HEAD_TIMEOUT_S, self._reject)
 
     def data_received(self, data: bytes) -> None:
         """Reads the request, then passes bytes on."""
@@ -191,7 +251,7 @@
             return
         self._head += data
         if self._task is not None or len(self._head) > MAX_HEAD_BYTES:
-            self.reset()  # it must not speak before the answer
+            self._reject()  # it must not speak before the answer
         elif END_OF_HEAD in self._head:
             self._task = asyncio.ensure_future(self._open())
 
@@ -202,8 +262,15 @@
             self._task.cancel()
         self._server.tunnels.discard(self)
         self._server.near_sides.discard(self)
+        self._note_end(TunnelEnd.BY_ASKER)
         super().connection_lost(exc)
 
+    def _note_end(self, end: TunnelEnd) -> None:
+        """Counts how this connection ended, which is how it ended first."""
+        if not self._has_ended:
+            self._has_ended = True
+            self._server.n_ended[end] += 1
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -214,7 +281,7 @@
         assert self.transport is not None
         request = parse_request(self._head)
         if request is None:
-            self.reset()
+            self._reject()
             return
         server, address = request
         asker = self.transport.get_extra_info("peername")[0]
@@ -229,17 +296,24 @@
         self._server.note_connected(server, outcome is Outcome.OPENED)
         if far is None:
             self._server.tunnels.discard(self)
+            self._note_end(TunnelEnd.FAILED)
             self._finish(outcome)
             return
         self._server.n_opened += 1
         self.other, far.other = far, self
         self._answer(Outcome.OPENED)
 
+    def _reject(self) -> None:
+        """Resets a connection whose request is malformed or late."""
+        self._note_end(TunnelEnd.DECLINED)
+        self.reset()
+
     def _decline(self, server: str, asker: str, refusal: Refusal) -> None:
         self._server.n_refused += 1
         log_event(
             LOGGER, "tunnel_declined", backend=server, asker=asker, reason=refusal
         )
+        self._note_end(TunnelEnd.DECLINED)
         self._finish(Outcome.DECLINED)
 
     def _answer(self, outcome: Outcome) -> None:
@@ -250,6 +324,16 @@
         super().end()
 
 
+def _count_unsent(descriptor: int) -> int:
+    """Returns how many bytes wait to be received from a socket; 0 if it was closed."""
+    n_bytes = array.array("i", [0])
+    try:
+        fcntl.ioctl(descriptor, termios.TIOCOUTQ, n_bytes)
+    except OSError:
+        return 0
+    return n_bytes[0]
+
+
 async def _connect(address: Endpoint) -> tuple[Outcome, Side | None]:
     """Connects to a server; returns no side unless the outcome is `OPENED`."""
     loop = asyncio.get_running_loop()
--- a/features/entry_tunnel_stops.feature
+++ b/features/entry_tunnel_stops.feature
@@ -6,6 +6,7 @@
     And then <ending>
     Then each request ends with its answer, or is refused as not run
     And the daemons that were stopped passed nothing on at their end
+    And the passing one accounts for all connections that it accepted
 
     Examples:
       | ending                                                      |
@@ -24,6 +25,7 @@
     When an answer of 300000 bytes is passed on that the asking daemon does not read
     And the passing daemon is stopped and has ended
     Then the asking daemon receives all 300000 bytes
+    And the passing daemon names 1 connection that it ended, with bytes open
 
   Scenario: A daemon that asks a leaving one for a connection just before its end is answered
     Given 3 entry daemon processes, the first cut off from all servers
--- a/features/steps/entry_tunnel_stop_steps.py
+++ b/features/steps/entry_tunnel_stop_steps.py
@@ -18,6 +18,7 @@
 from steps.entry_steps import Caller, make_request_line
 
 from berylpost.edge.model import Endpoint
+from berylpost.edge.tunnel_server import TunnelEnd
 from berylpost.edge.tunnels import render_request
 from berylpost.fakes.entry_world import make_configuration, make_route
 from soak.builds import extract_build
@@ -387,3 +388,27 @@
     answers = [receive(asker) for asker in context.askers]
     odd = [a for a in answers if not a[0].startswith(b"HTTP/1.1 503 ")]
     assert not odd, (len(odd), len(answers), odd[:3])
+
+
+def read_counts(log):
+    """Reads the counts of the last end of a daemon."""
+    line = [x for x in log.read_text().splitlines() if "event=tunnels_stopped" in x][-1]
+    fields = (x.split("=") for x in line.split("event=tunnels_stopped ")[1].split())
+    return {name: int(value) for name, value in fields}
+
+
+@then("the passing one accounts for all connections that it accepted")
+def step_check_counts(context: Context) -> None:
+    if PASSING not in context.stopped:
+        context.world.send_signal(PASSING, "TERM")
+        assert context.world.processes[PASSING].wait(GRACE_S) == 0
+    counts = read_counts(context.world.logs[PASSING])
+    ends = sum(counts[end] for end in TunnelEnd)
+    assert counts["accepted"] == ends and counts["opened"], counts
+    assert not counts["ended_by_us"] and not counts["open_bytes"], counts
+
+
+@then("the passing daemon names {n:d} connection that it ended, with bytes open")
+def step_check_open(context: Context, n: int) -> None:
+    counts = read_counts(context.world.logs[PASSING])
+    assert counts["ended_by_us"] == n and counts["open_bytes"] > 0, counts
