Look at a caller's socket and close it in one step of the event loop

What callers saw: a request on a kept connection was reset unread, although it had reached the daemon's socket before the connection was closed: in a planned stop, after the idle time-out and when a new connection took the place. And the close itself could reach the caller as late as the event loop was, so that what it sent meanwhile was reset, too.

Cause: the phase of a connection did not count bytes that wait in its socket, which a late event loop has not read; only the end of the process did. And asyncio closes a transport's socket in a later step of the loop.

`close_unused` is now the way in which a daemon closes an idle connection for a reason of its own: it asks the table in policy/connection_end, looks at the socket, and shuts it down in the same step. Of the idle connections that may make way for a new one, the sockets of the best eight are looked at, since a look at all of them for each new connection would take milliseconds.

entry_close.feature, "A request that waits in its socket is not lost when <why>": before, 4 of 4 callers reset in each of the three rows (the idle time-out's with its loop body as a method that the test calls); after, 0 of 4. "Callers learn of a close at once": before, 4 of 4 had not within 0.2 s of a late loop; after, all. client_limits.feature, the 11 scenarios of "entry daemon": passed; entry_exit: 8 passed.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -35,6 +35,8 @@
 # Part of the callers' connections that each control address may have open.
 CONTROL_SHARE: Final = 0.1
 SWEEP_S: Final = 1.0
+# Idle connections whose sockets are looked at to find one to close for a new one.
+MAX_LOOKS: Final = 8
 LOG_S: Final = 1.0  # between two log lines about connections; they come in bursts
 
 Handler = Callable[[CallerRequest, CallerConnection], Awaitable[None]]
@@ -151,10 +153,24 @@
         """Closes the connections of a leaving daemon that were idle for some time."""
         idle_since = read_boottime() - idle_s
         for connection in list(self.connections):
-            if connection.active_at < idle_since and connection.may_close(
-                CloseReason.LEAVING
-            ):
-                connection.close_when_written()
+            if connection.active_at < idle_since:
+                connection.close_unused(CloseReason.LEAVING)
+
+    def sweep(self) -> None:
+        """Closes connections that were idle or did not read an answer for too long."""
+        limits = self.read_limits()
+        idle_before = read_boottime() - limits.idle_timeout_s - IDLE_MARGIN_S
+        for connection in list(self.connections):
+            memory = connection.memory
+            if memory.n_unsent:
+                memory.count_unsent()
+            if connection.is_running or connection.active_at >= idle_before:
+                continue
+            if memory.n_unsent:
+                if memory.unread_since < idle_before:
+                    connection.abort()
+            else:
+                connection.close_unused(CloseReason.IDLE_TIMEOUT)
 
     def has_unfinished(self) -> bool:
         """Tells whether the end of the process would leave a request unanswered.
@@ -206,20 +222,24 @@
 
     def _close_one(self) -> bool:
         """Closes the idle connection that matters least, if there is one."""
-        chosen = choose_connection(
+        idle = [
             IdleConnection(key=c, active_at=c.active_at, has_served=c.has_served)
             for c in self.connections
             if c.may_close(CloseReason.DISPLACED)
-        )
-        if chosen is None:
-            return False
-        connection = chosen.key
-        assert isinstance(connection, CallerConnection)
-        self.counts["closed"] += 1
-        self._log_full("connection_displaced")
-        connection.abort()
-        self.remove(connection)
-        return True
+        ]
+        for _ in range(MAX_LOOKS):
+            chosen = choose_connection(idle)
+            if chosen is None:
+                return False
+            connection = chosen.key
+            assert isinstance(connection, CallerConnection)
+            if connection.close_unused(CloseReason.DISPLACED):
+                self.counts["closed"] += 1
+                self._log_full("connection_displaced")
+                self.remove(connection)
+                return True
+            idle.remove(chosen)
+        return False
 
     def _log_full(self, event: str) -> None:
         now = read_boottime()
@@ -230,16 +250,4 @@
     async def _close_idle(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
-            limits = self.read_limits()
-            idle_before = read_boottime() - limits.idle_timeout_s - IDLE_MARGIN_S
-            for connection in list(self.connections):
-                memory = connection.memory
-                if memory.n_unsent:
-                    memory.count_unsent()
-                if connection.is_running or connection.active_at >= idle_before:
-                    continue
-                if memory.n_unsent:
-                    if memory.unread_since < idle_before:
-                        connection.abort()
-                elif connection.may_close(CloseReason.IDLE_TIMEOUT):
-                    connection.close_when_written()
+            self.sweep()
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections import deque
@@ -395,6 +396,17 @@
         silent_s = read_boottime() - self.active_at
         return may_close(reason, self.phase, silent_s=silent_s)
 
+    def close_unused(self, reason: CloseReason) -> bool:
+        """Closes the connection unless that could lose a request.
+
+        Returns:
+            Whether it was closed; nothing waited in its socket then.
+        """
+        if not self.may_close(reason) or self._count_waiting():
+            return False
+        self.close_when_written()
+        return True
+
     def end_requests(self) -> asyncio.Task[None] | None:
         """Cancels the request in progress, whose handler is still to answer.
 
@@ -433,13 +445,26 @@
         assert self._transport is not None
         if not self._transport.is_closing():
             self._count_unread()
+            if not self._read_unsent():
+                self._shut_down()
         self._transport.close()
 
+    def _shut_down(self) -> None:
+        """Ends the connection now; the transport does it in a later step only."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):  # the caller has reset it
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _count_waiting(self) -> int:
+        """Returns how many received bytes wait in the socket."""
+        descriptor = self.read_descriptor()
+        return count_unread(descriptor) if descriptor >= 0 else 0
+
     def _count_unread(self) -> None:
         """Counts bytes that wait in the socket of a connection to be closed."""
-        descriptor = self.read_descriptor()
-        n_bytes = count_unread(descriptor) if descriptor >= 0 else 0
-        n_bytes += self._reader.n_unparsed
+        n_bytes = self._count_waiting() + self._reader.n_unparsed
         if n_bytes:
             self._server.account.note_unread(n_bytes)
 
