Keep what follows the last answer of a leaving daemon from destroying it

What callers saw, of a daemon in a planned stop that had sent the next request before the answer to the one before: the connection was reset, the next request was lost, and what the caller had not read yet of its answer, too, though it was complete.

Cause: `Connection: close` was put in an answer without a look at the socket, and a socket that is closed with unread bytes in it resets its connection.

The last answer is now one behind which nothing has arrived, in the socket either. After it the daemon ends its sending side only, and drops what comes for half a second after all is sent, or until the caller closes; it says `Connection: close`, so what is dropped counts as not read. Outside planned stops a connection is closed as before.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -39,6 +39,8 @@
 PIPELINE_SLICE_BYTES: Final = 1_024  # of requests behind one that is being served
 # In chunks of one byte it takes one or two milliseconds.
 BODY_SLICE_BYTES: Final = 16_384
+# After the last answer, for what its caller sent before it knew; many round trips.
+LINGER_S: Final = 0.5
 # Other requests have been answered by then.
 BUSY_RETRY_S: Final = 0.5
 CONTINUE: Final = b"100-continue"
@@ -102,6 +104,8 @@
         self._queue: deque[CallerRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        self._lingers = False
+        self._has_ended = False
         self._rejected = False
         self._rejection = b""
         self._target = b""
@@ -176,7 +180,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
-        if self._rejected:
+        if self._rejected or self._has_ended:
             return
         self.active_at = self.memory.active_at = read_boottime()
         self._reader.receive(data)
@@ -334,8 +338,9 @@
             return
         self.answer_started = True
         self._chunked = length is None
-        is_last = self._server.leaving and not self._queue
-        if is_last or not request.keep_alive:
+        if self._server.leaving and not self._has_more():
+            self._closing = self._lingers = True
+        if not request.keep_alive:
             self._closing = True
         phrase = reason or _find_phrase(status)
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
@@ -348,6 +353,15 @@
             lines.append(b"Connection: close")
         self._write(b"\r\n".join(lines) + b"\r\n\r\n")
 
+    def _has_more(self) -> bool:
+        """Tells whether a part of a further request has arrived."""
+        return bool(
+            self._queue
+            or self._reader.n_unparsed
+            or self._cost_incomplete()
+            or self._count_waiting()
+        )
+
     def send(self, data: bytes) -> None:
         """Sends a piece of the body."""
         if not data:
@@ -449,6 +463,27 @@
                 self._shut_down()
         self._transport.close()
 
+    def _linger(self) -> None:
+        """Ends the sending side; drops what comes until the caller closes, too.
+
+        To close a socket in which bytes wait resets the connection, which destroys what
+        the caller has not read of its last answer.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if not self._has_ended:
+            self._has_ended = True
+            self._count_unread()
+            self._drop_unserved(RequestEnd.UNSERVED)
+            self._reader.close()
+            transport.resume_reading()
+            transport.write_eof()
+        elif not self._read_unsent():
+            transport.close()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, self._linger)
+
     def _shut_down(self) -> None:
         """Ends the connection now; the transport does it in a later step only."""
         assert self._transport is not None
@@ -528,7 +563,8 @@
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self.is_open and not self._has_ended:
+            assert self._transport is not None
             self._transport.write(data)
             if self.memory.n_unsent or self._read_unsent():
                 self.memory.count_unsent()
@@ -577,7 +613,9 @@
             self.on_writable = None
             self.active_at = read_boottime()
             if self._transport is not None:
-                if self._closing:
+                if self._lingers:
+                    self._linger()
+                elif self._closing:
                     self._close_transport()
                 elif self._rejected and not self._queue:
                     self._send_rejection()
--- a/features/entry_close.feature
+++ b/features/entry_close.feature
@@ -20,3 +20,15 @@
       | the daemon leaves           |
       | they were idle for too long |
       | new ones come               |
+
+  Scenario: A request that arrives as a leaving daemon answers the one before is answered
+    Given 4 callers that keep connections to an entry daemon
+    And the daemon leaves
+    When their next requests arrive just when it answers others of theirs
+    Then each of them gets 2 complete answers
+
+  Scenario: What follows the last answer of a leaving daemon does not destroy it
+    Given 4 callers that keep connections to an entry daemon and read slowly
+    And the daemon leaves
+    When they send requests for 3900000 bytes and, 0.3 s later, further ones
+    Then each of them gets a complete answer
