Refuse the whole requests that lack of memory keeps from being served

What callers saw: three requests at once on one connection, the first being served, when memory ran short: the first was answered, then came one 503, and the third ended with the connection.

Cause: what was queued was dropped, and one rejection was sent for all that. Now each queued request gets a 503 of its own with its id; of an id of more than 256 characters nothing is kept. Their memory is released at once, as before.

--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -44,6 +44,8 @@
 # Other requests have been answered by then.
 BUSY_RETRY_S: Final = 0.5
 CONTINUE: Final = b"100-continue"
+MAX_ID_CHARS: Final = 256  # of an id that is kept without its request
+CLOSE_LINE: Final = b"\r\nConnection: close"
 HEADER_EXTRA_BYTES: Final = 4  # colon, space and line end
 # Limits for callers until a configuration sets others.
 DEFAULT_LIMITS: Final = CallerLimits(
@@ -108,6 +110,8 @@
         self._has_ended = False
         self._rejected = False
         self._rejection = b""
+        # Ids of whole requests that are refused when the one in progress is answered.
+        self._refused_ids: list[str] = []
         self._target = b""
         self._headers: list[Header] = []
         # Bytes of headers, trailer fields and heads of chunks.
@@ -536,8 +540,9 @@
         """Drops the incomplete request and the queued ones, which end as given."""
         self._drop_incomplete()
         self.memory.drop_unserved()
-        for request in self._queue:
-            self._server.account.note_end(end, _read_id(request), Phase.QUEUED)
+        for request_id in self._refused_ids + [_read_id(r) for r in self._queue]:
+            self._server.account.note_end(end, request_id, Phase.QUEUED)
+        self._refused_ids = []
         self._queue.clear()
 
     def _reject(
@@ -547,19 +552,32 @@
         self._rejected = True
         log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
         error = BerylpostError(kind, detail, retry_after_s=retry_after_s)
-        self._rejection = _render_rejection(error)
+        answers = [_render_rejection(error, id) for id in self._refused_ids]
+        if self._cost_incomplete() or not answers:
+            answers.append(_render_rejection(error))
+        # Only the last of them ends the connection.
+        self._rejection = b"".join(
+            [a.replace(CLOSE_LINE, b"", 1) for a in answers[:-1]] + answers[-1:]
+        )
         self._drop_incomplete()
         self.memory.take(0)
         if not self.is_busy:
             self._send_rejection()
 
     def _reject_overload(self) -> None:
-        """Rejects what arrives and drops the queued requests, which hold memory."""
-        self._drop_unserved(RequestEnd.UNSERVED)
+        """Rejects what arrives and refuses the queued requests, which hold memory."""
+        ids = [_read_id(request) for request in self._queue]
+        self._refused_ids += [i if len(i) <= MAX_ID_CHARS else "" for i in ids]
+        self._queue.clear()
+        self.memory.drop_unserved()
         self._reject(ErrorKind.OVERLOADED, "too much is held at once", BUSY_RETRY_S)
 
     def _send_rejection(self) -> None:
         self._write(self._rejection)
+        for request_id in self._refused_ids:
+            end, phase = RequestEnd.ANSWERED, Phase.QUEUED
+            self._server.account.note_end(end, request_id, phase)
+        self._refused_ids = []
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
@@ -636,13 +654,15 @@
     return request.find(names.ATTEMPT_ID).decode("latin-1")
 
 
-def _render_rejection(error: BerylpostError) -> bytes:
+def _render_rejection(error: BerylpostError, request_id: str = "") -> bytes:
     """Renders the answer to what is not read, after which the connection closes."""
     status, headers, body = render_problem(error, whole_seconds=False)
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    lines += [f"Content-Length: {len(body)}", "Connection: close"]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    if request_id:
+        lines.append(f"{names.ATTEMPT_ID.decode()}: {request_id}")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + CLOSE_LINE + b"\r\n\r\n" + body
 
 
 def _find_phrase(status: int) -> bytes:
--- a/features/entry_close.feature
+++ b/features/entry_close.feature
@@ -32,3 +32,10 @@
     And the daemon leaves
     When they send requests for 3900000 bytes and, 0.3 s later, further ones
     Then each of them gets a complete answer
+
+  Scenario: Whole requests that lack of memory keeps from being served are refused
+    Given 4 callers that keep connections to an entry daemon
+    And every server takes 0.3 s for a request
+    When they send 3 requests at once, and the memory for them is taken away
+    Then each of them gets 3 complete answers
+    And no request is open at the daemon
--- a/features/steps/entry_close_steps.py
+++ b/features/steps/entry_close_steps.py
@@ -6,8 +6,8 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from steps.entry_exit_steps import RECEIVE_BYTES, RawCaller, read_all
-from steps.entry_steps import start_world
+from steps.entry_exit_steps import RECEIVE_BYTES, RawCaller, read_all, render
+from steps.entry_steps import start_world, wait_for
 
 from berylpost.edge.request_account import count_unread
 
@@ -146,3 +146,23 @@
             assert not data, data
     future.result(5.0)
     assert not late, (len(late), len(context.callers))
+
+
+@when("they send {k:d} requests at once, and the memory for them is taken away")
+def step_take_memory(context: Context, k: int) -> None:
+    async def act():
+        for connection in context.front.connections:
+            connection.memory.reject_overload()
+
+    for caller in context.callers:
+        caller.sock.sendall(b"".join(render("read") for _ in range(k)))
+    n_read = (k + 1) * len(context.callers)
+    wait_for(5.0, lambda: context.front.account.n_read == n_read or "not read")
+    context.world.run(act())
+
+
+@then("no request is open at the daemon")
+def step_check_open(context: Context) -> None:
+    counts = context.front.account.export_counts()
+    assert not context.front.account.n_open, counts
+    assert not counts["requests_unserved"], counts
