--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections import deque
@@ -38,9 +39,13 @@
 PIPELINE_SLICE_BYTES: Final = 1_024  # of requests behind one that is being served
 # In chunks of one byte it takes one or two milliseconds.
 BODY_SLICE_BYTES: Final = 16_384
+# After the last answer, for what its caller sent before it knew; many round trips.
+LINGER_S: Final = 0.5
 # Other requests have been answered by then.
 BUSY_RETRY_S: Final = 0.5
 CONTINUE: Final = b"100-continue"
+MAX_ID_CHARS: Final = 256  # of an id that is kept without its request
+CLOSE_LINE: Final = b"\r\nConnection: close"
 HEADER_EXTRA_BYTES: Final = 4  # colon, space and line end
 # Limits for callers until a configuration sets others.
 DEFAULT_LIMITS: Final = CallerLimits(
@@ -101,8 +106,12 @@
         self._queue: deque[CallerRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        self._lingers = False
+        self._has_ended = False
         self._rejected = False
         self._rejection = b""
+        # Ids of whole requests that are refused when the one in progress is answered.
+        self._refused_ids: list[str] = []
         self._target = b""
         self._headers: list[Header] = []
         # Bytes of headers, trailer fields and heads of chunks.
@@ -175,7 +184,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
-        if self._rejected:
+        if self._rejected or self._has_ended:
             return
         self.active_at = self.memory.active_at = read_boottime()
         self._reader.receive(data)
@@ -333,8 +342,9 @@
             return
         self.answer_started = True
         self._chunked = length is None
-        is_last = self._server.leaving and not self._queue
-        if is_last or not request.keep_alive:
+        if self._server.leaving and not self._has_more():
+            self._closing = self._lingers = True
+        if not request.keep_alive:
             self._closing = True
         phrase = reason or _find_phrase(status)
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
@@ -347,6 +357,15 @@
             lines.append(b"Connection: close")
         self._write(b"\r\n".join(lines) + b"\r\n\r\n")
 
+    def _has_more(self) -> bool:
+        """Tells whether a part of a further request has arrived."""
+        return bool(
+            self._queue
+            or self._reader.n_unparsed
+            or self._cost_incomplete()
+            or self._count_waiting()
+        )
+
     def send(self, data: bytes) -> None:
         """Sends a piece of the body."""
         if not data:
@@ -395,13 +414,25 @@
         silent_s = read_boottime() - self.active_at
         return may_close(reason, self.phase, silent_s=silent_s)
 
+    def close_unused(self, reason: CloseReason) -> bool:
+        """Closes the connection unless that could lose a request.
+
+        Returns:
+            Whether it was closed; nothing waited in its socket then.
+        """
+        if not self.may_close(reason) or self._count_waiting():
+            return False
+        self.close_when_written()
+        return True
+
     def end_requests(self) -> asyncio.Task[None] | None:
         """Cancels the request in progress, whose handler is still to answer.
 
+        Queued ones begin after it and refuse by themselves.
+
         Returns:
             The task of the handler; None if no request is in progress.
         """
-        self._closing = True
         # One that is cancelled before it begins never runs; it will refuse by itself.
         if self._task is not None and self._has_begun:
             self._task.cancel()
@@ -432,13 +463,47 @@
         assert self._transport is not None
         if not self._transport.is_closing():
             self._count_unread()
+            if not self._read_unsent():
+                self._shut_down()
         self._transport.close()
 
+    def _linger(self) -> None:
+        """Ends the sending side; drops what comes until the caller closes, too.
+
+        To close a socket in which bytes wait resets the connection, which destroys what
+        the caller has not read of its last answer.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if not self._has_ended:
+            self._has_ended = True
+            self._count_unread()
+            self._drop_unserved(RequestEnd.UNSERVED)
+            self._reader.close()
+            transport.resume_reading()
+            transport.write_eof()
+        elif not self._read_unsent():
+            transport.close()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, self._linger)
+
+    def _shut_down(self) -> None:
+        """Ends the connection now; the transport does it in a later step only."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):  # the caller has reset it
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _count_waiting(self) -> int:
+        """Returns how many received bytes wait in the socket."""
+        descriptor = self.read_descriptor()
+        return count_unread(descriptor) if descriptor >= 0 else 0
+
     def _count_unread(self) -> None:
         """Counts bytes that wait in the socket of a connection to be closed."""
-        descriptor = self.read_descriptor()
-        n_bytes = count_unread(descriptor) if descriptor >= 0 else 0
-        n_bytes += self._reader.n_unparsed
+        n_bytes = self._count_waiting() + self._reader.n_unparsed
         if n_bytes:
             self._server.account.note_unread(n_bytes)
 
@@ -475,8 +540,9 @@
         """Drops the incomplete request and the queued ones, which end as given."""
         self._drop_incomplete()
         self.memory.drop_unserved()
-        for request in self._queue:
-            self._server.account.note_end(end, _read_id(request), Phase.QUEUED)
+        for request_id in self._refused_ids + [_read_id(r) for r in self._queue]:
+            self._server.account.note_end(end, request_id, Phase.QUEUED)
+        self._refused_ids = []
         self._queue.clear()
 
     def _reject(
@@ -486,23 +552,37 @@
         self._rejected = True
         log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
         error = BerylpostError(kind, detail, retry_after_s=retry_after_s)
-        self._rejection = _render_rejection(error)
+        answers = [_render_rejection(error, id) for id in self._refused_ids]
+        if self._cost_incomplete() or not answers:
+            answers.append(_render_rejection(error))
+        # Only the last of them ends the connection.
+        self._rejection = b"".join(
+            [a.replace(CLOSE_LINE, b"", 1) for a in answers[:-1]] + answers[-1:]
+        )
         self._drop_incomplete()
         self.memory.take(0)
         if not self.is_busy:
             self._send_rejection()
 
     def _reject_overload(self) -> None:
-        """Rejects what arrives and drops the queued requests, which hold memory."""
-        self._drop_unserved(RequestEnd.UNSERVED)
+        """Rejects what arrives and refuses the queued requests, which hold memory."""
+        ids = [_read_id(request) for request in self._queue]
+        self._refused_ids += [i if len(i) <= MAX_ID_CHARS else "" for i in ids]
+        self._queue.clear()
+        self.memory.drop_unserved()
         self._reject(ErrorKind.OVERLOADED, "too much is held at once", BUSY_RETRY_S)
 
     def _send_rejection(self) -> None:
         self._write(self._rejection)
+        for request_id in self._refused_ids:
+            end, phase = RequestEnd.ANSWERED, Phase.QUEUED
+            self._server.account.note_end(end, request_id, phase)
+        self._refused_ids = []
         self.close_when_written()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self.is_open and not self._has_ended:
+            assert self._transport is not None
             self._transport.write(data)
             if self.memory.n_unsent or self._read_unsent():
                 self.memory.count_unsent()
@@ -551,7 +631,9 @@
             self.on_writable = None
             self.active_at = read_boottime()
             if self._transport is not None:
-                if self._closing:
+                if self._lingers:
+                    self._linger()
+                elif self._closing:
                     self._close_transport()
                 elif self._rejected and not self._queue:
                     self._send_rejection()
@@ -572,13 +654,15 @@
     return request.find(names.ATTEMPT_ID).decode("latin-1")
 
 
-def _render_rejection(error: BerylpostError) -> bytes:
+def _render_rejection(error: BerylpostError, request_id: str = "") -> bytes:
     """Renders the answer to what is not read, after which the connection closes."""
     status, headers, body = render_problem(error, whole_seconds=False)
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    lines += [f"Content-Length: {len(body)}", "Connection: close"]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    if request_id:
+        lines.append(f"{names.ATTEMPT_ID.decode()}: {request_id}")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + CLOSE_LINE + b"\r\n\r\n" + body
 
 
 def _find_phrase(status: int) -> bytes:
