Do not take a caller's slow reading for a stall of the server

What callers saw: a stream whose caller read nothing for 3 s was begun again on a second server in the middle, and its own server was taken for unreachable.

Cause: the daemon stops reading a server while the stream's caller does not read. After 1.5 s without data it took the silence that it had made itself for a stall. The time now counts only while the server is read, and begins anew when it is read again. The request's own limit holds as before.

--- a/berylpost/edge/stream_relay.py
+++ b/berylpost/edge/stream_relay.py
@@ -100,9 +100,18 @@
                 begin()
                 caller.send(events)
 
-        caller.on_writable = lambda writable: (
-            connection.resume_reading() if writable else connection.pause_reading()
-        )
+        is_held = False
+
+        def hold(writable: bool) -> None:
+            nonlocal is_held, last_data_at
+            is_held = not writable
+            last_data_at = read_boottime()
+            if writable:
+                connection.resume_reading()
+            else:
+                connection.pause_reading()
+
+        caller.on_writable = hold
         exchange.discard_event = splitter.discard_partial
         forward(first)
         exchange.attach(forward)
@@ -111,6 +120,8 @@
         )
         try:
             while not exchange.end.done():
+                if is_held:  # the caller is slow, and its server is not read
+                    last_data_at = read_boottime()
                 stall_s = last_data_at + STALL_TIMEOUT_S - read_boottime()
                 limit_s = min(context.left_s, stall_s if may_resume else context.left_s)
                 if limit_s <= 0:
--- a/features/entry_early_answers.feature
+++ b/features/entry_early_answers.feature
@@ -56,3 +56,13 @@
     When 20 callers send a request and close their side at once
     Then the account of the daemon adds up
     And each request of them was answered or its caller had left
+
+  Scenario: A stream that its caller does not read for a time is not begun again elsewhere
+    Given 1 entry daemons and 4 servers
+    And streams may take 20 s
+    And every server behaves as "large events"
+    When 2 callers take a stream and read nothing of it for 3 s
+    Then each request has a complete answer of status 200
+    And each of them ran once
+    And no server has been taken for unreachable
+    And the account of the daemon adds up
