Let idle connections make way for a new one to their server

What callers saw: four connections to a server that were idle for 0.7 s, and four is all that a daemon may have: non-idempotent requests got 503 "no backend server is ready", and the sound server was taken for unreachable.

Cause: what may run once takes no connection that was idle for over 0.5 s, and a pool with as many connections as it may have opened none, although idle ones held its places. In a large fleet a daemon's share is four. Now the connection that was idle longest is closed for the new one.

entry_early_answers.feature, "Connections that were idle for too long keep no request from a server": before, 4 of 4 callers got 503, in two runs; after, 4 of 4 got 200, in three.

--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -532,10 +532,17 @@
             connection = self._take_idle(max_idle_s, may_rest=True)
         if connection is not None:
             return connection
-        if self._n_open >= self.n_max:
+        if self._n_open >= self.n_max and not self._close_idle():
             raise UpstreamError(Failure.NOT_CONNECTED, "all connections in use")
         return await self._open()
 
+    def _close_idle(self) -> bool:
+        """Closes the connection that was idle longest, in whose place one is opened."""
+        if self._idle:
+            self._idle.pop(0).abort()
+            return True
+        return False
+
     def _take_idle(self, max_idle_s: float, *, may_rest: bool) -> Connection | None:
         """Takes the idle connection that was used last; closes outdated ones."""
         now = self._clock()
--- a/features/entry_early_answers.feature
+++ b/features/entry_early_answers.feature
@@ -66,3 +66,13 @@
     And each of them ran once
     And no server has been taken for unreachable
     And the account of the daemon adds up
+
+  Scenario: Connections that were idle for too long keep no request from a server
+    Given 1 entry daemons and 1 servers
+    And each server takes 4 connections
+    And 4 callers have sent 5 requests "GET /read/a" at once
+    When 0.7 s later 4 callers send a request "POST /book/a"
+    Then each request has a complete answer of status 200
+    And each of them ran once
+    And no server has been taken for unreachable
+    And the account of the daemon adds up
--- a/features/steps/entry_early_answer_steps.py
+++ b/features/steps/entry_early_answer_steps.py
@@ -16,6 +16,7 @@
 # Ends of requests that the daemon itself has lost.
 LOST_ENDS = (RequestEnd.UNSENT, RequestEnd.UNSERVED, RequestEnd.UNFINISHED)
 SETTLE_S = 3.0
+WORK_S = 0.05  # of a request, so that each caller's has a connection of its own
 PAUSE_S = 0.02  # between two requests of a caller
 STREAM_DEADLINE_MS = 20_000
 RECEIVE_BYTES = 65_536
@@ -28,6 +29,20 @@
         replica.fault = fault
 
 
+@given('{n_callers:d} callers have sent {n:d} requests "{line}" at once')
+def step_fill_pools(context: Context, n_callers: int, n: int, line: str) -> None:
+    for replica in context.world.replicas:
+        replica.work_s = WORK_S
+    context.world.run(send_kept(context, n_callers, n, line))
+
+
+@given("every server drops its open connections without notice")
+def step_drop(context: Context) -> None:
+    for replica in context.world.replicas:
+        replica.work_s = 0.0
+        replica.drop_kept()
+
+
 async def send_kept(context, n_callers, n, line, body=b"", pause_s=0.0):
     """Sends requests one after the other on one connection a caller."""
     (daemon,) = list_daemons(context)
@@ -95,6 +110,18 @@
     configure(context, Limits={"IdleTimeoutMs": seconds * 1_000})
 
 
+@given("each server takes {n:d} connections")
+def step_set_connections(context: Context, n: int) -> None:
+    service = {"Name": "app", "HealthPath": "/health", "MaxConns": n}
+    configure(context, Services=[service])
+
+
+@when('{seconds:f} s later {n:d} callers send a request "{line}"')
+def step_send_later(context: Context, seconds: float, n: int, line: str) -> None:
+    time.sleep(seconds)
+    context.world.run(send_kept(context, n, 1, line))
+
+
 @given("streams may take {seconds:d} s")
 def step_set_timeout(context: Context, seconds: int) -> None:
     fields = {"CanResume": True, "TimeoutMs": seconds * 1_000, "GapAimMs": 250}
