Send a repeat on a new connection

What callers saw: when servers had dropped their idle connections without notice, idempotent requests got 502: their first try met one such connection, and the second another, at another server.

Cause: a repeat took a kept connection, about which nothing was known either. One whose first try may have run now opens a new one.

--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -34,6 +34,8 @@
 # twice.
 NON_RETRYABLE_IDLE_S: Final = 0.5
 RETRYABLE_IDLE_S: Final = 3_600.0
+# A repeat takes no kept connection, since servers drop those without notice.
+REPEAT_IDLE_S: Final = 0.0
 MAX_CONNECT_ATTEMPTS: Final = 4  # servers tried for a connection before giving up
 NO_BACKEND_RETRY_S: Final = 0.5  # a suspect server is tried again after about this time
 MAX_REPEAT_WAIT_S: Final = 0.5  # for a slot of a server that names a rate
@@ -80,6 +82,8 @@
         """
         repeatable = context.route.repeatable
         max_idle_s = RETRYABLE_IDLE_S if repeatable else NON_RETRYABLE_IDLE_S
+        if context.may_have_run:
+            max_idle_s = REPEAT_IDLE_S
         for _ in range(MAX_CONNECT_ATTEMPTS):
             if context.left_s < MIN_LEFT_S:
                 break
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -151,8 +151,8 @@
         self.refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
             WeakKeyDictionary()
         )
-        # Connections on which the fault "drop kept" has answered.
-        self.kept: WeakSet[asyncio.StreamWriter] = WeakSet()
+        # Connections that the fault "drop kept" resets.
+        self.dropped: WeakSet[asyncio.StreamWriter] = WeakSet()
         self.limit = ""
         self.leaving = ""
         self.brittle = ""
@@ -206,6 +206,11 @@
             self._server.close()
         self._abort_connections()
 
+    def drop_kept(self) -> None:
+        """Drops all open connections without notice; the next request meets a reset."""
+        self.dropped = WeakSet(self._writers)
+        self.fault = "drop kept"
+
     async def crash(self) -> None:
         """Ends as a process that crashes; its address may accept a little longer."""
         self._has_ended = True
@@ -716,10 +721,9 @@
 async def _drop_kept(
     replica: Replica, incoming: IncomingRequest, writer: asyncio.StreamWriter
 ) -> bool:
-    """Answers the first request of a connection; resets it instead of the second."""
-    if writer in replica.kept:
+    """Resets a connection that was open when the fault was set; answers on others."""
+    if writer in replica.dropped:
         return _reset_connection(writer)
-    replica.kept.add(writer)
     return await _answer(replica, incoming, writer)
 
 
--- a/features/entry_early_answers.feature
+++ b/features/entry_early_answers.feature
@@ -67,6 +67,20 @@
     And no server has been taken for unreachable
     And the account of the daemon adds up
 
+  Scenario Outline: A request on a connection that its server drops just then is <done>
+    Given 1 entry daemons and 4 servers
+    And 8 callers have sent 5 requests "<line>" at once
+    And every server drops its open connections without notice
+    When 4 callers send 1 requests "<line>" with 10 bytes on kept connections
+    Then each request has a complete answer of status 200 or <status>
+    And none of them ran more than once
+    And the account of the daemon adds up
+
+    Examples:
+      | line         | status | done       |
+      | GET /read/a  | 200    | sent again |
+      | POST /book/a | 502    | told so    |
+
   Scenario: Connections that were idle for too long keep no request from a server
     Given 1 entry daemons and 1 servers
     And each server takes 4 connections
