End the product's own daemon only when no caller waits for anything

What callers saw: a request to a daemon that was about to end its planned stop was reset, or its connection closed, without an answer.

Cause: the drain was over when the relay had no open request. It did not count requests in the HTTP server's threads and queue. The server then closed its listener with connections waiting to be accepted, and its connections with bytes waiting to be read.

The drain now also waits for what callers sent to the HTTP server before new work was refused, bounded as before by drain.planned_s. Answers of a leaving daemon bear Connection: close, unless more was sent on that connection.

By reading only: the relay counts callers that get a refusal, and a relay that does not answer in time no longer counts as idle.

--- a/berylpost/caller_api.py
+++ b/berylpost/caller_api.py
@@ -14,7 +14,7 @@
 
 from .configuration import Customer, Identity, is_idempotent
 from .deferred import DEADLINE_S, DeferQuery, make_request_id, parse_shard_number
-from .drain import DrainState
+from .drain import ACCEPTING_STATES
 from .errors import BerylpostError, ErrorKind, ExecutionStatus
 from .forwarding import ServiceCall
 from .messages import DeferAnswer, DeferRequest, HeldRequest
@@ -88,7 +88,7 @@
     Raises:
         BerylpostError: `LEAVING`, with fresh addresses.
     """
-    if app.read_slot("drain") not in (DrainState.SERVING, DrainState.AGING):
+    if app.read_slot("drain") not in ACCEPTING_STATES:
         raise BerylpostError(
             ErrorKind.LEAVING,
             "use one of the addresses",
--- a/berylpost/connections.py
+++ b/berylpost/connections.py
@@ -18,6 +18,9 @@
 class Connections:
     """All callers' connections.
 
+    Attributes:
+        n_callers: connections that are open, those that get a refusal included.
+
     Args:
         selector: the relay's selector.
         settings: the relay's settings.
@@ -34,6 +37,7 @@
         find_stream: Callable[[str], Stream | None],
         end_orphan: Callable[[str], None],
     ) -> None:
+        self.n_callers = 0
         self.by_stream: dict[str, list[Caller]] = {}
         self.orphans: dict[str, float] = {}
         self._selector = selector
@@ -53,7 +57,7 @@
         sock.setblocking(False)
         caller = Caller(socket=sock, stream_id="", closing=True)
         caller.buffer += data
-        self._selector.register(sock, selectors.EVENT_READ, caller)
+        self._register(caller)
         self._flush(caller)
 
     def add(self, stream: Stream, sock: socket.socket, after: int, whole: bool) -> None:
@@ -67,9 +71,13 @@
         )
         self.by_stream.setdefault(stream.request.id, []).append(caller)
         self.orphans.pop(stream.request.id, None)
-        self._selector.register(sock, selectors.EVENT_READ, caller)
+        self._register(caller)
         self._deliver_to(caller, stream)
 
+    def _register(self, caller: Caller) -> None:
+        self._selector.register(caller.socket, selectors.EVENT_READ, caller)
+        self.n_callers += 1
+
     def deliver(self, stream: Stream) -> None:
         """Sends all callers of a stream the events that they do not have yet."""
         callers = self.by_stream.get(stream.request.id)
@@ -113,6 +121,7 @@
             self._selector.unregister(caller.socket)
         except (KeyError, ValueError):
             return  # already dropped
+        self.n_callers -= 1
         caller.socket.close()
         callers = self.by_stream.get(caller.stream_id)
         if callers is None:
--- a/berylpost/drain.py
+++ b/berylpost/drain.py
@@ -57,6 +57,9 @@
     LEFT = "left"
 
 
+ACCEPTING_STATES: Final = frozenset({DrainState.SERVING, DrainState.AGING})
+
+
 class DrainEvent(StrEnum):
     """Events that change the state."""
 
@@ -109,16 +112,30 @@
     Attributes:
         deadline: when the daemon stops waiting for its requests.
         addresses_expire_at: when the addresses that callers cache have expired.
+        refuses_since: since when new work is refused.
         next_hold_at: when to collect the remaining requests again.
         batches: handovers not yet accepted, by batch id.
     """
 
     deadline: float = math.inf
     addresses_expire_at: float = math.inf
+    refuses_since: float = math.inf
     next_hold_at: float = 0.0
     batches: dict[str, _Batch] = field(default_factory=dict)
 
 
+def count_open(context: Context) -> int | None:
+    """Asks the relay for its open requests; None if it does not answer in time."""
+    if "relay" not in context.tasks:
+        return 0
+    result: Future[int] = Future()
+    context.post("relay", CountOpen(result=result))
+    try:
+        return result.result(timeout=RELAY_TIMEOUT_S)
+    except FutureTimeoutError:
+        return None
+
+
 def split_batches(requests: list[HeldRequest]) -> list[tuple[HeldRequest, ...]]:
     """Splits requests into batches of a bounded encoded size, in order."""
     batches: list[list[HeldRequest]] = []
@@ -175,6 +192,8 @@
             return  # a repeated notice, or a stop request during the shutdown
         log_event(LOGGER, "drain_moved", before=before, after=after, by=event)
         self.state.publish(after)
+        if before in ACCEPTING_STATES and after not in ACCEPTING_STATES:
+            self._shutdown.refuses_since = time.monotonic()
         self._entry_actions[after]()
 
     def _enter_aging(self) -> None:
@@ -205,10 +224,18 @@
         elif state is DrainState.HANDING_OVER:
             self._retry_batches(now)
         if state is not DrainState.AGING and not shutdown.batches:
-            if self._query_relay(CountOpen, 0) == 0:
+            if not self._has_unfinished():
                 self._apply_event(DrainEvent.IDLE)
         return TICK_S
 
+    def _has_unfinished(self) -> bool:
+        """Tells whether a caller waits for what it sent before new work was refused."""
+        refuses_since = self._shutdown.refuses_since
+        # The relay last: by then it has what was handed over to it.
+        if any(has(refuses_since) for has in self._context.unfinished.values()):
+            return True
+        return count_open(self._context) != 0
+
     # Reclaim notices.
 
     def _handle_backends(self, received: BackendsReceived) -> None:
--- a/berylpost/kernel.py
+++ b/berylpost/kernel.py
@@ -185,6 +185,8 @@
         tasks: tasks by plug-in name, added in start order.
         slots: the slots of the board by name.
         readiness: functions that tell whether a plug-in is ready, by plug-in name.
+        unfinished: functions that tell whether a caller waits for something that it
+            sent to a plug-in before a monotonic time, by plug-in name.
     """
 
     settings: Settings
@@ -192,6 +194,7 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     slots: dict[str, Slot[Any]] = field(default_factory=dict)
     readiness: dict[str, Callable[[], bool]] = field(default_factory=dict)
+    unfinished: dict[str, Callable[[float], bool]] = field(default_factory=dict)
 
     def open_slot(self, name: str, value: T) -> Slot[T]:
         """Adds a slot with its first snapshot to the board."""
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -507,9 +507,8 @@
         return restore_stream(held, weight=weight, priority=priority, now=now)
 
     def _count_open(self) -> int:
-        return sum(not s.is_final() for s in self._streams.values()) + len(
-            self._connections.by_stream
-        )
+        n_unfinished = sum(not s.is_final() for s in self._streams.values())
+        return n_unfinished + self._connections.n_callers
 
     # Periodic work.
 
--- a/berylpost/relay_messages.py
+++ b/berylpost/relay_messages.py
@@ -93,6 +93,6 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CountOpen:
-    """Asks for the number of unfinished requests plus those with connected callers."""
+    """Asks for the number of unfinished requests plus the connected callers."""
 
     result: "Future[int]"
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -20,6 +20,7 @@
 
 from .configuration import Identity, hash_token
 from .configurations import ConfigurationInForce
+from .drain import DrainState, count_open
 from .endpoints import split_endpoint
 from .errors import BerylpostError, ErrorKind, SettingsError, render_problem
 from .forwarding import Forwarder
@@ -38,6 +39,8 @@
 
 LOGGER: Final = logging.getLogger(__name__)
 N_QUEUED_CONNECTIONS: Final = 512
+# Bounds what comes after the drain, when new work is refused.
+LAST_ANSWERS_S: Final = 5.0
 MAX_HEADER_BYTES: Final = 64 << 10  # the server sets no bound by itself
 
 
@@ -279,6 +282,8 @@
 
     def __init__(self, *, context: Context) -> None:
         listen = context.settings.listen
+        self._context = context
+        self._drain: Slot[DrainState] = context.slots["drain"]
         random_state = random.Random(f"{context.process_id}/{time.time_ns()}")
         app = AppState(
             context=context,
@@ -309,6 +314,7 @@
             timeout=int(max(1, listen.read_timeout_s)),
             server_name="berylpost",
             reject=reject_connection,
+            is_leaving=lambda: self._drain.read() is not DrainState.SERVING,
         )
         self._server.gateway = HandoverGateway
         self._server.ConnectionClass = ProblemConnection
@@ -319,6 +325,7 @@
             adapter = BuiltinSSLAdapter(listen.tls_certificate, listen.tls_key)
             self._server.ssl_adapter = adapter
         self._thread: threading.Thread | None = None
+        context.unfinished["web"] = self._server.has_unfinished
 
     def start(self) -> None:
         """Binds the address and starts the server.
@@ -336,7 +343,9 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stops the server and its threads."""
+        """Stops the server and its threads, after a drain without losing a request."""
+        if self._drain.read() is DrainState.LEFT:
+            self._server.finish(is_idle=self._is_relay_idle, timeout_s=LAST_ANSWERS_S)
         self._server.stop()
         if self._thread is not None:
             self._thread.join(5)
@@ -344,6 +353,9 @@
     def post(self, message: Any) -> None:
         """Ignores messages; nothing is sent to this task."""
 
+    def _is_relay_idle(self) -> bool:
+        return count_open(self._context) == 0
+
 
 def _log_server_error(
     message: str = "", level: int = logging.INFO, traceback: bool = False
--- a/berylpost/web_gateway.py
+++ b/berylpost/web_gateway.py
@@ -17,6 +17,7 @@
 from .errors import BerylpostError, ErrorKind, render_problem
 from .metrics import REFUSALS
 from .streams import render_response
+from .web_exit import has_input
 
 HANDOVER_KEY: Final = "berylpost.handover"
 CONNECTION_KEY: Final = "berylpost.connection"
@@ -106,6 +107,8 @@
     is_known = False
     is_incomplete = False
     is_displaced = False
+    known_at = 0.0  # when it was accepted, monotonic seconds
+    arrived_at: float | None = None  # when its open request began to arrive
     reading_since: float | None = None
     writing_since: float | None = None
     n_expected = 0  # bytes of the body that is being read
@@ -152,6 +155,8 @@
         response = self.req.server.wsgi_app(self.env, self.start_response)
         if not receivers:
             connection.writing_since = time.monotonic()
+            if self.req.server.is_leaving() and not self._expects_more():
+                self.req.close_connection = True
             try:
                 for chunk in filter(None, response):
                     self.write(chunk)
@@ -169,6 +174,16 @@
         connection.linger = True
         receivers[0](_detach_socket(connection))
 
+    def _expects_more(self) -> bool:
+        """Tells whether a close would drop a request, or reset the answer to this one.
+
+        That is so if a part of the body or another request was not read yet.
+        """
+        if self.req.chunked_read or getattr(self.req.rfile, "remaining", 0):
+            return True
+        connection = self.req.conn
+        return connection.rfile.has_data() or has_input(connection.socket.fileno())
+
 
 def _detach_socket(connection: Any) -> socket.socket:
     sock = connection.socket
--- a/berylpost/web_workers.py
+++ b/berylpost/web_workers.py
@@ -11,10 +11,8 @@
 import contextlib
 import logging
 import resource
-import select
 import socket
 import ssl
-import struct
 import threading
 import time
 from collections import Counter, deque
@@ -36,6 +34,7 @@
     limit_descriptors,
     limit_incomplete,
 )
+from .web_exit import end_connections, has_input, is_unfinished, read_silence_s
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -43,9 +42,6 @@
 PEEK_BYTES: Final = 65_536  # the size up to which a request counts as ordinary
 LOG_S: Final = 1.0  # between two log lines of one kind; they come in bursts
 HEAD_END: Final = b"\r\n\r\n"
-# `struct tcp_info` of Linux: eight octets, then words; the twelfth is
-# `tcpi_last_data_recv` in milliseconds.
-TCP_INFO: Final = struct.Struct("=8x44xI")
 
 
 def is_whole(sock: Any) -> bool:
@@ -70,15 +66,6 @@
     return not length.isdigit() or len(body) >= int(length[:18])
 
 
-def read_silence_s(sock: Any) -> float:
-    """Returns how long the peer has sent nothing."""
-    try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
-        return float(TCP_INFO.unpack(info)[0]) / 1_000
-    except (OSError, struct.error):
-        return 0.0
-
-
 class WorkQueue:
     """Connections whose requests wait for a thread, whole requests first.
 
@@ -130,10 +117,11 @@
     """cheroot's server with bounds for what its callers may occupy.
 
     Its connections have the attributes `is_incomplete`, `reading_since`,
-    `writing_since`, `n_expected` and `is_displaced`.
+    `writing_since`, `n_expected`, `is_displaced`, `known_at` and `arrived_at`.
 
     Args:
         reject: answers a connection that has no place and closes it.
+        is_leaving: tells whether callers are to go elsewhere.
         options: as for cheroot's server.
 
     Attributes:
@@ -141,9 +129,14 @@
     """
 
     def __init__(
-        self, *args: Any, reject: Callable[[Any], None], **options: Any
+        self,
+        *args: Any,
+        reject: Callable[[Any], None],
+        is_leaving: Callable[[], bool],
+        **options: Any,
     ) -> None:
         super().__init__(*args, **options)
+        self.is_leaving = is_leaving
         n_threads = self.requests.min
         self.counts: Counter[str] = Counter()
         self._work = WorkQueue(max_incomplete=limit_incomplete(n_threads))
@@ -168,6 +161,7 @@
         """Gives a connection to a thread once its request begins to arrive."""
         if not conn.is_known:
             conn.is_known = True
+            conn.known_at = time.monotonic()
             self._open.add(conn)
             if self._is_full(conn) and not self._close_idle():
                 self._note("connection_rejected")
@@ -177,8 +171,40 @@
                 self.put_conn(conn)
                 return
         conn.is_incomplete = not conn.rfile.has_data() and not is_whole(conn.socket)
+        conn.arrived_at = time.monotonic()
         super().process_conn(conn)
 
+    def list_open(self) -> list[Any]:
+        """Lists the connections that are open and were not handed over."""
+        return list(self._open)
+
+    def has_unfinished(self, before: float) -> bool:
+        """Tells whether a request that came before a monotonic time is unfinished."""
+        return any(is_unfinished(conn, before) for conn in self.list_open())
+
+    def finish(self, *, is_idle: Callable[[], bool], timeout_s: float) -> None:
+        """Answers the requests that have arrived, and closes all connections.
+
+        Args:
+            is_idle: tells whether no connection that was handed over is open.
+            timeout_s: how long to wait for that.
+        """
+        ends_at = time.monotonic() + timeout_s
+        finished = threading.Event()
+
+        def run(interval_s: float) -> None:
+            if finished.is_set():
+                time.sleep(interval_s)  # until `stop` is called
+            else:
+                end_connections(self, is_idle=is_idle, ends_at=ends_at)
+                finished.set()
+
+        # cheroot's thread calls `run` again once its own loop has ended.
+        manager = vars(self)["_connections"]
+        manager.run = run
+        manager._stop_requested = True
+        finished.wait(timeout_s + self.expiration_interval + CHECK_S)
+
     def forget(self, conn: Any) -> None:
         """Notes that a connection is closed or was handed over."""
         self._open.discard(conn)
@@ -208,7 +234,7 @@
     def end_request(self, conn: Any) -> None:
         """Notes that a thread is done with a connection."""
         self.end_reading(conn)
-        conn.writing_since = None
+        conn.writing_since = conn.arrived_at = None
         self._occupied.discard(conn)
 
     def _close_idle(self) -> bool:
@@ -217,7 +243,7 @@
         selector: Any = vars(self)["_connections"]._selector
         for fd, conn in list(selector.connections):
             # One with bytes to read may already be on its way to a thread.
-            if conn is not self and not _has_input(fd):
+            if conn is not self and not has_input(fd):
                 has_served = conn.n_answered > 0
                 idle.append(
                     IdleConnection(
@@ -266,12 +292,6 @@
             log_event(LOGGER, event, n=self.counts[event])
 
 
-def _has_input(descriptor: int) -> bool:
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _describe_request(conn: Any) -> Held | None:
     since = conn.reading_since
     if since is None:
