Let a daemon that is stopped while it starts answer whom it accepted

What callers saw: requests sent to a daemon that was still starting were reset when SIGTERM came, and the daemon ended by the signal.

Cause: the HTTP server listens before the start is over, and the signal handlers were set after it. They are set first now, and the planned stop begins once all tasks run.

As documented, only a second signal ends the daemon at once; before, the first one did so, too, after a drain that an operator had asked for. That is by reading.

--- a/berylpost/daemon.py
+++ b/berylpost/daemon.py
@@ -40,7 +40,24 @@
     """Runs a daemon until its drain is complete or `stopped` is set."""
     set_fatal(fatal=settings.fatal_invariants)
     kernel = Kernel(settings=settings)
+    asked, started = threading.Event(), threading.Event()
+
+    def handle_signal(_signal: int, _frame: object) -> None:
+        # The first signal starts a planned stop; a second one ends the daemon at once.
+        if asked.is_set():
+            stopped.set()
+        asked.set()
+        if started.is_set():
+            kernel.context.post("drain", PlannedStop())
+
+    # Before callers can connect, which the signal would reset without a handler.
+    if threading.current_thread() is threading.main_thread():
+        signal.signal(signal.SIGTERM, handle_signal)
+        signal.signal(signal.SIGINT, handle_signal)
     kernel.start()
+    started.set()
+    if asked.is_set():
+        kernel.context.post("drain", PlannedStop())
     log_event(
         LOGGER,
         "daemon_started",
@@ -49,16 +66,6 @@
         http=settings.listen.http,
     )
 
-    def handle_signal(_signal: int, _frame: object) -> None:
-        # The first signal starts a planned stop; a second one ends the daemon at once.
-        if kernel.context.slots["drain"].read() is DrainState.SERVING:
-            kernel.context.post("drain", PlannedStop())
-        else:
-            stopped.set()
-
-    if threading.current_thread() is threading.main_thread():
-        signal.signal(signal.SIGTERM, handle_signal)
-        signal.signal(signal.SIGINT, handle_signal)
     while not stopped.wait(POLL_S):
         if kernel.context.slots["drain"].read() is DrainState.LEFT:
             stopped.wait(LINGER_S)
--- a/features/own_request_phases.feature
+++ b/features/own_request_phases.feature
@@ -62,3 +62,8 @@
       | a booking under way          | its VM is reclaimed                     |
       | an answer read slowly        | its VM is reclaimed                     |
       | streams queued and running   | its VM is reclaimed                     |
+
+  Scenario: A daemon that is stopped while it starts leaves no request without an answer
+    Given a daemon that is starting
+    When 10 callers send requests and it is stopped as soon as it accepts connections
+    Then each of them has its answer or knows it was not read, and the daemon ends well
--- a/features/steps/own_request_phases_steps.py
+++ b/features/steps/own_request_phases_steps.py
@@ -11,15 +11,16 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
 import httptools
 import msgspec
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
-from steps.shared import MODEL
+from steps.shared import MODEL, run_concurrently
 
 from berylpost.bench.fleet import Fleet, FleetSpec, wait_until
 from berylpost.client import Problem
@@ -432,3 +433,34 @@
     log = context.play.logs[f"dd-{PHASES[phase][0] + 1}"]
     assert callers, "no caller came"
     assert not lost, (len(lost), len(callers), lost[:5], log)
+
+
+@given("a daemon that is starting")
+def step_start(context: Context) -> None:
+    context.own_fleet = fleet = Fleet(spec=FleetSpec(overrides=OVERRIDES))
+    fleet.__enter__()  # ended after the scenario
+    context.daemon = fleet.daemons[0]
+    fleet.kill(context.daemon)
+    fleet.start_daemon(context.daemon, wait=False)
+
+
+@when("{n:d} callers send requests and it is stopped as soon as it accepts connections")
+def step_stop_at_start(context: Context, n: int) -> None:
+    context.callers = []
+    while not context.callers:
+        with contextlib.suppress(ConnectionRefusedError):
+            context.callers.append(Caller(context.daemon.http))
+    context.daemon.process.send_signal(signal.SIGTERM)
+    with contextlib.suppress(ConnectionRefusedError):
+        while len(context.callers) < n:
+            context.callers.append(Caller(context.daemon.http))
+    request = b"".join(render("GET", "/v1/addresses"))
+    run_concurrently([lambda c=c: c.ask(request) for c in context.callers])
+
+
+@then("each of them has its answer or knows it was not read, and the daemon ends well")
+def step_check_start(context: Context) -> None:
+    status = context.daemon.process.wait(timeout=PLAY_S)
+    results = Counter(f"{c.result} {c.detail}" for c in context.callers)
+    lost = [c for c in context.callers if c.result == "lost"]
+    assert not lost and status == 0, (status, results)
