Count callers' requests at the own interface, and name those left unfinished

The log of a daemon did not say what it had accepted and how it had ended, so that a request without an answer could not be traced to it.

`daemon_stopped` now has the connections accepted, the requests passed to a handler and how each ended: answered, left by its caller, broken off or unfinished; also the connections that were closed with unread bytes. The HTTP server's threads count a request, and the relay its end if the connection was handed over. `request_lost` names an unfinished one with its id and phase.

--- a/berylpost/callers.py
+++ b/berylpost/callers.py
@@ -35,6 +35,7 @@
         next_event: number of the next event to send, counted from 1.
         whole: the caller waits for the whole answer instead of a stream.
         closing: all data is in the buffer; the connection is closed once it is sent.
+        is_cut: the answer in the buffer has no end.
         wants_write: the selector waits until the socket is writable.
     """
 
@@ -44,6 +45,7 @@
     whole: bool = False
     head_sent: bool = False
     closing: bool = False
+    is_cut: bool = False
     wants_write: bool = False
     buffer: bytearray = field(default_factory=bytearray)
 
@@ -83,6 +85,7 @@
         if self.head_sent:
             # Without the last chunk, so that a cut answer does not look complete.
             self.buffer += render_error_event(stream.error)
+            self.is_cut = True
         else:
             self.buffer += render_error(stream.error)
 
--- a/berylpost/connections.py
+++ b/berylpost/connections.py
@@ -10,7 +10,10 @@
 import time
 from collections.abc import Callable
 
+from .caller_account import CallerAccount
 from .callers import Caller
+from .edge.request_account import RequestEnd
+from .policy.connection_end import Phase
 from .settings import RelaySettings
 from .streams import Stream, StreamState
 
@@ -27,6 +30,7 @@
         find_stream: returns a stream by its id.
         end_orphan: called with the id of the longest orphaned request when there
             are more than `max_orphans`.
+        account: counts how callers' requests end.
     """
 
     def __init__(
@@ -36,6 +40,7 @@
         settings: RelaySettings,
         find_stream: Callable[[str], Stream | None],
         end_orphan: Callable[[str], None],
+        account: CallerAccount,
     ) -> None:
         self.n_callers = 0
         self.by_stream: dict[str, list[Caller]] = {}
@@ -45,12 +50,18 @@
         self._max_orphans = settings.max_orphans
         self._find_stream = find_stream
         self._end_orphan = end_orphan
+        self._account = account
 
     def close(self) -> None:
-        """Closes every socket."""
-        for callers in self.by_stream.values():
-            for caller in callers:
-                caller.socket.close()
+        """Closes every socket; the requests of their callers stay unfinished."""
+        for key in list((self._selector.get_map() or {}).values()):
+            if isinstance(key.data, Caller):
+                self._note_end(key.data, RequestEnd.UNFINISHED)
+                key.data.socket.close()
+
+    def _note_end(self, caller: Caller, end: RequestEnd) -> None:
+        phase = Phase.UNSENT if caller.closing else Phase.RUNNING
+        self._account.note_end(end, caller.stream_id, phase)
 
     def send_and_close(self, sock: socket.socket, data: bytes) -> None:
         """Sends a complete response and closes the connection."""
@@ -92,13 +103,14 @@
 
     def _flush(self, caller: Caller) -> None:
         if not caller.flush():
-            self._drop_caller(caller)
+            self._drop_caller(caller, RequestEnd.CALLER_LEFT)
             return
         if caller.closing and not caller.buffer:
             stream = self._find_stream(caller.stream_id)
             if stream is not None and stream.state is StreamState.DONE:
                 stream.delivered = True
-            self._drop_caller(caller)
+            cut = RequestEnd.BROKEN_OFF if caller.is_cut else RequestEnd.ANSWERED
+            self._drop_caller(caller, cut)
             return
         wants_write = bool(caller.buffer)
         if wants_write != caller.wants_write:
@@ -109,19 +121,20 @@
     def handle(self, caller: Caller, mask: int) -> None:
         """Handles a caller's socket that the selector reports as ready."""
         if mask & selectors.EVENT_READ and caller.has_disconnected():
-            self._drop_caller(caller)
+            self._drop_caller(caller, RequestEnd.CALLER_LEFT)
             return
         stream = self._find_stream(caller.stream_id)
         if stream is not None and not caller.closing:
             caller.fill(stream, self._buffer_bytes, stream.moved_to)
         self._flush(caller)
 
-    def _drop_caller(self, caller: Caller) -> None:
+    def _drop_caller(self, caller: Caller, end: RequestEnd) -> None:
         try:
             self._selector.unregister(caller.socket)
         except (KeyError, ValueError):
             return  # already dropped
         self.n_callers -= 1
+        self._note_end(caller, end)
         caller.socket.close()
         callers = self.by_stream.get(caller.stream_id)
         if callers is None:
--- a/berylpost/daemon.py
+++ b/berylpost/daemon.py
@@ -71,7 +71,8 @@
             stopped.wait(LINGER_S)
             break
     kernel.stop()
-    log_event(LOGGER, "daemon_stopped", daemon=settings.daemon.id)
+    counts = kernel.context.account.export_counts()
+    log_event(LOGGER, "daemon_stopped", daemon=settings.daemon.id, **counts)
 
 
 def main(arguments: list[str]) -> int:
--- a/berylpost/kernel.py
+++ b/berylpost/kernel.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, Generic, Protocol, TypeVar
 
+from .caller_account import CallerAccount
 from .errors import SettingsError
 from .logs import log_event
 from .settings import Settings
@@ -187,6 +188,7 @@
         readiness: functions that tell whether a plug-in is ready, by plug-in name.
         unfinished: functions that tell whether a caller waits for something that it
             sent to a plug-in before a monotonic time, by plug-in name.
+        account: counts callers' connections and requests.
     """
 
     settings: Settings
@@ -195,6 +197,7 @@
     slots: dict[str, Slot[Any]] = field(default_factory=dict)
     readiness: dict[str, Callable[[], bool]] = field(default_factory=dict)
     unfinished: dict[str, Callable[[float], bool]] = field(default_factory=dict)
+    account: CallerAccount = field(default_factory=CallerAccount)
 
     def open_slot(self, name: str, value: T) -> Slot[T]:
         """Adds a slot with its first snapshot to the board."""
--- a/berylpost/relay.py
+++ b/berylpost/relay.py
@@ -119,6 +119,7 @@
             settings=self._settings,
             find_stream=self._streams.get,
             end_orphan=self._end_orphan,
+            account=context.account,
         )
         self._context = context
         self._queue = AdmissionQueue(
--- a/berylpost/web.py
+++ b/berylpost/web.py
@@ -314,6 +314,7 @@
             timeout=int(max(1, listen.read_timeout_s)),
             server_name="berylpost",
             reject=reject_connection,
+            account=context.account,
             is_leaving=lambda: self._drain.read() is not DrainState.SERVING,
         )
         self._server.gateway = HandoverGateway
--- a/berylpost/web_gateway.py
+++ b/berylpost/web_gateway.py
@@ -14,8 +14,10 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
+from .edge.request_account import RequestEnd, count_unread
 from .errors import BerylpostError, ErrorKind, render_problem
 from .metrics import REFUSALS
+from .policy.connection_end import Phase
 from .streams import render_response
 from .web_exit import has_input
 
@@ -132,6 +134,10 @@
         to the garbage collector.
         """
         self.server.forget(self)
+        if not self.linger:
+            n_unread = count_unread(self.socket.fileno())
+            if n_unread:
+                self.server.account.note_unread(n_unread)
         super().close()
         if not self.linger:
             with contextlib.suppress(OSError, ValueError):
@@ -152,18 +158,17 @@
         connection.n_expected = int(length) if length.isdigit() else 0
         if not connection.n_expected and not self.req.chunked_read:
             self.req.server.end_reading(connection)
-        response = self.req.server.wsgi_app(self.env, self.start_response)
+        self.req.server.account.note_read()
+        try:
+            response = self.req.server.wsgi_app(self.env, self.start_response)
+        except BaseException:
+            self._note_end(RequestEnd.BROKEN_OFF)
+            raise
         if not receivers:
             connection.writing_since = time.monotonic()
             if self.req.server.is_leaving() and not self._expects_more():
                 self.req.close_connection = True
-            try:
-                for chunk in filter(None, response):
-                    self.write(chunk)
-            finally:
-                self.req.ensure_headers_sent()
-                if hasattr(response, "close"):
-                    response.close()
+            self._write_answer(response)
             return
         if hasattr(response, "close"):
             response.close()
@@ -174,6 +179,29 @@
         connection.linger = True
         receivers[0](_detach_socket(connection))
 
+    def _write_answer(self, response: Any) -> None:
+        """Writes an answer and counts how its request ended."""
+        end = RequestEnd.BROKEN_OFF
+        try:
+            try:
+                for chunk in filter(None, response):
+                    self.write(chunk)
+            finally:
+                self.req.ensure_headers_sent()
+                if hasattr(response, "close"):
+                    response.close()
+            end = RequestEnd.ANSWERED
+        except ConnectionError:
+            end = RequestEnd.CALLER_LEFT
+            raise
+        finally:
+            self._note_end(end)
+
+    def _note_end(self, end: RequestEnd) -> None:
+        connection = self.req.conn
+        caller = f"{connection.remote_addr}:{connection.remote_port}"
+        self.req.server.account.note_end(end, caller, Phase.ANSWERING)
+
     def _expects_more(self) -> bool:
         """Tells whether a close would drop a request, or reset the answer to this one.
 
--- a/berylpost/web_workers.py
+++ b/berylpost/web_workers.py
@@ -21,6 +21,7 @@
 
 from cheroot.wsgi import Server
 
+from .caller_account import CallerAccount
 from .logs import log_event
 from .metrics import DISPLACED
 from .policy.client_limits import (
@@ -121,6 +122,7 @@
 
     Args:
         reject: answers a connection that has no place and closes it.
+        account: counts connections and requests.
         is_leaving: tells whether callers are to go elsewhere.
         options: as for cheroot's server.
 
@@ -132,11 +134,13 @@
         self,
         *args: Any,
         reject: Callable[[Any], None],
+        account: CallerAccount,
         is_leaving: Callable[[], bool],
         **options: Any,
     ) -> None:
         super().__init__(*args, **options)
         self.is_leaving = is_leaving
+        self.account = account
         n_threads = self.requests.min
         self.counts: Counter[str] = Counter()
         self._work = WorkQueue(max_incomplete=limit_incomplete(n_threads))
@@ -162,6 +166,7 @@
         if not conn.is_known:
             conn.is_known = True
             conn.known_at = time.monotonic()
+            self.account.note_accepted()
             self._open.add(conn)
             if self._is_full(conn) and not self._close_idle():
                 self._note("connection_rejected")
--- a/features/own_request_phases.feature
+++ b/features/own_request_phases.feature
@@ -67,3 +67,12 @@
     Given a daemon that is starting
     When 10 callers send requests and it is stopped as soon as it accepts connections
     Then each of them has its answer or knows it was not read, and the daemon ends well
+
+  Scenario: A daemon accounts for all requests that it read
+    When requests of all phases are under way and SIGTERM comes
+    Then at its end each daemon names how every request that it read has ended
+
+  Scenario: A daemon that is ended at once names the requests that it leaves unfinished
+    Given a daemon with 5 streams under way
+    When this daemon gets SIGTERM twice
+    Then its log names each of the 5 requests and what it was busy with
--- a/features/steps/own_request_phases_steps.py
+++ b/features/steps/own_request_phases_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import os
+import re
 import select
 import signal
 import socket
@@ -464,3 +465,59 @@
     results = Counter(f"{c.result} {c.detail}" for c in context.callers)
     lost = [c for c in context.callers if c.result == "lost"]
     assert not lost and status == 0, (status, results)
+
+
+@then("at its end each daemon names how every request that it read has ended")
+def step_check_account(context: Context) -> None:
+    play = context.play
+    for index, daemon in enumerate(sorted(play.logs)):
+        assert "event=request_lost" not in play.logs[daemon], play.logs[daemon]
+        line = play.logs[daemon].splitlines()[-1]
+        counts = {k: int(v) for k, v in re.findall(r"(\w+_\w+)=(\d+)", line)}
+        ends = {k: n for k, n in counts.items() if k.startswith("requests_")}
+        n_read = ends.pop("requests_read")
+        phases = [p for p, (at, _) in PHASES.items() if at == index]
+        callers = [c for p in phases for c in play.callers[p]]
+        n_answered = sum(c.result == "answered" for c in callers)
+        assert n_read == sum(ends.values()), line
+        assert n_answered <= ends["requests_answered"], (n_answered, line)
+        assert len(callers) <= counts["connections_accepted"], (len(callers), line)
+        assert not ends["requests_open"] and not ends["requests_unfinished"], line
+
+
+@given("a daemon with {n:d} streams under way")
+def step_open_streams(context: Context, n: int) -> None:
+    context.own_fleet = fleet = Fleet(
+        spec=FleetSpec(engine_shape=EngineShape(token_s=0.02), overrides=OVERRIDES)
+    )
+    fleet.__enter__()  # ended after the scenario
+    context.daemon = fleet.daemons[0]
+    context.callers = [Caller(context.daemon.http) for _ in range(n)]
+    request = b"".join(render_stream())
+    context.threads = [
+        threading.Thread(target=c.ask, args=(request,)) for c in context.callers
+    ]
+    for thread in context.threads:
+        thread.start()
+    time.sleep(0.5)  # until they have begun
+
+
+@when("this daemon gets SIGTERM twice")
+def step_stop_twice(context: Context) -> None:
+    for _ in range(2):
+        context.daemon.process.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+    context.daemon.process.wait(timeout=PLAY_S)
+    for thread in context.threads:
+        thread.join()
+
+
+@then("its log names each of the {n:d} requests and what it was busy with")
+def step_check_named(context: Context, n: int) -> None:
+    assert all(c.result == "lost" for c in context.callers)
+    lines = context.daemon.log_path.read_text().splitlines()
+    lost = [line for line in lines if "event=request_lost" in line]
+    ids = {re.search(r" id=(\S+)", line)[1] for line in lost}
+    assert len(ids) == n, lost
+    assert all("end=unfinished phase=running" in line for line in lost), lost
+    assert f" requests_unfinished={n} " in lines[-1], lines[-1]
