Do not take a server for unreachable whose connections are all in use

What callers saw: a server whose four connections all read the rest of a body that it had answered early was taken for unreachable, so that it got nothing for some time after its connections were free.

Cause: a full pool was reported as a failure to connect. It has a kind of its own now and says nothing about the server. The request goes elsewhere, or gets 503 as before: not run, with a time to come back.

A connection whose request was not sent whole when its answer began stays in the pool, in place of being ended, but is used only if the pool is full, longest rested first, and never before its request is sent. It is not closed as idle before either.

entry_early_answers.feature, "A server whose connections all read the rest of a body is not taken for unreachable": before, the server was suspect in two of two runs; after, not, in two. The whole feature passes (27 scenarios), one run for each early answer.

--- a/berylpost/edge/routing.py
+++ b/berylpost/edge/routing.py
@@ -24,7 +24,7 @@
 from .rollouts import Rollouts
 from .server_limits import ServerLimits
 from .server_speeds import DEFAULT_WORK_S, ServerSpeeds
-from .upstream import Connection, UpstreamError
+from .upstream import Connection, Failure, UpstreamError
 from .work import MIN_LEFT_S, RequestContext, make_refusal
 from .work_meter import WorkMeter
 
@@ -103,7 +103,10 @@
                 connection = await record.pool.acquire(max_idle_s=max_idle_s)
             except UpstreamError as error:
                 context.tried.append(record.backend.id)
-                self._table.note_failure(record, unreachable=True, began_at=began_at)
+                if error.kind is not Failure.NO_ROOM:
+                    self._table.note_failure(
+                        record, unreachable=True, began_at=began_at
+                    )
                 log_event(
                     LOGGER,
                     "connect_failed",
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -4,8 +4,8 @@
 belong to no request, an answer to another request, or an answer that cannot be parsed.
 A server may answer before it has read a long body, keep the connection and read on
 later. Nothing tells when it has read so far that it would answer another request at
-once. A connection whose request was not sent whole when the answer began ends with that
-request; one whose kernels had taken the whole of a long request rests for some time.
+once. So a connection rests after a long request, and for good if the request was not
+sent whole when its answer began. A resting one is used only if the pool is full.
 An answer that has not arrived completely is never reported as complete.
 """
 
@@ -66,6 +66,7 @@
     """How an exchange failed."""
 
     NOT_CONNECTED = "not_connected"
+    NO_ROOM = "no_room"
     RESET = "reset"
     CUT = "cut"
     BAD_ANSWER = "bad_answer"
@@ -223,7 +224,6 @@
         idle_timeout_s: the connection is closed after it was idle for this long.
         reusable: whether the connection may carry another exchange.
         rests_until: boot-time clock before which another connection is better.
-        answered_early: whether an answer came before its request was sent whole.
     """
 
     def __init__(
@@ -238,7 +238,6 @@
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.reusable = True
-        self.answered_early = False
         self.rests_until = 0.0
         self.n_exchanges = 0
         self._on_closed = on_closed
@@ -274,16 +273,10 @@
         self._exchange = exchange
         self._framing.begin_answer()
         self.n_exchanges += 1
+        self.rests_until = 0.0
         self._is_long = len(data) > LONG_REQUEST_BYTES
         self._transport.write(data)
 
-    def retire(self) -> None:
-        """Sends the rest of the request and then the end; the server closes."""
-        self.reusable = False
-        # A daemon that passes the bytes on would close the server's side at once.
-        if self._transport is not None and not self.peer:
-            self._transport.write_eof()
-
     def abort(self) -> None:
         """Closes at once and discards unsent bytes; the server sees a reset."""
         self.reusable = False
@@ -417,9 +410,9 @@
             self.abort()
             return
         self._has_echoed = self._has_echoed or echoed is not None
-        self.answered_early = not self.is_sent
         if self._is_long:
-            self.rests_until = read_boottime() + REST_S
+            rest_s = REST_S if self.is_sent else float("inf")
+            self.rests_until = read_boottime() + rest_s
         chunked = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
         length = headers.get(b"content-length")
         bodiless = not exchange.has_body or status in (204, 304)
@@ -514,8 +507,6 @@
         self._backend = backend
         self._clock = clock
         self._idle: list[Connection] = []
-        # Those that end when their servers have read the rest of a request.
-        self._retired: list[Connection] = []
         self._n_open = 0
 
     async def acquire(self, *, max_idle_s: float) -> Connection:
@@ -527,38 +518,54 @@
         Raises:
             UpstreamError: no connection could be opened; nothing was sent.
         """
-        connection = self._take_idle(max_idle_s, may_rest=False)
+        connection = self._take_idle(max_idle_s)
         if connection is None and self._n_open >= self.n_max:
-            connection = self._take_idle(max_idle_s, may_rest=True)
+            connection = self._take_resting(max_idle_s)
         if connection is not None:
             return connection
         if self._n_open >= self.n_max and not self._close_idle():
-            raise UpstreamError(Failure.NOT_CONNECTED, "all connections in use")
+            raise UpstreamError(Failure.NO_ROOM, "all connections in use")
         return await self._open()
 
-    def _close_idle(self) -> bool:
-        """Closes the connection that was idle longest, in whose place one is opened."""
-        if self._idle:
-            self._idle.pop(0).abort()
-            return True
-        return False
-
-    def _take_idle(self, max_idle_s: float, *, may_rest: bool) -> Connection | None:
-        """Takes the idle connection that was used last; closes outdated ones."""
+    def _take_idle(self, max_idle_s: float) -> Connection | None:
+        """Takes the rested connection that was used last; closes outdated ones."""
         now = self._clock()
         for index in range(len(self._idle) - 1, -1, -1):
             connection = self._idle[index]
-            idle_s = now - connection.idle_since
-            is_good = idle_s <= connection.idle_timeout_s and self._may_reuse(
-                connection
-            )
-            if not connection.is_open or not is_good:
+            if not connection.is_open or self._is_outdated(connection):
                 self._idle.pop(index)
                 connection.abort()
-            elif idle_s <= max_idle_s and (may_rest or now >= connection.rests_until):
+            elif (
+                now - connection.idle_since <= max_idle_s
+                and now >= connection.rests_until
+            ):
                 return self._idle.pop(index)
         return None
 
+    def _take_resting(self, max_idle_s: float) -> Connection | None:
+        """Takes the connection that has rested longest, if its request is sent."""
+        used_since = self._clock() - max_idle_s
+        for index, connection in enumerate(self._idle):
+            if connection.idle_since >= used_since and connection.is_sent:
+                return self._idle.pop(index)
+        return None
+
+    def _close_idle(self) -> bool:
+        """Closes the connection that was idle longest, in whose place one is opened."""
+        for index, connection in enumerate(self._idle):
+            if connection.is_sent:
+                self._idle.pop(index).abort()
+                return True
+        return False
+
+    def _is_outdated(self, connection: Connection) -> bool:
+        """Tells whether an idle connection is to be closed."""
+        if not self._may_reuse(connection):
+            return True
+        idle_s = self._clock() - connection.idle_since
+        # A server that still takes a request is not idle.
+        return idle_s > connection.idle_timeout_s and connection.is_sent
+
     async def _open(self) -> Connection:
         self._n_open += 1
         self.n_opened += 1
@@ -625,10 +632,6 @@
     def release(self, connection: Connection) -> None:
         """Returns a connection after a complete answer, or closes it."""
         connection.idle_since = self._clock()
-        if connection.answered_early and connection.is_open:
-            connection.retire()
-            self._retired.append(connection)
-            return
         if not (
             connection.reusable and connection.is_open and self._may_reuse(connection)
         ):
@@ -638,20 +641,14 @@
 
     def sweep(self) -> None:
         """Closes connections that are idle for too long or may not be used again."""
-        now = self._clock()
         for connection in list(self._idle):
-            is_old = now - connection.idle_since > connection.idle_timeout_s
-            if is_old or not self._may_reuse(connection):
+            if self._is_outdated(connection):
                 self._idle.remove(connection)
                 connection.abort()
-        for connection in self._retired:
-            is_old = now - connection.idle_since > connection.idle_timeout_s
-            if is_old and connection.is_sent:
-                connection.abort()
 
     def close(self) -> None:
-        """Closes the connections that carry no exchange."""
-        for connection in self._idle + self._retired:
+        """Closes the idle connections."""
+        for connection in self._idle:
             connection.abort()
         self._idle.clear()
 
@@ -662,6 +659,5 @@
 
     def _remove(self, connection: Connection) -> None:
         self._n_open -= 1
-        for connections in (self._idle, self._retired):
-            if connection in connections:
-                connections.remove(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
--- a/features/entry_early_answers.feature
+++ b/features/entry_early_answers.feature
@@ -90,3 +90,12 @@
     And each of them ran once
     And no server has been taken for unreachable
     And the account of the daemon adds up
+
+  Scenario: A server whose connections all read the rest of a body is not taken for unreachable
+    Given 1 entry daemons and 1 servers
+    And each server takes 4 connections
+    And every server behaves as "early answer"
+    When 4 callers send 6 "book" requests of 1500000 bytes on kept connections
+    Then each request has a complete answer of status 200 or 503
+    And no server has been taken for unreachable
+    And the account of the daemon adds up
--- a/features/steps/entry_early_answer_steps.py
+++ b/features/steps/entry_early_answer_steps.py
@@ -114,6 +114,9 @@
 def step_set_connections(context: Context, n: int) -> None:
     service = {"Name": "app", "HealthPath": "/health", "MaxConns": n}
     configure(context, Services=[service])
+    (daemon,) = list_daemons(context)
+    pools = [record.pool for record in daemon.table.records.values()]
+    wait_for(5.0, lambda: all(pool.n_max == n for pool in pools))
 
 
 @when('{seconds:f} s later {n:d} callers send a request "{line}"')
