Do not end the connection of a server that reads a long body late

What callers saw: an upload to a sound server that began to read the body after 4 s and then answered: 502 "reset: Connection timed out" after 3 s.

Cause: the sockets to servers end when sent bytes stay unacknowledged for 3 s (TCP_USER_TIMEOUT). To the kernel a closed window is the same, although the server acknowledges each probe. A long request now sets this time to the time in which it must be answered, if that is more; a server's silence is no reason to end it sooner. Requests of up to 4 kB, which no window stops, keep the 3 s.

entry_early_answers.feature, "A server that reads a long body late is not taken for one that is gone" (two uploads of 1 MB): before, 2 of 2 got 502; after, 2 of 2 got 200. The whole feature (28 scenarios), entry (103), entry_exit (7), entry_faulty_servers (44) and entry_limits (32) passed.

--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -348,7 +348,7 @@
         sent_at = read_boottime()
         context.n_sent += 1
         context.backend_id = record.backend.id
-        connection.send(data, exchange)
+        connection.send(data, exchange, limit_s=context.left_s)
         complete = False
         try:
             head = await self._await_head(context, exchange)
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -250,6 +250,7 @@
         self._unframed = False
         self._is_aborted = False
         self._is_long = False
+        self._unacked_s = UNACKED_TIMEOUT_S
         self._framing = AnswerFraming()
         self._reader = PacedReader(parse=self._parse, find_slice=lambda: SLICE_BYTES)
         # Pieces of the body in the bytes that are being parsed.
@@ -267,14 +268,25 @@
         """Whether the other side's kernel has taken all bytes of the last request."""
         return self._transport is None or not count_unsent(self._transport)
 
-    def send(self, data: bytes, exchange: Exchange) -> None:
-        """Sends a request whose answer goes to the exchange."""
+    def send(self, data: bytes, exchange: Exchange, *, limit_s: float = 0.0) -> None:
+        """Sends a request whose answer goes to the exchange.
+
+        Args:
+            data: the request.
+            exchange: takes the answer.
+            limit_s: time in which the request must be answered.
+        """
         assert self._transport is not None
         self._exchange = exchange
         self._framing.begin_answer()
         self.n_exchanges += 1
         self.rests_until = 0.0
         self._is_long = len(data) > LONG_REQUEST_BYTES
+        # To the kernel a server that reads late is like one that is gone.
+        unacked_s = max(UNACKED_TIMEOUT_S, limit_s if self._is_long else 0.0)
+        if unacked_s != self._unacked_s:
+            self._unacked_s = unacked_s
+            set_socket_options(self._transport, unacked_s)
         self._transport.write(data)
 
     def abort(self) -> None:
--- a/berylpost/fakes/replica.py
+++ b/berylpost/fakes/replica.py
@@ -34,6 +34,9 @@
 CRASH_DELAY_S: Final = 0.05  # from the begin of an answer to the crash
 EARLY: Final = "early answer"  # fault: answers before it has read the body
 EARLY_CLOSE: Final = "early answer, closes"  # fault: never reads the rest of the body
+LATE: Final = "reads late"  # fault: reads the body long after the head, then answers
+LATE_READ_S: Final = 4.0
+LATE_BUFFER_BYTES: Final = 32_768
 READ_ON_DELAY_S: Final = 0.5  # from an early answer to the rest of the body
 
 
@@ -234,6 +237,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.n_connections += 1
+        if self.fault == LATE:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LATE_BUFFER_BYTES)
         if self._has_ended:
             writer.transport.abort()
             return
@@ -263,6 +269,8 @@
             is_early = self.fault in (EARLY, EARLY_CLOSE)
             if is_early and incoming.has_head and incoming.n_missing > 0:
                 return await self._answer_early(incoming, reader, writer)
+            if self.fault == LATE and incoming.has_head and incoming.n_missing > 0:
+                return await self._read_late(incoming, reader, writer)
         if incoming.target == b"/v1/kv-move":
             move_request = json.loads(incoming.body)
             self.stopped.add(move_request["Id"])
@@ -325,6 +333,20 @@
         incoming.body += await reader.readexactly(incoming.n_missing)
         return True
 
+    async def _read_late(
+        self,
+        incoming: IncomingRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Reads the body after a long time, in which its buffers are full."""
+        await asyncio.sleep(LATE_READ_S)
+        incoming.body += await reader.readexactly(incoming.n_missing)
+        self.received.append(incoming)
+        _record_run(self, incoming)
+        _write(writer, 200, _make_headers(self, incoming), b"late")
+        return True
+
     async def _turn_away(
         self, incoming: IncomingRequest, writer: asyncio.StreamWriter
     ) -> bool:
@@ -1003,6 +1025,7 @@
     GREETING: _answer,
     EARLY: _answer,  # to requests without a body
     EARLY_CLOSE: _answer,
+    LATE: _answer,  # to requests without a body
     "interim": _send_plain(200, interim=b"HTTP/1.1 103 Early Hints\r\n\r\n"),
     "continue": _send_plain(200, interim=b"HTTP/1.1 100 Continue\r\n\r\n"),
     "no content": _send_plain(204),
--- a/features/entry_early_answers.feature
+++ b/features/entry_early_answers.feature
@@ -99,3 +99,12 @@
     Then each request has a complete answer of status 200 or 503
     And no server has been taken for unreachable
     And the account of the daemon adds up
+
+  Scenario: A server that reads a long body late is not taken for one that is gone
+    Given 1 entry daemons and 4 servers
+    And requests may take 10 s
+    And every server behaves as "reads late"
+    When 2 callers send 1 "book" requests of 1000000 bytes on kept connections
+    Then each request has a complete answer of status 200
+    And each of them ran once, with its whole body
+    And the account of the daemon adds up
--- a/features/steps/entry_early_answer_steps.py
+++ b/features/steps/entry_early_answer_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 from behave.runner import Context
 from steps.entry_limit_steps import list_daemons
-from steps.entry_steps import Caller, connect, make_request_line, wait_for
+from steps.entry_steps import (
+    DEADLINE_MS,
+    Caller,
+    connect,
+    make_request_line,
+    wait_for,
+)
 
 from berylpost.edge.request_account import RequestEnd
 from berylpost.fakes.entry_world import make_configuration, make_route
@@ -46,6 +52,7 @@
 async def send_kept(context, n_callers, n, line, body=b"", pause_s=0.0):
     """Sends requests one after the other on one connection a caller."""
     (daemon,) = list_daemons(context)
+    deadline_ms = getattr(context, "deadline_ms", DEADLINE_MS)
     context.answers = {}
     context.body = body
 
@@ -53,7 +60,8 @@
         caller = await connect(daemon)
         for _ in range(n):
             attempt = f"calm-{next(_numbers)}"
-            caller.send(line, attempt, body=body)
+            deadline = f"X-Berylpost-Deadline-Ms: {deadline_ms}"
+            caller.send(line, attempt, body=body, extra_headers=[deadline])
             answer = await caller.read()
             context.answers[attempt] = answer
             if not answer.complete or answer.closes:
@@ -125,6 +133,13 @@
     context.world.run(send_kept(context, n, 1, line))
 
 
+@given("requests may take {seconds:d} s")
+def step_set_request_timeout(context: Context, seconds: int) -> None:
+    context.deadline_ms = seconds * 1_000
+    fields = {"MaxAttempts": 1, "TimeoutMs": seconds * 1_000}
+    configure(context, Routes=[make_route("book", "non_idempotent", **fields)])
+
+
 @given("streams may take {seconds:d} s")
 def step_set_timeout(context: Context, seconds: int) -> None:
     fields = {"CanResume": True, "TimeoutMs": seconds * 1_000, "GapAimMs": 250}
