Collect what is asked of sockets, and split requests off their connection

How many bytes wait in a socket, whether it is readable and how it is shut down was written in five modules of both daemons; `sockets` has it once. `caller_requests` holds a complete request and the answers to what is not served. Behaviour is unchanged.

--- a/berylpost/edge/admission.py
+++ b/berylpost/edge/admission.py
@@ -5,7 +5,7 @@
 
 from ..errors import BerylpostError, ErrorKind
 from ..policy.leaving import may_accept_while_leaving
-from .callers import CallerRequest
+from .caller_requests import CallerRequest
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, RouteKind, ServingConfiguration
--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -20,10 +20,12 @@
     limit_connections,
 )
 from ..policy.connection_end import CloseReason, Phase
+from ..sockets import is_readable
 from .buffer_budget import BufferBudget
-from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
+from .caller_requests import CallerRequest
+from .callers import DEFAULT_LIMITS, CallerConnection
 from .clock import read_boottime
-from .listener import Listener, is_readable
+from .listener import Listener
 from .model import CallerLimits
 from .request_account import RequestAccount, RequestEnd
 
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -5,13 +5,10 @@
 """
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, cast
 
 import httptools
@@ -22,11 +19,13 @@
 from ..platform.headers import MAX_DIGITS, Header, is_number
 from ..policy.client_limits import cost_request
 from ..policy.connection_end import CloseReason, Phase, may_close
+from ..sockets import count_unread, shut_down
 from .caller_memory import CallerMemory
+from .caller_requests import CallerRequest, find_phrase, render_rejections
 from .clock import read_boottime
 from .model import CallerLimits
 from .paced_reader import PacedReader
-from .request_account import RequestEnd, count_unread
+from .request_account import RequestEnd
 
 if TYPE_CHECKING:
     from .caller_server import CallerServer
@@ -45,7 +44,6 @@
 BUSY_RETRY_S: Final = 0.5
 CONTINUE: Final = b"100-continue"
 MAX_ID_CHARS: Final = 256  # of an id that is kept without its request
-CLOSE_LINE: Final = b"\r\nConnection: close"
 HEADER_EXTRA_BYTES: Final = 4  # colon, space and line end
 # Limits for callers until a configuration sets others.
 DEFAULT_LIMITS: Final = CallerLimits(
@@ -56,32 +54,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerRequest:
-    """A complete request.
-
-    Attributes:
-        headers: headers with names in lower case.
-        arrived_at: boot-time clock at which the first bytes arrived.
-        n_held: memory that is counted for it.
-    """
-
-    method: bytes
-    target: bytes
-    headers: tuple[Header, ...]
-    body: bytes
-    arrived_at: float
-    keep_alive: bool
-    n_held: int = 0
-
-    def find(self, name: bytes) -> bytes:
-        """Returns the value of a header; empty if there is none."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return b""
-
-
 class CallerConnection(asyncio.Protocol):
     """A connection from one caller.
 
@@ -346,7 +318,7 @@
             self._closing = self._lingers = True
         if not request.keep_alive:
             self._closing = True
-        phrase = reason or _find_phrase(status)
+        phrase = reason or find_phrase(status)
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
         lines += [name + b": " + value for name, value in headers]
         if length is None:
@@ -448,7 +420,7 @@
         """Lists ids and phases of the requests that have not ended."""
         listed = [self._request] if self._request is not None else []
         listed += self._queue
-        unfinished = [(_read_id(r), self.phase) for r in listed]
+        unfinished = [(r.id, self.phase) for r in listed]
         if self.phase is Phase.UNSENT:
             unfinished.append((self._answered_id, Phase.UNSENT))
         return unfinished
@@ -463,8 +435,9 @@
         assert self._transport is not None
         if not self._transport.is_closing():
             self._count_unread()
-            if not self._read_unsent():
-                self._shut_down()
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None and not self._read_unsent():
+                shut_down(sock)
         self._transport.close()
 
     def _linger(self) -> None:
@@ -488,18 +461,9 @@
             return
         asyncio.get_running_loop().call_later(LINGER_S, self._linger)
 
-    def _shut_down(self) -> None:
-        """Ends the connection now; the transport does it in a later step only."""
-        assert self._transport is not None
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            with contextlib.suppress(OSError):  # the caller has reset it
-                sock.shutdown(socket.SHUT_RDWR)
-
     def _count_waiting(self) -> int:
         """Returns how many received bytes wait in the socket."""
-        descriptor = self.read_descriptor()
-        return count_unread(descriptor) if descriptor >= 0 else 0
+        return count_unread(self.read_descriptor())
 
     def _count_unread(self) -> None:
         """Counts bytes that wait in the socket of a connection to be closed."""
@@ -540,7 +504,7 @@
         """Drops the incomplete request and the queued ones, which end as given."""
         self._drop_incomplete()
         self.memory.drop_unserved()
-        for request_id in self._refused_ids + [_read_id(r) for r in self._queue]:
+        for request_id in self._refused_ids + [r.id for r in self._queue]:
             self._server.account.note_end(end, request_id, Phase.QUEUED)
         self._refused_ids = []
         self._queue.clear()
@@ -552,13 +516,10 @@
         self._rejected = True
         log_event(LOGGER, "request_unreadable", kind=kind, detail=detail)
         error = BerylpostError(kind, detail, retry_after_s=retry_after_s)
-        answers = [_render_rejection(error, id) for id in self._refused_ids]
-        if self._cost_incomplete() or not answers:
-            answers.append(_render_rejection(error))
-        # Only the last of them ends the connection.
-        self._rejection = b"".join(
-            [a.replace(CLOSE_LINE, b"", 1) for a in answers[:-1]] + answers[-1:]
-        )
+        ids = list(self._refused_ids)
+        if self._cost_incomplete() or not ids:
+            ids.append("")  # what is incomplete, or no request
+        self._rejection = render_rejections(error, ids)
         self._drop_incomplete()
         self.memory.take(0)
         if not self.is_busy:
@@ -566,7 +527,7 @@
 
     def _reject_overload(self) -> None:
         """Rejects what arrives and refuses the queued requests, which hold memory."""
-        ids = [_read_id(request) for request in self._queue]
+        ids = [request.id for request in self._queue]
         self._refused_ids += [i if len(i) <= MAX_ID_CHARS else "" for i in ids]
         self._queue.clear()
         self.memory.drop_unserved()
@@ -646,27 +607,5 @@
         if not self._answer_complete:
             has_left = self._transport is None and not self._aborted
             end = RequestEnd.CALLER_LEFT if has_left else RequestEnd.BROKEN_OFF
-        self._answered_id = _read_id(request)
+        self._answered_id = request.id
         self._server.account.note_end(end, self._answered_id, self.phase)
-
-
-def _read_id(request: CallerRequest) -> str:
-    return request.find(names.ATTEMPT_ID).decode("latin-1")
-
-
-def _render_rejection(error: BerylpostError, request_id: str = "") -> bytes:
-    """Renders the answer to what is not read, after which the connection closes."""
-    status, headers, body = render_problem(error, whole_seconds=False)
-    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if request_id:
-        lines.append(f"{names.ATTEMPT_ID.decode()}: {request_id}")
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + CLOSE_LINE + b"\r\n\r\n" + body
-
-
-def _find_phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Status"
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -21,8 +21,9 @@
 from ..policy.addresses import spread_over_zones
 from .backend_table import BackendTable
 from .buffer_budget import BufferBudget
+from .caller_requests import CallerRequest
 from .caller_server import CONTROL_SHARE, CallerServer
-from .callers import DEFAULT_LIMITS, CallerConnection, CallerRequest
+from .callers import DEFAULT_LIMITS, CallerConnection
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .duties import Duties
--- a/berylpost/edge/forwarding.py
+++ b/berylpost/edge/forwarding.py
@@ -27,7 +27,8 @@
 from .admission import Admission
 from .backend_table import N_URGENCIES, BackendRecord, BackendTable
 from .buffer_budget import BufferBudget
-from .callers import CallerConnection, CallerRequest
+from .caller_requests import CallerRequest
+from .callers import CallerConnection
 from .catalogue import Catalogue
 from .clock import read_boottime
 from .leaving_servers import LeavingServers
--- a/berylpost/edge/http_channel.py
+++ b/berylpost/edge/http_channel.py
@@ -4,11 +4,8 @@
 `berylpost.platform.web` does for code that runs in threads.
 """
 
-import array
 import asyncio
-import fcntl
 import socket
-import termios
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
 from typing import Final, NamedTuple, cast
@@ -175,15 +172,6 @@
         )
 
 
-def count_unsent(transport: asyncio.Transport) -> int:
-    """Returns how many written bytes the other side's kernel has not taken yet."""
-    n_bytes = array.array("i", [0])
-    sock = transport.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, n_bytes)
-    return transport.get_write_buffer_size() + n_bytes[0]
-
-
 class HttpChannel:
     """Calls one address over a keep-alive connection; a failed call closes it.
 
--- a/berylpost/edge/listener.py
+++ b/berylpost/edge/listener.py
@@ -7,12 +7,12 @@
 
 import asyncio
 import logging
-import select
 import socket
 from collections.abc import Callable
 from typing import Final
 
 from ..logs import log_event
+from ..sockets import is_readable
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -24,14 +24,6 @@
 RETRY_S: Final = 1.0
 
 
-def is_readable(descriptors: list[int]) -> bool:
-    """Tells whether bytes, an end or a connection wait at one of some sockets."""
-    poll = select.poll()
-    for descriptor in descriptors:
-        poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class Listener:
     """A listening socket.
 
--- a/berylpost/edge/request_account.py
+++ b/berylpost/edge/request_account.py
@@ -4,10 +4,7 @@
 ends without an answer for a reason of the daemon's own is named in the log.
 """
 
-import array
-import fcntl
 import logging
-import termios
 from collections import Counter
 from enum import StrEnum
 from typing import Final
@@ -44,16 +41,6 @@
 )
 
 
-def count_unread(descriptor: int) -> int:
-    """Returns how many received bytes wait in a socket; 0 if it was closed."""
-    n_bytes = array.array("i", [0])
-    try:
-        fcntl.ioctl(descriptor, termios.FIONREAD, n_bytes)
-    except OSError:
-        return 0
-    return n_bytes[0]
-
-
 class RequestAccount:
     """Counts of one address that callers connect to.
 
--- a/berylpost/edge/tunnel_server.py
+++ b/berylpost/edge/tunnel_server.py
@@ -1,10 +1,7 @@
 """Passes connections of other daemons on to backend servers; see `tunnels`."""
 
-import array
 import asyncio
-import fcntl
 import logging
-import termios
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
@@ -12,9 +9,9 @@
 
 from ..logs import log_event
 from ..policy.paths import Refusal
+from ..sockets import count_unread, count_unsent
 from .listener import Listener
 from .model import Endpoint
-from .request_account import count_unread
 from .tunnels import (
     CONNECT_TIMEOUT_S,
     END_OF_HEAD,
@@ -172,7 +169,7 @@
             return 0
         descriptor = self.transport.get_extra_info("socket").fileno()
         n_buffered = self.transport.get_write_buffer_size()
-        return n_buffered + _count_unsent(descriptor) + count_unread(descriptor)
+        return n_buffered + count_unsent(descriptor) + count_unread(descriptor)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the other side in the same way: orderly, or by a reset."""
@@ -324,16 +321,6 @@
         super().end()
 
 
-def _count_unsent(descriptor: int) -> int:
-    """Returns how many bytes wait to be received from a socket; 0 if it was closed."""
-    n_bytes = array.array("i", [0])
-    try:
-        fcntl.ioctl(descriptor, termios.TIOCOUTQ, n_bytes)
-    except OSError:
-        return 0
-    return n_bytes[0]
-
-
 async def _connect(address: Endpoint) -> tuple[Outcome, Side | None]:
     """Connects to a server; returns no side unless the outcome is `OPENED`."""
     loop = asyncio.get_running_loop()
--- a/berylpost/edge/upstream.py
+++ b/berylpost/edge/upstream.py
@@ -28,9 +28,10 @@
 from ..logs import log_event
 from ..platform import names
 from ..platform.headers import Header, parse_keep_alive
+from ..sockets import count_unsent
 from .buffer_budget import BufferBudget
 from .clock import read_boottime
-from .http_channel import count_unsent, set_socket_options
+from .http_channel import set_socket_options
 from .model import Backend
 from .open_paths import NotConnectedError, OpenPath
 from .paced_reader import PacedReader
@@ -266,7 +267,12 @@
     @property
     def is_sent(self) -> bool:
         """Whether the other side's kernel has taken all bytes of the last request."""
-        return self._transport is None or not count_unsent(self._transport)
+        transport = self._transport
+        if transport is None:
+            return True
+        sock = transport.get_extra_info("socket")
+        n_waiting = count_unsent(sock.fileno()) if sock is not None else 0
+        return not transport.get_write_buffer_size() + n_waiting
 
     def send(self, data: bytes, exchange: Exchange, *, limit_s: float = 0.0) -> None:
         """Sends a request whose answer goes to the exchange.
--- a/berylpost/edge/work.py
+++ b/berylpost/edge/work.py
@@ -8,7 +8,7 @@
 from ..event_stream import EventSplitter
 from ..hashing import hash_text
 from ..request_holds import Suspects, digest_request
-from .callers import CallerRequest
+from .caller_requests import CallerRequest
 from .clock import read_boottime
 from .model import Customer, RequestHead, Route, ServingConfiguration
 from .upstream import AnswerHead
--- a/berylpost/web_exit.py
+++ b/berylpost/web_exit.py
@@ -7,7 +7,6 @@
 """
 
 import contextlib
-import select
 import socket
 import struct
 import time
@@ -15,6 +14,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from .policy.connection_end import CloseReason, Phase, may_close
+from .sockets import is_readable
 
 if TYPE_CHECKING:
     from .web_workers import BoundedServer
@@ -34,13 +34,6 @@
         return 0.0
 
 
-def has_input(descriptor: int) -> bool:
-    """Tells whether bytes, an end or a connection wait at a socket."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def find_phase(conn: Any, now: float) -> tuple[Phase, float]:
     """Returns what a connection is busy with, and how long its caller sent nothing."""
     arrived_at = conn.arrived_at
@@ -48,7 +41,7 @@
         return Phase.IDLE if conn.n_answered else Phase.NEW, now - conn.known_at
     if conn.reading_since is None and not conn.is_incomplete:
         return Phase.RUNNING, 0.0
-    if has_input(conn.socket.fileno()):
+    if is_readable([conn.socket.fileno()]):
         return Phase.UNPARSED, 0.0
     return Phase.INCOMPLETE, min(read_silence_s(conn.socket), now - arrived_at)
 
@@ -83,7 +76,7 @@
             manager._remove_invalid_sockets()
             continue
         listener: socket.socket | None = vars(server)["socket"]
-        if listener is not None and not has_input(listener.fileno()):
+        if listener is not None and not is_readable([listener.fileno()]):
             manager._selector.unregister(listener.fileno())
             listener.close()
             vars(server)["socket"] = None
@@ -114,6 +107,6 @@
             if phase is Phase.INCOMPLETE:
                 # Its thread reads the end, refuses the request and closes.
                 conn.socket.shutdown(socket.SHUT_RD)
-            elif conn in waiting and not has_input(waiting[conn]):
+            elif conn in waiting and not is_readable([waiting[conn]]):
                 manager._selector.unregister(waiting[conn])
                 conn.close()
--- a/berylpost/web_gateway.py
+++ b/berylpost/web_gateway.py
@@ -14,12 +14,12 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
-from .edge.request_account import RequestEnd, count_unread
+from .edge.request_account import RequestEnd
 from .errors import BerylpostError, ErrorKind, render_problem
 from .metrics import REFUSALS
 from .policy.connection_end import Phase
+from .sockets import count_unread, is_readable
 from .streams import render_response
-from .web_exit import has_input
 
 HANDOVER_KEY: Final = "berylpost.handover"
 CONNECTION_KEY: Final = "berylpost.connection"
@@ -210,7 +210,9 @@
         if self.req.chunked_read or getattr(self.req.rfile, "remaining", 0):
             return True
         connection = self.req.conn
-        return connection.rfile.has_data() or has_input(connection.socket.fileno())
+        if connection.rfile.has_data():
+            return True
+        return is_readable([connection.socket.fileno()])
 
 
 def _detach_socket(connection: Any) -> socket.socket:
--- a/berylpost/web_workers.py
+++ b/berylpost/web_workers.py
@@ -35,7 +35,8 @@
     limit_descriptors,
     limit_incomplete,
 )
-from .web_exit import end_connections, has_input, is_unfinished, read_silence_s
+from .sockets import is_readable
+from .web_exit import end_connections, is_unfinished, read_silence_s
 
 LOGGER: Final = logging.getLogger(__name__)
 
@@ -248,7 +249,7 @@
         selector: Any = vars(self)["_connections"]._selector
         for fd, conn in list(selector.connections):
             # One with bytes to read may already be on its way to a thread.
-            if conn is not self and not has_input(fd):
+            if conn is not self and not is_readable([fd]):
                 has_served = conn.n_answered > 0
                 idle.append(
                     IdleConnection(
--- a/features/steps/entry_close_steps.py
+++ b/features/steps/entry_close_steps.py
@@ -9,7 +9,7 @@
 from steps.entry_exit_steps import RECEIVE_BYTES, RawCaller, read_all, render
 from steps.entry_steps import start_world, wait_for
 
-from berylpost.edge.request_account import count_unread
+from berylpost.sockets import count_unread
 
 LATE_S = 0.5  # of the event loop, within one of its steps
 ARRIVAL_S = 2.0  # within which bytes that were sent are in a socket
