Look at the listener last, and count an answer dropped on a closing connection

From the review. By reading: an unsent rejection would have reduced the count of answers. Comments and names follow the review's wording.

--- a/berylpost/edge/caller_server.py
+++ b/berylpost/edge/caller_server.py
@@ -179,14 +179,15 @@
 
         Counts what the kernel holds: connections to accept, and bytes to read.
         """
-        if self._listener is not None and self._listener.has_pending():
-            return True
         if self.account.n_open:
             return True  # also one whose caller has just left
         if not all(c.may_close(CloseReason.EXIT) for c in self.connections):
             return True
         descriptors = [c.read_descriptor() for c in self.connections]
-        return is_readable([d for d in descriptors if d >= 0])
+        if is_readable(d for d in descriptors if d >= 0):
+            return True
+        # The last look, since what comes after it is reset.
+        return self._listener is not None and self._listener.has_pending()
 
     def close(self) -> None:
         """Stops listening and closes all connections, busy ones after their request."""
--- a/berylpost/edge/callers.py
+++ b/berylpost/edge/callers.py
@@ -374,12 +374,12 @@
 
     def abort(self) -> None:
         """Aborts the connection so that the answer cannot be taken as complete."""
-        self._closing = self._aborted = True
-        if self._transport is not None:
-            if self.phase is Phase.UNSENT and not self._transport.is_closing():
+        if self._transport is not None and not self._aborted:
+            if self.phase is Phase.UNSENT and not self._rejected:
                 self._server.account.note_unsent(self._answered_id)
             self._count_unread()
             self._transport.abort()
+        self._closing = self._aborted = True
 
     def may_close(self, reason: CloseReason) -> bool:
         """Tells whether the connection may be closed without losing a request."""
--- a/berylpost/edge/daemon.py
+++ b/berylpost/edge/daemon.py
@@ -354,7 +354,7 @@
         await self.front.end_requests(LAST_ANSWERS_S)
         while read_boottime() < closes_at and self._has_unfinished():
             await asyncio.sleep(LAST_CHECK_S)
-        # Nothing may arrive between the last check and this.
+        # No await between the last check and the close.
         for server in (self.front, *self._control_servers):
             server.note_unfinished()
             server.close()
--- a/berylpost/edge/listener.py
+++ b/berylpost/edge/listener.py
@@ -1,4 +1,4 @@
-"""Accepts connections, and tells whether one is on its way to its protocol.
+"""Accepts connections, and tells whether one is not yet attached to its protocol.
 
 A connection that the event loop's own server accepts in the round in which it is closed
 gets no transport: it stays open and unread until it is garbage. Here a connection that
@@ -17,8 +17,8 @@
 LOGGER: Final = logging.getLogger(__name__)
 
 BACKLOG: Final = 1_024  # room for a burst of new connections while the loop is busy
-# Connections accepted in one round of the event loop. They are counted up to three
-# rounds later, and must not take the descriptors that a daemon keeps for itself.
+# Connections accepted in one round of the event loop. They count against the limit only
+# some rounds later; more at once could use up reserved descriptors.
 ACCEPTED_AT_ONCE: Final = 8
 # Pause after an error such as the lack of a descriptor.
 RETRY_S: Final = 1.0
@@ -41,7 +41,7 @@
     ) -> None:
         self._make_protocol = make_protocol
         self._loop = asyncio.get_running_loop()
-        self._joining: set[asyncio.Task[None]] = set()
+        self._attaching: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._socket = _bind(ip, port)
         self._socket.listen(BACKLOG)
@@ -54,7 +54,7 @@
 
     def has_pending(self) -> bool:
         """Tells whether a connection waits to be accepted or for its protocol."""
-        if self._joining:
+        if self._attaching:
             return True
         return self.is_open and is_readable([self._socket.fileno()])
 
@@ -78,15 +78,15 @@
                 self._timer = self._loop.call_later(RETRY_S, self._resume)
                 return
             connection.setblocking(False)
-            task = self._loop.create_task(self._join(connection))
-            self._joining.add(task)
-            task.add_done_callback(self._joining.discard)
+            task = self._loop.create_task(self._attach(connection))
+            self._attaching.add(task)
+            task.add_done_callback(self._attaching.discard)
 
     def _resume(self) -> None:
         if self.is_open:
             self._loop.add_reader(self._socket.fileno(), self._accept)
 
-    async def _join(self, connection: socket.socket) -> None:
+    async def _attach(self, connection: socket.socket) -> None:
         """Connects an accepted socket to a protocol, or closes it after `close`."""
         if not self.is_open:
             connection.close()
--- a/berylpost/edge/request_account.py
+++ b/berylpost/edge/request_account.py
@@ -21,7 +21,7 @@
     Attributes:
         ANSWERED: its answer is complete.
         CALLER_LEFT: the caller closed the connection before.
-        BROKEN_OFF: its answer had begun and cannot be completed.
+        BROKEN_OFF: no complete answer was sent, and the caller had not left.
         UNSENT: its answer was complete, but a part of it was dropped.
         UNSERVED: it was dropped before it was passed on.
         UNFINISHED: the process ended before it did.
@@ -35,7 +35,7 @@
     UNFINISHED = "unfinished"
 
 
-# The line about the request itself tells of the other ends.
+# The request's own log line reports the other ends.
 NAMED_ENDS: Final = frozenset(
     {RequestEnd.UNSENT, RequestEnd.UNSERVED, RequestEnd.UNFINISHED}
 )
@@ -90,7 +90,7 @@
             )
 
     def note_unsent(self, request_id: str) -> None:
-        """Counts an answered request again, as one whose answer was dropped."""
+        """Recounts an answered request as unsent."""
         self.n_ended[RequestEnd.ANSWERED] -= 1
         self.note_end(RequestEnd.UNSENT, request_id, Phase.UNSENT)
 
--- a/berylpost/policy/connection_end.py
+++ b/berylpost/policy/connection_end.py
@@ -3,16 +3,15 @@
 Each request whose last byte has reached a daemon ends with a complete answer, unless
 its caller leaves or its server breaks off. So a connection is closed only in a phase in
 which no such request is open on it. `CLOSABLE_AFTER_S` states this for each reason for
-which a daemon closes connections by itself. The last look at a connection and its close
-must happen in one step of the event loop.
+which a daemon closes connections by itself. Check and close without returning to the
+event loop.
 """
 
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import Final
 
-# A caller that sends a request, or the rest of it, more slowly than this has stalled;
-# it covers the initial retransmission time-out of TCP.
+# Silence after which a caller has stalled; a lost segment is usually sent again sooner.
 STALL_S: Final = 1.0
 ALWAYS_S: Final = 0.0
 
@@ -57,7 +56,8 @@
     EXIT = "exit"
 
 
-# Seconds for which the caller must have sent nothing; other phases do not end early.
+# Seconds for which the caller must have sent nothing. A phase without an entry is never
+# closed for that reason.
 CLOSABLE_AFTER_S: Final[Mapping[CloseReason, Mapping[Phase, float]]] = {
     CloseReason.IDLE_TIMEOUT: {
         Phase.NEW: ALWAYS_S,
--- a/berylpost/reference.py
+++ b/berylpost/reference.py
@@ -41,7 +41,7 @@
 REQUEST_ENDS: Final[dict[RequestEnd, str]] = {
     RequestEnd.ANSWERED: "Those with a complete answer.",
     RequestEnd.CALLER_LEFT: "Those whose caller closed the connection before.",
-    RequestEnd.BROKEN_OFF: "Those whose answer had begun and could not be completed.",
+    RequestEnd.BROKEN_OFF: "Those without a complete answer whose caller had not left.",
     RequestEnd.UNSENT: "Those of whose complete answer a part was dropped.",
     RequestEnd.UNSERVED: "Those that were dropped before they were passed on.",
     RequestEnd.UNFINISHED: "Those that the end of the process left open.",
--- a/features/steps/entry_tunnel_stop_steps.py
+++ b/features/steps/entry_tunnel_stop_steps.py
@@ -147,7 +147,7 @@
         try:
             await asyncio.get_running_loop().sock_connect(sock, tuple(self.front))
             return Caller(*await asyncio.open_connection(sock=sock, limit=1_024))
-        except OSError as error:
+        except (ConnectionRefusedError, ConnectionResetError) as error:
             sock.close()
             raise NotConnectedError from error
 
--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -1,4 +1,4 @@
-"""Lays the daemons' own account of their planned stops beside what callers saw.
+"""Checks planned stops against the daemons' own request counts.
 
 A daemon counts the requests that it read and how each of them ended. A planned stop
 alone leaves none open and loses none, and the process ends by itself.
@@ -14,9 +14,9 @@
 EVENT: Final = re.compile(r"\bevent=(\w+)(.*)")
 COUNT: Final = re.compile(r"\b(requests_\w+)=(-?\d+)")
 # Never other than 0 in the line of a daemon that has stopped.
-OPEN: Final = "requests_open"
+OPEN_COUNT: Final = "requests_open"
 # 0 unless an unplanned disturbance overlaps the stop.
-LOST: Final = ("requests_unsent", "requests_unserved", "requests_unfinished")
+LOSS_COUNTS: Final = ("requests_unsent", "requests_unserved", "requests_unfinished")
 
 
 def list_faults(world: World) -> list[str]:
@@ -56,9 +56,9 @@
         yield f"no line daemon_stopped, status {stop.status}"
     if "process_ends" not in events:
         yield f"no line process_ends, status {stop.status}"
-    if counts.get(OPEN):
-        yield f"{OPEN}={counts[OPEN]}"
-    lost = [f"{name}={counts[name]}" for name in LOST if counts.get(name)]
+    if counts.get(OPEN_COUNT):
+        yield f"{OPEN_COUNT}={counts[OPEN_COUNT]}"
+    lost = [f"{name}={counts[name]}" for name in LOSS_COUNTS if counts.get(name)]
     if lost and not was_disturbed:
         yield " ".join(lost)
     _, _, leaving = text.partition("event=daemon_leaving")
