Let the transport of drawn answers pause, as the reader may ask

A run of all checks at a load average near 22 ended with "'_Transport' object has no attribute 'pause_reading'" in "No sequence of answers on a connection is taken for another": a turn of the paced reader took over 2 ms of processor time, once. The fake transport lacked what every transport has.

It pauses now, and the next bytes come when the reader has taken the rest, so that each sequence is parsed whole, as before.

--- a/features/steps/entry_faulty_server_steps.py
+++ b/features/steps/entry_faulty_server_steps.py
@@ -123,10 +123,17 @@
 
     def __init__(self):
         self.closing = False
+        self.is_paused = False
 
     def get_extra_info(self, _name):
         return None
 
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
     def is_closing(self):
         return self.closing
 
@@ -177,7 +184,8 @@
 async def play(exchanges):
     """Plays the exchanges on one connection for as long as it may be used."""
     connection = Connection(backend_id="r", on_closed=lambda _connection: None)
-    connection.connection_made(_Transport())
+    transport = _Transport()
+    connection.connection_made(transport)
     kinds = []
     for number, (kind, earlier, cut, comes_late) in enumerate(exchanges):
         if not (connection.is_open and connection.reusable):
@@ -196,6 +204,8 @@
         for start in range(0, min(cut, len(data)), 7):
             if connection.is_open:
                 connection.data_received(data[start : min(start + 7, cut)])
+            while transport.is_paused:  # a turn of the reader took too long
+                await asyncio.sleep(0)
         if is_cut:
             connection.eof_received()
             connection.connection_lost(None)
