--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -679,6 +679,11 @@
         self.fronts.append(f"{ip}:{FRONT_PORT}")
         return self.fronts[-1]
 
+    def find_daemon(self, front: str) -> Process:
+        """Returns the daemon at an address."""
+        number = int(front.partition(":")[0].rpartition(".")[2]) - 10
+        return next(p for p in self.processes if p.name == f"daemon-{number}")
+
     async def _await_ready(self, address: str) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
