--- a/review/11/check.py
+++ b/review/11/check.py
@@ -73,7 +73,7 @@
     await rig.start_store(routes=[make_route("stream", "streaming", **resumes)])
     for number, version in enumerate(VERSIONS):
         await rig.start_server(
-            number, version=version, slots=SLOTS, long_queue=3, n_events=40
+            number, version=version, slots=SLOTS, long_queue=6, n_events=40
         )
     fronts = [await rig.start_daemon(number) for number in range(3)]
     await asyncio.sleep(4.0)
