--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
+python3 -c "import check" || exit 2
 exec python3 check.py
